--- /dev/null
+++ b/src/coordination/agent/start_gate.ts
@@ -0,0 +1,82 @@
+import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import type { LogFollower } from "../follower/mod.ts";
+
+export interface StartGateOptions {
+  follower: LogFollower;
+  /** Id of this agent's member. */
+  memberId: string;
+}
+
+/**
+ * Decides whether a task may start now. All that it checks are facts of the log, and the view's age bounds
+ * how old they can be; so a process that was paused, or is cut off, refuses in place of acting on old facts.
+ * The check must run in the same tick that writes the request to the upstream.
+ */
+export class StartGate {
+  readonly #follower: LogFollower;
+  readonly #memberId: string;
+  #isDraining = false;
+
+  constructor(options: StartGateOptions) {
+    this.#follower = options.follower;
+    this.#memberId = options.memberId;
+  }
+
+  /** Is the agent stopping? */
+  get isDraining(): boolean {
+    return this.#isDraining;
+  }
+
+  /** Refuses every later start, for a planned stop. */
+  startDraining(): void {
+    this.#isDraining = true;
+  }
+
+  /** Gets the reason why no task may start at this agent now, whoever sends it. */
+  getRefusal(): DispatchError | undefined {
+    const view = this.#follower.view;
+    if (this.#isDraining) {
+      return createError("draining", "the agent is stopping");
+    }
+    if (!this.#follower.canStartWork()) {
+      return createError(
+        "view_stale",
+        "the agent's view of the log is too old",
+      );
+    }
+    const self = view.getMember(this.#memberId);
+    if (self === undefined || self.phase !== "live") {
+      return createError("upstream_out", "the agent isn't a live member");
+    }
+    if (!view.isZoneIn(self.zone)) {
+      return createError(
+        "zone_out",
+        `availability zone ${self.zone} is out of service`,
+      );
+    }
+    if (!view.isUpstreamIn(self.name)) {
+      return createError(
+        "upstream_out",
+        `upstream ${self.name} is out of service`,
+      );
+    }
+    return undefined;
+  }
+
+  /**
+   * Gets the reason why a task of a coordinator may not start now.
+   * @param coordinatorId - Member id of the entry that sent the task.
+   */
+  getRefusalFor(coordinatorId: string): DispatchError | undefined {
+    const refusal = this.getRefusal();
+    if (refusal !== undefined) {
+      return refusal;
+    }
+    return this.#follower.view.getMember(coordinatorId) === undefined
+      ? createError(
+        "coordinator_removed",
+        `entry ${coordinatorId} isn't a member`,
+      )
+      : undefined;
+  }
+}
--- /dev/null
+++ b/src/coordination/agent/task_executor.ts
@@ -0,0 +1,194 @@
+import PQueue from "p-queue";
+import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import { getDigest } from "../../state/hashing/mod.ts";
+import type { StartRecords } from "../../state/starts/mod.ts";
+import type { Timeline } from "../../state/timeline/mod.ts";
+import type { UpstreamCaller, UpstreamRequest } from "../links/mod.ts";
+import type { Cancel, Dispatch } from "../messages/mod.ts";
+import { createFailedResult } from "./create_failed_result.ts";
+import type { StartGate } from "./start_gate.ts";
+import type { TaskResult } from "./task_result.ts";
+
+export interface TaskExecutorOptions {
+  gate: StartGate;
+  records: StartRecords<TaskResult>;
+  upstream: UpstreamCaller;
+  timeline: Timeline;
+  /** Tasks that run at one time. */
+  slots: number;
+  /** Tasks that may wait for a slot. */
+  maxWaiting?: number;
+}
+
+/**
+ * Runs attempts of tasks at the upstream. Each attempt starts at most once: a dispatch that arrives again
+ * gets the result of the first one, and a cancelled attempt leaves a tombstone.
+ */
+export class TaskExecutor {
+  readonly #gate: StartGate;
+  readonly #records: StartRecords<TaskResult>;
+  readonly #upstream: UpstreamCaller;
+  readonly #timeline: Timeline;
+  readonly #queue: PQueue;
+  readonly #maxWaiting: number;
+  readonly #running = new Map<string, AbortController>();
+
+  constructor(options: TaskExecutorOptions) {
+    this.#gate = options.gate;
+    this.#records = options.records;
+    this.#upstream = options.upstream;
+    this.#timeline = options.timeline;
+    this.#maxWaiting = options.maxWaiting ?? options.slots;
+    this.#queue = new PQueue({ concurrency: Math.max(1, options.slots) });
+  }
+
+  /** Gets the number of attempts that run or wait. */
+  get load(): number {
+    return this.#queue.pending + this.#queue.size;
+  }
+
+  /** Sets the number of tasks that run at one time. */
+  setSlots(slots: number): void {
+    this.#queue.concurrency = Math.max(1, slots);
+  }
+
+  /** Waits until no attempt runs or waits. */
+  async waitForIdle(): Promise<void> {
+    await this.#queue.onIdle();
+  }
+
+  /**
+   * Runs an attempt, or gets the result of the same attempt when it arrived before.
+   * @param dispatch - The attempt.
+   * @param coordinatorId - Member id of the entry that sent it.
+   */
+  run(dispatch: Dispatch, coordinatorId: string): Promise<TaskResult> {
+    const known = this.#records.get(
+      dispatch.key,
+      dispatch.index,
+      dispatch.attempt,
+    );
+    switch (known?.state) {
+      case undefined:
+        return this.#runNew(dispatch, coordinatorId);
+      case "waiting":
+      case "started":
+        return known.result;
+      case "tombstone":
+        return Promise.resolve(
+          createFailedResult("cancelled", "cancelled before the start"),
+        );
+      default:
+        return known satisfies never;
+    }
+  }
+
+  /** Cancels an attempt. Before its start it never starts; afterwards its call is aborted. */
+  cancel(cancel: Cancel): void {
+    const record = this.#records.get(cancel.key, cancel.index, cancel.attempt);
+    if (record === undefined || record.state === "waiting") {
+      this.#records.set(cancel, { state: "tombstone" });
+    }
+    this.#running.get(getId(cancel))?.abort();
+  }
+
+  #runNew(dispatch: Dispatch, coordinatorId: string): Promise<TaskResult> {
+    const refusal = this.#gate.getRefusalFor(coordinatorId);
+    if (refusal !== undefined) {
+      return Promise.resolve(createFailedResult(refusal.kind, refusal.message));
+    }
+    if (this.load >= this.#queue.concurrency + this.#maxWaiting) {
+      return Promise.resolve(createFailedResult("busy", "no free slot"));
+    }
+    const result = this.#queue.add(() => this.#start(dispatch, coordinatorId));
+    // A very short queue may have started the attempt at once; then its record says so already.
+    if (
+      this.#records.get(dispatch.key, dispatch.index, dispatch.attempt) ===
+        undefined
+    ) {
+      this.#records.set(dispatch, { state: "waiting", result });
+    }
+    return result;
+  }
+
+  async #start(dispatch: Dispatch, coordinatorId: string): Promise<TaskResult> {
+    const { key, index, attempt } = dispatch;
+    const controller = new AbortController();
+    this.#running.set(getId(dispatch), controller);
+    let hasStarted = false;
+    const result = this.#call(dispatch, {
+      signal: controller.signal,
+      checkStart: () => {
+        const refusal = this.#getRefusal(dispatch, coordinatorId);
+        if (refusal === undefined) {
+          hasStarted = true;
+          this.#records.set(dispatch, {
+            state: "started",
+            coordinator: coordinatorId,
+            result,
+          });
+          this.#timeline.record("task_started", { key, index, attempt });
+        }
+        return refusal;
+      },
+    });
+    try {
+      return await result;
+    } finally {
+      this.#running.delete(getId(dispatch));
+      if (
+        !hasStarted &&
+        this.#records.get(key, index, attempt)?.state === "waiting"
+      ) {
+        this.#records.remove(key, index, attempt);
+      }
+    }
+  }
+
+  #getRefusal(
+    dispatch: Dispatch,
+    coordinatorId: string,
+  ): DispatchError | undefined {
+    if (
+      this.#records.get(dispatch.key, dispatch.index, dispatch.attempt)
+        ?.state === "tombstone"
+    ) {
+      return createError("cancelled", "cancelled before the start");
+    }
+    return this.#gate.getRefusalFor(coordinatorId);
+  }
+
+  async #call(
+    dispatch: Dispatch,
+    options: Pick<UpstreamRequest, "signal" | "checkStart">,
+  ): Promise<TaskResult> {
+    const { key, index, attempt } = dispatch;
+    const startedAt = performance.now();
+    const answer = await this.#upstream.call({ ...dispatch, ...options });
+    const runMs = Math.round(performance.now() - startedAt);
+    if (answer.isErr()) {
+      const { kind, message } = answer.error;
+      this.#timeline.record("task_failed", {
+        key,
+        index,
+        attempt,
+        detail: kind,
+      });
+      return { ...createFailedResult(kind, message), runMs };
+    }
+    this.#timeline.record("task_ended", { key, index, attempt });
+    const { status, body } = answer.value;
+    return {
+      errorKind: "",
+      message: "",
+      status,
+      body,
+      digest: getDigest(body),
+      runMs,
+    };
+  }
+}
+
+function getId(task: { key: string; index: number; attempt: number }): string {
+  return `${task.index}/${task.attempt}/${task.key}`;
+}
--- /dev/null
+++ b/src/coordination/entry/agent_link.ts
@@ -0,0 +1,325 @@
+import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import type { MemberState } from "../../state/view/mod.ts";
+import type { Timeline } from "../../state/timeline/mod.ts";
+import { Heartbeats, type LogFollower, VIEW_LIMITS } from "../follower/mod.ts";
+import type { PeerCaller, PeerStream } from "../links/mod.ts";
+import type {
+  Cancel,
+  ClaimReply,
+  Complete,
+  Dispatch,
+  PeerMessage,
+  Result,
+  StoredAnswer,
+} from "../messages/mod.ts";
+
+/** Wait before a broken stream is opened again, in milliseconds. */
+const RECONNECT_DELAY_MS = 100;
+
+/** Wait for the home's confirmation of a stored answer, in milliseconds. */
+const COMPLETE_TIMEOUT_MS = 1_000;
+
+export interface AgentLinkOptions {
+  member: MemberState;
+  memberId: string;
+  zone: string;
+  peers: PeerCaller;
+  follower: LogFollower;
+  timeline: Timeline;
+  /** Called when credits arrive or the link comes up. */
+  onChange: () => void;
+  /** Gets the number of tasks that wait for a credit. */
+  getQueued: () => number;
+}
+
+interface PendingDispatch {
+  readonly message: Dispatch;
+  readonly resolve: (result: Result | DispatchError) => void;
+}
+
+/**
+ * The entry's side of the stream to one agent. A broken stream is opened again, and the open dispatches are
+ * sent again on it: the agent's start records make that safe, also for tasks that aren't repeatable.
+ */
+export class AgentLink {
+  readonly #options: AgentLinkOptions;
+  readonly #abort = new AbortController();
+  readonly #dispatches = new Map<number, PendingDispatch>();
+  readonly #claims = new Map<number, (reply: ClaimReply | undefined) => void>();
+  readonly #completes = new Map<number, (stored: boolean) => void>();
+  #stream: PeerStream | undefined;
+  #heartbeats: Heartbeats;
+  #heardAt = performance.now();
+  #credits = 0;
+  #isUp = false;
+  #nextId = 1;
+
+  constructor(options: AgentLinkOptions) {
+    this.#options = options;
+    this.#heartbeats = new Heartbeats(options.follower);
+  }
+
+  /** Gets the agent. */
+  get member(): MemberState {
+    return this.#options.member;
+  }
+
+  /** Gets the number of unused credits. */
+  get credits(): number {
+    return this.#credits;
+  }
+
+  /** Has the agent answered on the current stream? */
+  get isUp(): boolean {
+    return this.#isUp;
+  }
+
+  /** Gets the number of dispatches without a result. */
+  get inFlight(): number {
+    return this.#dispatches.size;
+  }
+
+  /** Gets the offset that the agent's view has confirmed; -1 before its first heartbeat. */
+  get confirmedOffset(): number {
+    return this.#heartbeats.peerOffset;
+  }
+
+  /** Gets the time since the agent's last heartbeat, in milliseconds. */
+  getSilenceMs(): number {
+    return performance.now() - this.#heardAt;
+  }
+
+  /** Keeps a stream to the agent until the link is closed. */
+  async run(): Promise<void> {
+    while (!this.#abort.signal.aborted) {
+      const stream = this.#options.peers.open(this.member.peerAddress);
+      this.#stream = stream;
+      try {
+        await this.#runStream(stream);
+      } catch {
+        // The stream broke. The agent is suspected by its silence, not by one broken stream.
+      }
+      stream.close();
+      this.#isUp = false;
+      this.#credits = 0;
+      this.#failClaims();
+      if (!this.#abort.signal.aborted) {
+        await new Promise((resolve) => setTimeout(resolve, RECONNECT_DELAY_MS));
+      }
+    }
+  }
+
+  /** Closes the link after the agent was removed or has left. Open dispatches end as `agent_lost`. */
+  close(): void {
+    this.#abort.abort();
+    this.#stream?.close();
+    const error = createError(
+      "agent_lost",
+      `agent ${this.member.id} was removed`,
+    );
+    for (const { resolve } of this.#dispatches.values()) {
+      resolve(error);
+    }
+    this.#dispatches.clear();
+    this.#failClaims();
+  }
+
+  /** Sends an attempt on a credit, and waits for its result. */
+  dispatch(task: Omit<Dispatch, "dispatchId" | "queued" | "clock">): {
+    id: number;
+    result: Promise<Result | DispatchError>;
+  } {
+    const id = this.#nextId++;
+    const message: Dispatch = { ...task, dispatchId: id, queued: 0, clock: 0 };
+    this.#credits--;
+    const result = new Promise<Result | DispatchError>((resolve) => {
+      this.#dispatches.set(id, { message, resolve });
+    });
+    this.#sendDispatch(message);
+    return { id, result };
+  }
+
+  /** Cancels a dispatch. Its result says whether it had started. */
+  cancel(cancel: Cancel): void {
+    this.#send({ case: "cancel", value: cancel });
+  }
+
+  /** Forgets a dispatch whose result isn't awaited any more. */
+  forget(dispatchId: number): void {
+    this.#dispatches.delete(dispatchId);
+  }
+
+  /**
+   * Claims a submission at this agent.
+   * @param key - Idempotency key with its scope.
+   * @param fingerprint - Digest of the request.
+   * @param options - Receives each reply; undefined when the link broke.
+   */
+  claim(
+    key: string,
+    fingerprint: string,
+    options: { receive: (reply: ClaimReply | undefined) => void },
+  ): void {
+    const claimId = this.#nextId++;
+    if (!this.#isUp) {
+      options.receive(undefined);
+      return;
+    }
+    this.#claims.set(claimId, options.receive);
+    const viewOffset = this.#options.follower.view.offset;
+    const clock = this.#options.timeline.getClock();
+    this.#send({
+      case: "claim",
+      value: { claimId, key, fingerprint, viewOffset, clock },
+    });
+  }
+
+  /** Stores the final answer of a submission here, or releases its claim. Gets false on failure. */
+  async complete(
+    key: string,
+    fingerprint: string,
+    answer?: StoredAnswer,
+  ): Promise<boolean> {
+    const claimId = this.#nextId++;
+    const value: Complete = { claimId, key, fingerprint, answer };
+    if (!this.#isUp) {
+      return false;
+    }
+    return await new Promise<boolean>((resolve) => {
+      const timer = setTimeout(
+        () => this.#receiveComplete(claimId, false),
+        COMPLETE_TIMEOUT_MS,
+      );
+      this.#completes.set(claimId, (stored) => {
+        clearTimeout(timer);
+        resolve(stored);
+      });
+      this.#send({ case: "complete", value });
+    });
+  }
+
+  async #runStream(stream: PeerStream): Promise<void> {
+    const { memberId, zone, follower } = this.#options;
+    this.#heartbeats = new Heartbeats(follower);
+    stream.send({
+      case: "hello",
+      value: { memberId, zone, wantsCredits: true },
+    });
+    void this.#sendHeartbeats(stream);
+    for await (const message of stream.received) {
+      this.#handle(message);
+    }
+  }
+
+  async #sendHeartbeats(stream: PeerStream): Promise<void> {
+    const { timeline, getQueued } = this.#options;
+    while (!stream.isClosed) {
+      const value = this.#heartbeats.create(getQueued(), timeline.getClock());
+      stream.send({ case: "heartbeat", value });
+      await new Promise((resolve) =>
+        setTimeout(resolve, VIEW_LIMITS.heartbeatIntervalMs)
+      );
+    }
+  }
+
+  #handle(message: PeerMessage): void {
+    switch (message.case) {
+      case "hello":
+        this.#handleHello(message.value.memberId);
+        return;
+      case "heartbeat":
+        this.#options.timeline.mergeClock(message.value.clock);
+        this.#heardAt = performance.now();
+        this.#heartbeats.receive(message.value);
+        return;
+      case "credit":
+        this.#addCredits(message.value.count);
+        return;
+      case "result":
+        this.#handleResult(message.value);
+        return;
+      case "claimReply":
+        this.#handleClaimReply(message.value);
+        return;
+      case "completeReply":
+        this.#receiveComplete(message.value.claimId, message.value.stored);
+        return;
+      case "creditRevoke":
+      case "dispatch":
+      case "cancel":
+      case "creditReturn":
+      case "want":
+      case "claim":
+      case "complete":
+        return;
+      default:
+        return message satisfies never;
+    }
+  }
+
+  #handleHello(memberId: string): void {
+    if (memberId !== this.member.id) {
+      // Another incarnation listens at this address: what this link waits for died with the old one.
+      this.#stream?.close();
+      return;
+    }
+    this.#isUp = true;
+    for (const { message } of this.#dispatches.values()) {
+      this.#sendDispatch(message);
+    }
+    this.#options.onChange();
+  }
+
+  #handleResult(result: Result): void {
+    this.#options.timeline.mergeClock(result.clock);
+    const pending = this.#dispatches.get(result.dispatchId);
+    this.#dispatches.delete(result.dispatchId);
+    pending?.resolve(result);
+    this.#addCredits(result.credits);
+  }
+
+  #handleClaimReply(reply: ClaimReply): void {
+    this.#options.timeline.mergeClock(reply.clock);
+    const receive = this.#claims.get(reply.claimId);
+    if (reply.outcome !== "running") {
+      this.#claims.delete(reply.claimId);
+    }
+    receive?.(reply);
+  }
+
+  #receiveComplete(claimId: number, stored: boolean): void {
+    this.#completes.get(claimId)?.(stored);
+    this.#completes.delete(claimId);
+  }
+
+  #failClaims(): void {
+    for (const receive of this.#claims.values()) {
+      receive(undefined);
+    }
+    this.#claims.clear();
+    for (const claimId of [...this.#completes.keys()]) {
+      this.#receiveComplete(claimId, false);
+    }
+  }
+
+  #addCredits(count: number): void {
+    if (count > 0) {
+      this.#credits += count;
+      this.#options.onChange();
+    }
+  }
+
+  #sendDispatch(message: Dispatch): void {
+    const { timeline, getQueued } = this.#options;
+    const value = {
+      ...message,
+      queued: getQueued(),
+      clock: timeline.getClock(),
+    };
+    this.#send({ case: "dispatch", value });
+  }
+
+  #send(message: PeerMessage): void {
+    this.#stream?.send(message);
+  }
+}
--- /dev/null
+++ b/src/coordination/entry/submission.ts
@@ -0,0 +1,20 @@
+import type { StoredAnswer } from "../messages/mod.ts";
+import type { JobOutcome } from "./job_outcome.ts";
+import type { TaskSpec } from "./task_spec.ts";
+
+/** One accepted request of a caller: a job, or a single request as a job of one task. */
+export interface Submission {
+  /** Idempotency key with its customer as scope. */
+  readonly key: string;
+  /** Digest of the request. */
+  readonly fingerprint: string;
+  readonly customer: string;
+  readonly team?: string | undefined;
+  readonly service: string;
+  readonly job?: string | undefined;
+  readonly tasks: readonly TaskSpec[];
+  readonly deadlineMs?: number | undefined;
+  readonly priority?: number | undefined;
+  /** Formats the outcome as the caller's protocol wants it. */
+  readonly formatAnswer: (outcome: JobOutcome) => StoredAnswer;
+}
--- /dev/null
+++ b/src/coordination/entry/task_answer.ts
@@ -0,0 +1,7 @@
+/** The whole answer of a task. */
+export interface TaskAnswer {
+  readonly index: number;
+  readonly status: number;
+  readonly body: Uint8Array;
+  readonly digest: string;
+}
--- /dev/null
+++ b/src/coordination/membership/mod.ts
@@ -0,0 +1,2 @@
+export { Announcer } from "./announcer.ts";
+export { SilenceWatcher } from "./silence_watcher.ts";
--- /dev/null
+++ b/src/coordination/messages/cancel.ts
@@ -0,0 +1,7 @@
+/** Cancels a dispatch. It names the task, so that a dispatch that arrives later is refused. */
+export interface Cancel {
+  dispatchId: number;
+  key: string;
+  index: number;
+  attempt: number;
+}
--- /dev/null
+++ b/src/coordination/messages/credit.ts
@@ -0,0 +1,4 @@
+/** Grants free slots of the sender to the receiver. */
+export interface Credit {
+  count: number;
+}
--- /dev/null
+++ b/src/coordination/messages/credit_return.ts
@@ -0,0 +1,4 @@
+/** Gives unused credits back. */
+export interface CreditReturn {
+  count: number;
+}
--- /dev/null
+++ b/src/coordination/messages/credit_revoke.ts
@@ -0,0 +1,4 @@
+/** Asks for unused credits back. */
+export interface CreditRevoke {
+  count: number;
+}
--- /dev/null
+++ b/src/coordination/messages/heartbeat.ts
@@ -0,0 +1,17 @@
+import type { OutageReport } from "./outage_report.ts";
+import type { RawLogRecord } from "./raw_log_record.ts";
+
+/** Sent on every stream, in both directions, at a fixed interval. */
+export interface Heartbeat {
+  sequence: number;
+  /** Last sequence received from the peer. It dates everything that this message states. */
+  echo: number;
+  viewOffset: number;
+  viewAgeMs: number;
+  outageReports: OutageReport[];
+  /** Records that follow the peer's last reported view offset. */
+  records: RawLogRecord[];
+  /** Tasks that wait for a credit at the sender. */
+  queued: number;
+  clock: number;
+}
--- /dev/null
+++ b/src/coordination/messages/known_claim.ts
@@ -0,0 +1,12 @@
+import type { StoredAnswer } from "./stored_answer.ts";
+
+/** What a member knows about one key. */
+export interface KnownClaim {
+  key: string;
+  fingerprint: string;
+  coordinator: string;
+  /** Absent while the submission runs. */
+  answer?: StoredAnswer | undefined;
+  /** True when only a start record is known, so the fingerprint is empty. */
+  fromStartRecord: boolean;
+}
--- /dev/null
+++ b/src/processes/agent_incarnation.ts
@@ -0,0 +1,184 @@
+import { ClaimService } from "../coordination/claims/mod.ts";
+import {
+  CreditLedger,
+  EntrySession,
+  SessionTable,
+  StartGate,
+  TaskExecutor,
+  type TaskResult,
+} from "../coordination/agent/mod.ts";
+import type { PeerStream } from "../coordination/links/mod.ts";
+import { Announcer, SilenceWatcher } from "../coordination/membership/mod.ts";
+import { HomeFinder } from "../state/homes/mod.ts";
+import type { StartRecords } from "../state/starts/mod.ts";
+import { Timeline } from "../state/timeline/mod.ts";
+import { PeerServer } from "../transport/peer/mod.ts";
+import { HttpUpstreamCaller } from "../transport/upstream/mod.ts";
+import { createMemberId } from "./create_member_id.ts";
+import type { ProcessContext } from "./process_context.ts";
+import type { UpstreamAnnouncement } from "./upstream_announcement.ts";
+import { waitForView } from "./wait_for_view.ts";
+
+/** Longest wait for the log when an agent stops, in milliseconds. */
+const LEAVE_TIMEOUT_MS = 5_000;
+
+/** Time for results that are already sent to leave the process, in milliseconds. */
+const FLUSH_MS = 100;
+
+export interface AgentIncarnationOptions {
+  context: ProcessContext;
+  upstream: UpstreamAnnouncement;
+  upstreamAddress: string;
+  httpAddress: string;
+  /** Kept over incarnations: an attempt that started stays started. */
+  records: StartRecords<TaskResult>;
+}
+
+/** One membership of an agent, from its announcement until it leaves or is removed. */
+export class AgentIncarnation {
+  readonly memberId: string;
+  readonly timeline: Timeline;
+  readonly #options: AgentIncarnationOptions;
+  readonly #abort = new AbortController();
+  readonly #gate: StartGate;
+  readonly #executor: TaskExecutor;
+  readonly #credits: CreditLedger;
+  readonly #sessions = new SessionTable();
+  readonly #claims: ClaimService;
+  readonly #peerServer: PeerServer;
+  #wasAnnounced = false;
+
+  constructor(options: AgentIncarnationOptions) {
+    const { context, upstream, records } = options;
+    const { follower, settings } = context;
+    this.#options = options;
+    this.memberId = createMemberId(settings.name);
+    this.timeline = new Timeline(this.memberId);
+    this.#gate = new StartGate({ follower, memberId: this.memberId });
+    this.#executor = new TaskExecutor({
+      gate: this.#gate,
+      records,
+      upstream: new HttpUpstreamCaller({
+        address: options.upstreamAddress,
+        maxConnections: settings.maxConnections,
+      }),
+      timeline: this.timeline,
+      slots: upstream.slots,
+    });
+    this.#credits = new CreditLedger(upstream.slots);
+    const homes = new HomeFinder(follower.view);
+    this.#claims = new ClaimService({
+      follower,
+      homes,
+      memberId: this.memberId,
+    });
+    this.#peerServer = new PeerServer({
+      host: settings.host,
+      port: settings.peerPort,
+      serve: (stream) => this.#serve(stream),
+      gather: () => ({ ready: false, claims: [] }),
+    });
+    follower.addListener((event) => {
+      if (event.type === "left" || event.type === "removed") {
+        this.#sessions.closeEntry(event.member.id);
+        this.#sessions.forgetEntry(event.member.id);
+      }
+    });
+  }
+
+  /** Is the agent a live member? */
+  get isReady(): boolean {
+    return this.#options.context.follower.view.getMember(this.memberId)
+      ?.phase === "live";
+  }
+
+  /** Was the agent announced and then removed by the others? */
+  get wasRemoved(): boolean {
+    return this.#wasAnnounced && !this.#abort.signal.aborted &&
+      this.#options.context.follower.view.getMember(this.memberId) ===
+        undefined;
+  }
+
+  /** Announces the agent and starts to serve. */
+  async start(): Promise<void> {
+    const { context, upstream, httpAddress } = this.#options;
+    const { settings, log, follower } = context;
+    const { signal } = this.#abort;
+    const peerPort = await this.#peerServer.start();
+    const announcer = new Announcer({ log, view: follower.view });
+    await announcer.announce({
+      id: this.memberId,
+      name: settings.name,
+      role: "agent",
+      zone: settings.zone,
+      ...(settings.rack === undefined ? {} : { rack: settings.rack }),
+      peerAddress: `${settings.host}:${peerPort}`,
+      httpAddress,
+      services: upstream.services,
+      slots: upstream.slots,
+    }, signal);
+    await waitForView(context, () => this.isReady, { signal });
+    this.#wasAnnounced = true;
+    this.#credits.setOpen(true);
+    this.timeline.record("agent_started");
+    const watcher = new SilenceWatcher({
+      memberId: this.memberId,
+      follower,
+      log,
+      getSilences: () => this.#sessions.getSilences(),
+    });
+    void watcher.run(signal);
+  }
+
+  /** Finishes the running tasks, delivers their results and leaves. */
+  async stop(): Promise<void> {
+    const { log, follower } = this.#options.context;
+    const announcer = new Announcer({ log, view: follower.view });
+    const timeout = AbortSignal.timeout(LEAVE_TIMEOUT_MS);
+    this.#credits.setOpen(false);
+    await announcer.leave(this.memberId, "leaving", timeout);
+    this.#gate.startDraining();
+    await this.#executor.waitForIdle();
+    await new Promise((resolve) => setTimeout(resolve, FLUSH_MS));
+    await announcer.leave(
+      this.memberId,
+      "left",
+      AbortSignal.timeout(LEAVE_TIMEOUT_MS),
+    );
+    this.close();
+  }
+
+  /** Closes all streams at once. */
+  close(): void {
+    this.#abort.abort();
+    for (const session of this.#sessions.getAll()) {
+      session.close();
+    }
+    this.#peerServer.stop();
+  }
+
+  /** Gets the offsets that the connected entries have confirmed. */
+  getConfirmed(): { [memberId: string]: number } {
+    return Object.fromEntries(
+      this.#sessions.getAll().map((
+        session,
+      ) => [session.entryId, session.confirmedOffset]),
+    );
+  }
+
+  #serve(stream: PeerStream): Promise<void> {
+    const { context } = this.#options;
+    const session = new EntrySession({
+      stream,
+      memberId: this.memberId,
+      zone: context.settings.zone,
+      follower: context.follower,
+      executor: this.#executor,
+      credits: this.#credits,
+      claims: this.#claims,
+      sessions: this.#sessions,
+      timeline: this.timeline,
+    });
+    return session.run();
+  }
+}
--- /dev/null
+++ b/src/processes/agent_process.ts
@@ -0,0 +1,156 @@
+import type { TaskResult } from "../coordination/agent/mod.ts";
+import { createError, createSchemaError } from "../state/errors/mod.ts";
+import { StartRecords } from "../state/starts/mod.ts";
+import {
+  createErrorAnswer,
+  createJsonAnswer,
+  type HttpAnswer,
+  type HttpRequest,
+  HttpServer,
+} from "../transport/http/mod.ts";
+import { AgentIncarnation } from "./agent_incarnation.ts";
+import { handleStatusRequest } from "./handle_status_request.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { UpstreamAnnouncement } from "./upstream_announcement.ts";
+import { waitForView } from "./wait_for_view.ts";
+
+/** Interval at which the process looks whether its member still stands, in milliseconds. */
+const CHECK_INTERVAL_MS = 200;
+
+/**
+ * The agent's process. It outlives its memberships: an agent that was removed while it was paused, or whose
+ * upstream left and came back, is announced as a new member.
+ */
+export class AgentProcess {
+  readonly #context: ProcessContext;
+  readonly #abort = new AbortController();
+  readonly #records = new StartRecords<TaskResult>();
+  readonly #httpServer: HttpServer;
+  #httpAddress = "";
+  #upstream: UpstreamAnnouncement | undefined;
+  #incarnation: AgentIncarnation | undefined;
+  #finished: Promise<void> = Promise.resolve();
+
+  constructor(context: ProcessContext) {
+    this.#context = context;
+    this.#httpServer = new HttpServer({
+      host: context.settings.host,
+      port: context.settings.httpPort,
+      handle: (request) => this.#handle(request),
+    });
+    context.metrics.setGauge("start_records", () => this.#records.size);
+  }
+
+  /** Starts the HTTP server and the log follower. The upstream's announcement starts the rest. */
+  async start(): Promise<void> {
+    const { settings, follower, logger } = this.#context;
+    const port = await this.#httpServer.start();
+    this.#httpAddress = `${settings.host}:${port}`;
+    logger.info("agent started", {
+      httpAddress: this.#httpAddress,
+      zone: settings.zone,
+    });
+    void follower.run(this.#abort.signal);
+    this.#finished = this.#run();
+  }
+
+  /** Stops gracefully: running tasks end and their results are delivered. */
+  async stop(): Promise<void> {
+    this.#context.logger.info("agent is stopping");
+    this.#abort.abort();
+    await this.#finished;
+    await this.#httpServer.stop();
+    this.#context.logger.info("agent stopped");
+  }
+
+  /** Runs one incarnation after the other. */
+  async #run(): Promise<void> {
+    const { signal } = this.#abort;
+    const { follower, logger } = this.#context;
+    while (!signal.aborted) {
+      await waitForView(this.#context, () => follower.canStartWork(), {
+        signal,
+      });
+      while (!signal.aborted && this.#upstream === undefined) {
+        await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
+      }
+      if (this.#upstream === undefined) {
+        return;
+      }
+      const incarnation = this.#createIncarnation(this.#upstream);
+      this.#incarnation = incarnation;
+      const started = incarnation.start();
+      const upstream = this.#upstream;
+      while (
+        !signal.aborted && !incarnation.wasRemoved &&
+        this.#upstream === upstream
+      ) {
+        this.#records.removeExpired();
+        await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
+      }
+      if (incarnation.wasRemoved) {
+        logger.warn("the others removed this agent; announcing it again");
+        incarnation.close();
+      } else {
+        await incarnation.stop();
+      }
+      await started;
+    }
+  }
+
+  #createIncarnation(upstream: UpstreamAnnouncement): AgentIncarnation {
+    return new AgentIncarnation({
+      context: this.#context,
+      upstream,
+      upstreamAddress: this.#context.settings.upstreamAddress ?? "",
+      httpAddress: this.#httpAddress,
+      records: this.#records,
+    });
+  }
+
+  #handle(request: HttpRequest): HttpAnswer {
+    const incarnation = this.#incarnation;
+    const answer = handleStatusRequest(request, {
+      context: this.#context,
+      memberId: incarnation?.memberId,
+      timeline: incarnation?.timeline,
+      isReady: incarnation?.isReady ?? false,
+      confirmed: incarnation?.getConfirmed() ?? {},
+    });
+    return answer ?? this.#handleUpstream(request);
+  }
+
+  #handleUpstream(request: HttpRequest): HttpAnswer {
+    switch (`${request.method} /${request.path.join("/")}`) {
+      case "PUT /v1/upstream":
+        return this.#announceUpstream(request.body);
+      case "DELETE /v1/upstream":
+        this.#upstream = undefined;
+        return createJsonAnswer(200, { status: "leaving" });
+      default:
+        return createErrorAnswer(createError("not_found", "no such resource"));
+    }
+  }
+
+  #announceUpstream(body: Buffer): HttpAnswer {
+    let value: unknown;
+    try {
+      value = JSON.parse(body.toString("utf8"));
+    } catch (error) {
+      return createErrorAnswer(
+        createError("invalid_request", (error as Error).message),
+      );
+    }
+    const parsed = UpstreamAnnouncement.safeParse(value);
+    if (!parsed.success) {
+      return createErrorAnswer(
+        createSchemaError("invalid_request", parsed.error),
+      );
+    }
+    if (JSON.stringify(this.#upstream) !== JSON.stringify(parsed.data)) {
+      this.#upstream = parsed.data;
+      this.#context.logger.info("upstream announced itself", parsed.data);
+    }
+    return createJsonAnswer(200, { status: "announced" });
+  }
+}
--- /dev/null
+++ b/src/processes/entry_incarnation.ts
@@ -0,0 +1,153 @@
+import {
+  AgentPool,
+  ClaimClient,
+  JobCoordinator,
+  TaskDispatcher,
+} from "../coordination/entry/mod.ts";
+import { Announcer, SilenceWatcher } from "../coordination/membership/mod.ts";
+import { HomeFinder } from "../state/homes/mod.ts";
+import { Timeline } from "../state/timeline/mod.ts";
+import { ConnectPeerCaller, PeerServer } from "../transport/peer/mod.ts";
+import { createMemberId } from "./create_member_id.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { waitForView } from "./wait_for_view.ts";
+
+/** Longest wait for the log when an entry stops, in milliseconds. */
+const LEAVE_TIMEOUT_MS = 5_000;
+
+/** Interval at which a stopping entry looks for running submissions, in milliseconds. */
+const CHECK_INTERVAL_MS = 20;
+
+export interface EntryIncarnationOptions {
+  context: ProcessContext;
+  httpAddress: string;
+}
+
+/** One membership of an entry, from its announcement until it leaves or is removed. */
+export class EntryIncarnation {
+  readonly memberId: string;
+  readonly timeline: Timeline;
+  readonly coordinator: JobCoordinator;
+  readonly #options: EntryIncarnationOptions;
+  readonly #abort = new AbortController();
+  readonly #pool: AgentPool;
+  readonly #peerServer: PeerServer;
+  #wasAnnounced = false;
+
+  constructor(options: EntryIncarnationOptions) {
+    const { context } = options;
+    const { follower, settings, metrics } = context;
+    this.#options = options;
+    this.memberId = createMemberId(settings.name);
+    this.timeline = new Timeline(this.memberId);
+    const homes = new HomeFinder(follower.view);
+    this.#pool = new AgentPool({
+      memberId: this.memberId,
+      zone: settings.zone,
+      peers: new ConnectPeerCaller(),
+      follower,
+      timeline: this.timeline,
+      onChange: () => dispatcher.startPlaceable(),
+      getQueued: () => dispatcher.waiting,
+    });
+    const dispatcher = new TaskDispatcher({
+      pool: this.#pool,
+      timeline: this.timeline,
+    });
+    const claims = new ClaimClient({ homes, pool: this.#pool });
+    this.coordinator = new JobCoordinator({
+      view: follower.view,
+      homes,
+      pool: this.#pool,
+      claims,
+      dispatcher,
+      timeline: this.timeline,
+    });
+    this.#peerServer = new PeerServer({
+      host: settings.host,
+      port: settings.peerPort,
+      serve: () => Promise.resolve(),
+      gather: () => ({ ready: false, claims: [] }),
+    });
+    metrics.setGauge("tasks_waiting", () => dispatcher.waiting);
+    metrics.setGauge("submissions_running", () => this.coordinator.running);
+  }
+
+  /** Is the entry a live member? */
+  get isReady(): boolean {
+    return this.#wasAnnounced && !this.wasRemoved;
+  }
+
+  /** Was the entry announced and then removed by the others? */
+  get wasRemoved(): boolean {
+    return this.#wasAnnounced && !this.#abort.signal.aborted &&
+      this.#options.context.follower.view.getMember(this.memberId) ===
+        undefined;
+  }
+
+  /** Announces the entry and opens its links. */
+  async start(): Promise<void> {
+    const { context, httpAddress } = this.#options;
+    const { settings, log, follower } = context;
+    const { signal } = this.#abort;
+    const peerPort = await this.#peerServer.start();
+    const announcer = new Announcer({ log, view: follower.view });
+    await announcer.announce({
+      id: this.memberId,
+      name: settings.name,
+      role: "entry",
+      zone: settings.zone,
+      ...(settings.rack === undefined ? {} : { rack: settings.rack }),
+      peerAddress: `${settings.host}:${peerPort}`,
+      httpAddress,
+      services: [],
+      slots: 0,
+    }, signal);
+    const isMember = () => follower.view.getMember(this.memberId) !== undefined;
+    await waitForView(context, isMember, { signal });
+    this.#wasAnnounced = true;
+    this.#pool.start();
+    this.timeline.record("entry_started");
+    const watcher = new SilenceWatcher({
+      memberId: this.memberId,
+      follower,
+      log,
+      getSilences: () =>
+        this.#pool.getAll().map((link) => ({
+          memberId: link.member.id,
+          silenceMs: link.getSilenceMs(),
+        })),
+    });
+    void watcher.run(signal);
+  }
+
+  /** Finishes the running submissions and leaves. */
+  async stop(): Promise<void> {
+    const { log, follower } = this.#options.context;
+    this.coordinator.startDraining();
+    while (this.coordinator.running > 0) {
+      await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
+    }
+    const announcer = new Announcer({ log, view: follower.view });
+    await announcer.leave(
+      this.memberId,
+      "left",
+      AbortSignal.timeout(LEAVE_TIMEOUT_MS),
+    );
+    this.close();
+  }
+
+  /** Closes all links at once. */
+  close(): void {
+    this.#abort.abort();
+    this.#pool.close();
+    this.#peerServer.stop();
+  }
+
+  /** Gets the offsets that the linked agents have confirmed. */
+  getConfirmed(): { [memberId: string]: number } {
+    return Object.fromEntries(
+      this.#pool.getAll().map((link) => [link.member.id, link.confirmedOffset]),
+    );
+  }
+}
--- /dev/null
+++ b/src/processes/entry_process.ts
@@ -0,0 +1,196 @@
+import { err, ok, type Result } from "neverthrow";
+import type { Submission } from "../coordination/entry/mod.ts";
+import {
+  parseJob,
+  parseRequest,
+  type RequestContext,
+} from "../protocol/http/mod.ts";
+import { createError, type DispatchError } from "../state/errors/mod.ts";
+import {
+  createErrorAnswer,
+  createJsonAnswer,
+  type HttpAnswer,
+  type HttpRequest,
+  HttpServer,
+} from "../transport/http/mod.ts";
+import { EntryIncarnation } from "./entry_incarnation.ts";
+import { handleStatusRequest } from "./handle_status_request.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { waitForView } from "./wait_for_view.ts";
+
+/** Interval at which the process looks whether its member still stands, in milliseconds. */
+const CHECK_INTERVAL_MS = 200;
+
+/** Time between "not ready" and the first refusal, so that the balancer can react, in milliseconds. */
+const STOP_DELAY_MS = 1_000;
+
+/** The entry's process. An entry that was removed while it was paused is announced as a new member. */
+export class EntryProcess {
+  readonly #context: ProcessContext;
+  readonly #abort = new AbortController();
+  readonly #httpServer: HttpServer;
+  #httpAddress = "";
+  #incarnation: EntryIncarnation | undefined;
+  #finished: Promise<void> = Promise.resolve();
+
+  constructor(context: ProcessContext) {
+    this.#context = context;
+    this.#httpServer = new HttpServer({
+      host: context.settings.host,
+      port: context.settings.httpPort,
+      handle: (request) => this.#handle(request),
+    });
+  }
+
+  /** Starts the HTTP server and the log follower; the rest follows once the log was read. */
+  async start(): Promise<void> {
+    const { settings, follower, logger } = this.#context;
+    const port = await this.#httpServer.start();
+    this.#httpAddress = `${settings.host}:${port}`;
+    logger.info("entry started", {
+      httpAddress: this.#httpAddress,
+      zone: settings.zone,
+    });
+    void follower.run(this.#abort.signal);
+    this.#finished = this.#run();
+  }
+
+  /** Stops gracefully: submissions that were received are answered. */
+  async stop(): Promise<void> {
+    this.#context.logger.info("entry is stopping");
+    this.#abort.abort();
+    await this.#finished;
+    await this.#httpServer.stop();
+    this.#context.logger.info("entry stopped");
+  }
+
+  /** Runs one incarnation after the other. */
+  async #run(): Promise<void> {
+    const { signal } = this.#abort;
+    const { follower, logger } = this.#context;
+    while (!signal.aborted) {
+      await waitForView(this.#context, () => follower.canStartWork(), {
+        signal,
+      });
+      if (signal.aborted) {
+        return;
+      }
+      const incarnation = new EntryIncarnation({
+        context: this.#context,
+        httpAddress: this.#httpAddress,
+      });
+      this.#incarnation = incarnation;
+      const started = incarnation.start();
+      while (!signal.aborted && !incarnation.wasRemoved) {
+        await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
+      }
+      if (incarnation.wasRemoved) {
+        logger.warn("the others removed this entry; announcing it again");
+        incarnation.close();
+      } else {
+        await new Promise((resolve) => setTimeout(resolve, STOP_DELAY_MS));
+        await incarnation.stop();
+      }
+      await started;
+    }
+  }
+
+  async #handle(request: HttpRequest): Promise<HttpAnswer> {
+    const incarnation = this.#incarnation;
+    const answer = handleStatusRequest(request, {
+      context: this.#context,
+      memberId: incarnation?.memberId,
+      timeline: incarnation?.timeline,
+      isReady: !this.#abort.signal.aborted && (incarnation?.isReady ?? false),
+      confirmed: incarnation?.getConfirmed() ?? {},
+    });
+    return answer ?? await this.#handleCaller(request, incarnation);
+  }
+
+  async #handleCaller(
+    request: HttpRequest,
+    incarnation: EntryIncarnation | undefined,
+  ): Promise<HttpAnswer> {
+    const context = readContext(request);
+    const [version, collection, name] = request.path;
+    const route = `${request.method} /${version}/${collection}`;
+    const isKnown = ["POST /v1/jobs", "POST /v1/requests", "DELETE /v1/jobs"]
+      .includes(route);
+    if (!isKnown) {
+      return createErrorAnswer(createError("not_found", "no such resource"));
+    }
+    if (incarnation === undefined || !incarnation.isReady) {
+      return createErrorAnswer(
+        createError("not_ready", "the entry isn't ready"),
+      );
+    }
+    if (route === "DELETE /v1/jobs") {
+      const key = `${context.customer}/${name ?? ""}`;
+      return incarnation.coordinator.cancel(key)
+        ? createJsonAnswer(202, { status: "cancelling" })
+        : createErrorAnswer(
+          createError("not_found", "this entry runs no such submission"),
+        );
+    }
+    if (context.idempotencyKey === "") {
+      const message = "the header Idempotency-Key is missing";
+      const path = "Idempotency-Key";
+      return createErrorAnswer(
+        createError("missing_idempotency_key", message, { path }),
+      );
+    }
+    return await this.#submit(request, { incarnation, context });
+  }
+
+  async #submit(
+    request: HttpRequest,
+    options: { incarnation: EntryIncarnation; context: RequestContext },
+  ): Promise<HttpAnswer> {
+    const { incarnation, context } = options;
+    const { metrics } = this.#context;
+    const receivedAt = performance.now();
+    const submission = request.path[1] === "jobs"
+      ? parseJob(request.body, context)
+      : parseSingleRequest(request, context);
+    if (submission.isErr()) {
+      metrics.add("submissions_invalid");
+      return createErrorAnswer(submission.error);
+    }
+    const answer = await incarnation.coordinator.submit(submission.value);
+    metrics.recordTime("submission", performance.now() - receivedAt);
+    metrics.add(
+      answer.status < 400 ? "submissions_answered" : "submissions_failed",
+    );
+    return answer;
+  }
+}
+
+function readContext(request: HttpRequest): RequestContext {
+  const { headers } = request;
+  const team = headers["x-team"];
+  return {
+    idempotencyKey: String(headers["idempotency-key"] ?? ""),
+    customer: String(headers["x-customer"] ?? "default"),
+    ...(team === undefined ? {} : { team: String(team) }),
+  };
+}
+
+function parseSingleRequest(
+  request: HttpRequest,
+  context: RequestContext,
+): Result<Submission, DispatchError> {
+  const service = request.path[2];
+  if (service === undefined) {
+    return err(
+      createError("invalid_request", "the path names no service", {
+        path: "service",
+      }),
+    );
+  }
+  const job = request.headers["x-job"];
+  return ok(parseRequest(request.body, context, {
+    service,
+    job: job === undefined ? undefined : String(job),
+    repeatable: request.headers["x-repeatable"] === "true",
+  }));
+}
--- /dev/null
+++ b/src/processes/handle_status_request.ts
@@ -0,0 +1,61 @@
+import type { Timeline } from "../state/timeline/mod.ts";
+import type { HttpAnswer, HttpRequest } from "../transport/http/mod.ts";
+import { createJsonAnswer } from "../transport/http/mod.ts";
+import type { ProcessContext } from "./process_context.ts";
+
+export interface StatusOptions {
+  context: ProcessContext;
+  memberId: string | undefined;
+  timeline: Timeline | undefined;
+  isReady: boolean;
+  /** Offsets that other members have confirmed to this process, by member id. */
+  confirmed: { [memberId: string]: number };
+}
+
+/** Handles the requests that entries and agents answer alike; undefined when it is another request. */
+export function handleStatusRequest(
+  request: HttpRequest,
+  options: StatusOptions,
+): HttpAnswer | undefined {
+  const { context, timeline, memberId, isReady } = options;
+  switch (`${request.method} /${request.path.join("/")}`) {
+    case "GET /healthz":
+      return createJsonAnswer(200, { status: "ok" });
+    case "GET /readyz":
+      return createJsonAnswer(isReady ? 200 : 503, { ready: isReady });
+    case "GET /metrics":
+      return {
+        status: 200,
+        contentType: "text/plain; version=0.0.4",
+        body: new TextEncoder().encode(context.metrics.format()),
+      };
+    case "GET /v1/events": {
+      const key = request.query.get("key");
+      const events = timeline?.getEvents(key === null ? {} : { key }) ?? [];
+      return createJsonAnswer(200, { memberId, events });
+    }
+    case "GET /v1/view":
+      return createJsonAnswer(200, createViewBody(options));
+    default:
+      return undefined;
+  }
+}
+
+function createViewBody(options: StatusOptions): unknown {
+  const { follower } = options.context;
+  const { view } = follower;
+  return {
+    memberId: options.memberId,
+    offset: view.offset,
+    revision: view.revision,
+    epoch: view.epoch,
+    ageMs: Math.min(
+      Math.round(follower.getViewAgeMs()),
+      Number.MAX_SAFE_INTEGER,
+    ),
+    canStartWork: follower.canStartWork(),
+    settings: view.settings,
+    members: [...view.getMembers("entry"), ...view.getMembers("agent")],
+    confirmed: options.confirmed,
+  };
+}
--- /dev/null
+++ b/src/processes/process_context.ts
@@ -0,0 +1,14 @@
+import type { Logger } from "tslog";
+import type { LogFollower } from "../coordination/follower/mod.ts";
+import type { LogService } from "../coordination/links/mod.ts";
+import type { Metrics } from "../state/metrics/mod.ts";
+import type { ProcessSettings } from "../state/process_settings/mod.ts";
+
+/** What the parts of a process share, over all incarnations of its member. */
+export interface ProcessContext {
+  readonly settings: ProcessSettings;
+  readonly log: LogService;
+  readonly follower: LogFollower;
+  readonly metrics: Metrics;
+  readonly logger: Logger<Record<string, unknown>>;
+}
--- /dev/null
+++ b/src/processes/run_process.ts
@@ -0,0 +1,45 @@
+import { createProcessContext } from "./create_process_context.ts";
+import type { ProcessContext } from "./process_context.ts";
+import { readProcessSettings } from "./read_process_settings.ts";
+
+/** Exit code for a settings file that is missing or invalid. */
+const EXIT_INVALID_SETTINGS = 2;
+
+interface RunnableProcess {
+  start(): Promise<void>;
+  stop(): Promise<void>;
+}
+
+export interface RunProcessOptions {
+  role: "entry" | "agent";
+  /** Path of the settings file. */
+  settingsPath: string;
+  create: (context: ProcessContext) => RunnableProcess;
+}
+
+/** Runs an entry or an agent until SIGTERM or SIGINT asks for a graceful stop. */
+export async function runProcess(options: RunProcessOptions): Promise<void> {
+  const settings = readProcessSettings(options.settingsPath);
+  if (settings.isErr()) {
+    console.error(
+      `invalid settings in ${options.settingsPath}: ${settings.error.message}`,
+    );
+    process.exit(EXIT_INVALID_SETTINGS);
+  }
+  const context = createProcessContext(settings.value, options.role);
+  const running = options.create(context);
+  let isStopping = false;
+  const stop = async () => {
+    if (!isStopping) {
+      isStopping = true;
+      await running.stop();
+      process.exit(0);
+    }
+  };
+  process.on("SIGTERM", () => void stop());
+  process.on("SIGINT", () => void stop());
+  process.on("unhandledRejection", (reason) => {
+    context.logger.error("unhandled rejection", { reason: String(reason) });
+  });
+  await running.start();
+}
--- /dev/null
+++ b/src/protocol/http/mod.ts
@@ -0,0 +1,3 @@
+export { parseJob } from "./parse_job.ts";
+export { parseRequest } from "./parse_request.ts";
+export type { RequestContext } from "./request_context.ts";
--- /dev/null
+++ b/src/protocol/http/request_context.ts
@@ -0,0 +1,6 @@
+/** What the headers of a submission say. */
+export interface RequestContext {
+  readonly idempotencyKey: string;
+  readonly customer: string;
+  readonly team?: string | undefined;
+}
--- /dev/null
+++ b/src/stand_in/upstream_stand_in.ts
@@ -0,0 +1,165 @@
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+import { z } from "zod";
+import type { TaskStart } from "./task_start.ts";
+import { UpstreamBehavior } from "./upstream_behavior.ts";
+
+/** Interval at which the upstream announces itself again, in milliseconds. */
+const ANNOUNCE_INTERVAL_MS = 1_000;
+
+/** Run time of a task that doesn't state one, in milliseconds. */
+const DEFAULT_RUN_MS = 50;
+
+const TaskBody = z.object({ runMs: z.number().min(0).max(600_000) });
+
+export interface UpstreamStandInOptions {
+  host?: string;
+  /** 0 takes a free port. */
+  port?: number;
+  /** `host:port` of the agent's HTTP server; without it the upstream doesn't announce itself. */
+  agentAddress?: string | undefined;
+  services: string[];
+  slots?: number;
+  behavior?: UpstreamBehavior;
+}
+
+/**
+ * A stand-in for a back end. A task's body may be JSON with `runMs`; the answer repeats the body. It records
+ * every start, so that tests can count them.
+ */
+export class UpstreamStandIn {
+  readonly #options: UpstreamStandInOptions;
+  readonly #server: http.Server;
+  readonly #starts: TaskStart[] = [];
+  #behavior: UpstreamBehavior;
+  #isStopped = false;
+
+  constructor(options: UpstreamStandInOptions) {
+    this.#options = options;
+    this.#behavior = options.behavior ?? UpstreamBehavior.parse({});
+    this.#server = http.createServer((request, response) =>
+      void this.#serve(request, response)
+    );
+    this.#server.keepAliveTimeout = 60_000;
+  }
+
+  /** Starts to listen, and gets the port. */
+  async start(): Promise<number> {
+    const { host = "127.0.0.1", port = 0 } = this.#options;
+    await new Promise<void>((resolve) =>
+      this.#server.listen(port, host, resolve)
+    );
+    void this.#announce();
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Stops the server and breaks its connections. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  /** Announces the upstream to its agent again and again, since the agent may restart. */
+  async #announce(): Promise<void> {
+    const { agentAddress, services, slots = 8 } = this.#options;
+    while (agentAddress !== undefined && !this.#isStopped) {
+      try {
+        await fetch(`http://${agentAddress}/v1/upstream`, {
+          method: "PUT",
+          body: JSON.stringify({ services, slots }),
+        });
+      } catch {
+        // The agent isn't up yet.
+      }
+      await new Promise((resolve) => setTimeout(resolve, ANNOUNCE_INTERVAL_MS));
+    }
+  }
+
+  async #serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://localhost");
+    if (url.pathname.startsWith("/v1/")) {
+      await this.#serveControl(request, response);
+      return;
+    }
+    this.#starts.push({
+      key: decodeURIComponent(String(request.headers["x-task-key"])),
+      index: Number(request.headers["x-task-index"]),
+      attempt: Number(request.headers["x-task-attempt"]),
+      timeMs: Date.now(),
+    });
+    try {
+      await this.#runTask(await readBody(request), response);
+    } catch {
+      // The agent closed the connection.
+    }
+  }
+
+  async #runTask(body: Buffer, response: http.ServerResponse): Promise<void> {
+    switch (this.#behavior.mode) {
+      case "normal":
+        await sleep(readRunMs(body) / this.#behavior.speed);
+        response.writeHead(200, { "content-length": body.length });
+        response.end(body);
+        return;
+      case "failing":
+        response.writeHead(500);
+        response.end("failed");
+        return;
+      case "resetting":
+        response.writeHead(200, { "content-length": body.length + 1 });
+        response.write(body);
+        await sleep(5);
+        response.socket?.resetAndDestroy();
+        return;
+      case "hanging":
+        return;
+      default:
+        return this.#behavior.mode satisfies never;
+    }
+  }
+
+  async #serveControl(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    switch (`${request.method} ${request.url}`) {
+      case "GET /v1/starts":
+        response.end(JSON.stringify(this.#starts));
+        return;
+      case "PUT /v1/behavior": {
+        const value = JSON.parse((await readBody(request)).toString("utf8"));
+        const behavior = UpstreamBehavior.safeParse(value);
+        this.#behavior = behavior.success ? behavior.data : this.#behavior;
+        response.writeHead(behavior.success ? 200 : 400).end();
+        return;
+      }
+      default:
+        response.writeHead(404).end();
+    }
+  }
+}
+
+async function readBody(request: http.IncomingMessage): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
+function readRunMs(body: Buffer): number {
+  try {
+    const parsed = TaskBody.safeParse(JSON.parse(body.toString("utf8")));
+    return parsed.success ? parsed.data.runMs : DEFAULT_RUN_MS;
+  } catch {
+    return DEFAULT_RUN_MS;
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/src/state/homes/mod.ts
@@ -0,0 +1,1 @@
+export { HomeFinder } from "./home_finder.ts";
--- /dev/null
+++ b/src/state/metrics/mod.ts
@@ -0,0 +1,1 @@
+export { Metrics } from "./metrics.ts";
--- /dev/null
+++ b/src/state/timeline/mod.ts
@@ -0,0 +1,2 @@
+export { Timeline } from "./timeline.ts";
+export type { TimelineEvent } from "./timeline_event.ts";
--- /dev/null
+++ b/src/state/view/member_table.ts
@@ -0,0 +1,161 @@
+import type { Member } from "./member.ts";
+import type { MemberState } from "./member_state.ts";
+import type { MembersSnapshot } from "./members_snapshot.ts";
+import type { ViewEvent } from "./view_event.ts";
+
+/** Suspicions of several observers count together when they are at most this far apart, in milliseconds. */
+const SUSPICION_WINDOW_MS = 10_000;
+
+/**
+ * The members of the cluster. A member is removed when a majority of the processes that watch it suspect
+ * it. A smaller number would let one rack, or the smaller side of a network partition, remove members that
+ * the others still reach.
+ */
+export class MemberTable {
+  #members = new Map<string, MemberState>();
+  #suspicions = new Map<string, Map<string, number>>();
+  #epoch = 0;
+
+  /** Gets the offset of the last change of membership. */
+  get epoch(): number {
+    return this.#epoch;
+  }
+
+  /** Gets a member that hasn't left and wasn't removed. */
+  get(id: string): MemberState | undefined {
+    return this.#members.get(id);
+  }
+
+  /** Gets all members, the leaving ones included. */
+  getAll(): MemberState[] {
+    return [...this.#members.values()];
+  }
+
+  /** Adds a member. An older incarnation with the same name is removed, since its process was replaced. */
+  announce(member: Member, offset: number): ViewEvent[] {
+    const events: ViewEvent[] = [];
+    const known = this.#members.get(member.id);
+    for (const other of this.#members.values()) {
+      if (other.name === member.name && other.id !== member.id) {
+        events.push(this.#remove(other, "removed"));
+      }
+    }
+    const announcedAt = known?.announcedAt ?? offset;
+    const state: MemberState = {
+      ...member,
+      phase: known?.phase ?? "live",
+      announcedAt,
+    };
+    this.#members.set(member.id, state);
+    this.#epoch = offset;
+    events.push({ type: "joined", member: state });
+    return [...events, ...this.#removeSuspected()];
+  }
+
+  /** Marks a member as leaving, or removes it after it has left. */
+  leave(
+    id: string,
+    phase: "leaving" | "left",
+    options: { offset: number },
+  ): ViewEvent[] {
+    const member = this.#members.get(id);
+    if (
+      member === undefined ||
+      (phase === "leaving" && member.phase === "leaving")
+    ) {
+      return [];
+    }
+    this.#epoch = options.offset;
+    if (phase === "left") {
+      return [this.#remove(member, "left"), ...this.#removeSuspected()];
+    }
+    const leaving: MemberState = { ...member, phase: "leaving" };
+    this.#members.set(id, leaving);
+    return [{ type: "leaving", member: leaving }];
+  }
+
+  /** Records an observer's suspicion of some members, and removes those that enough observers suspect. */
+  suspect(
+    observerId: string,
+    ids: string[],
+    options: { offset: number; timeMs: number },
+  ): ViewEvent[] {
+    if (!this.#members.has(observerId)) {
+      return [];
+    }
+    for (const id of ids) {
+      if (this.#members.has(id)) {
+        const observers = this.#suspicions.get(id) ?? new Map<string, number>();
+        observers.set(observerId, options.timeMs);
+        this.#suspicions.set(id, observers);
+      }
+    }
+    const events = this.#removeSuspected();
+    if (events.length > 0) {
+      this.#epoch = options.offset;
+    }
+    return events;
+  }
+
+  /** Gets the state as a part of a snapshot. */
+  createSnapshot(): MembersSnapshot {
+    return {
+      members: this.getAll(),
+      epoch: this.#epoch,
+      suspicions: [...this.#suspicions].map((
+        [id, observers],
+      ) => [id, [...observers]]),
+    };
+  }
+
+  /** Sets the state from a part of a snapshot. */
+  setSnapshot(snapshot: MembersSnapshot): void {
+    this.#members = new Map(
+      snapshot.members.map((member) => [member.id, member]),
+    );
+    this.#epoch = snapshot.epoch;
+    this.#suspicions = new Map(
+      snapshot.suspicions.map(([id, observers]) => [id, new Map(observers)]),
+    );
+  }
+
+  #remove(member: MemberState, type: "left" | "removed"): ViewEvent {
+    this.#members.delete(member.id);
+    this.#suspicions.delete(member.id);
+    return { type, member };
+  }
+
+  /** Removes suspected members until none is left that enough observers suspect. */
+  #removeSuspected(): ViewEvent[] {
+    const events: ViewEvent[] = [];
+    let removed = true;
+    while (removed) {
+      removed = false;
+      for (const id of [...this.#suspicions.keys()]) {
+        const member = this.#members.get(id);
+        if (member !== undefined && this.#isSuspectedEnough(member)) {
+          events.push(this.#remove(member, "removed"));
+          removed = true;
+        }
+      }
+    }
+    return events;
+  }
+
+  #isSuspectedEnough(member: MemberState): boolean {
+    const observers = this.#suspicions.get(member.id) ??
+      new Map<string, number>();
+    const newest = Math.max(...observers.values());
+    let count = 0;
+    for (const [observerId, timeMs] of observers) {
+      if (
+        this.#members.has(observerId) && newest - timeMs <= SUSPICION_WINDOW_MS
+      ) {
+        count++;
+      }
+    }
+    const watching =
+      this.getAll().filter((other) => other.role !== member.role).length;
+    return count * 2 > watching;
+  }
+}
--- /dev/null
+++ b/src/state/view/view_event.ts
@@ -0,0 +1,14 @@
+import type { ChangeOutcome } from "./change_outcome.ts";
+import type { MemberState } from "./member_state.ts";
+
+/** What one applied record changed in the view. */
+export type ViewEvent =
+  | {
+    readonly type: "change";
+    readonly id: string;
+    readonly outcome: ChangeOutcome;
+  }
+  | { readonly type: "joined"; readonly member: MemberState }
+  | { readonly type: "leaving"; readonly member: MemberState }
+  | { readonly type: "left"; readonly member: MemberState }
+  | { readonly type: "removed"; readonly member: MemberState };
--- /dev/null
+++ b/src/transport/http/create_error_answer.ts
@@ -0,0 +1,12 @@
+import { type DispatchError, ERROR_ANSWERS } from "../../state/errors/mod.ts";
+import { createJsonAnswer } from "./create_json_answer.ts";
+import type { HttpAnswer } from "./http_answer.ts";
+
+/** Creates the answer of an error, by the table of error kinds. */
+export function createErrorAnswer(error: DispatchError): HttpAnswer {
+  const { status, outcome } = ERROR_ANSWERS[error.kind];
+  return createJsonAnswer(status, {
+    status: "failed",
+    error: { ...error, outcome },
+  });
+}
--- /dev/null
+++ b/src/transport/http/http_request.ts
@@ -0,0 +1,13 @@
+import type { IncomingHttpHeaders } from "node:http";
+
+/** A received HTTP request with its whole body. */
+export interface HttpRequest {
+  readonly method: string;
+  /** Segments of the path, decoded. */
+  readonly path: readonly string[];
+  readonly query: URLSearchParams;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: Buffer;
+  /** Aborts when the client closes its connection before the answer. */
+  readonly signal: AbortSignal;
+}
--- /dev/null
+++ b/src/transport/log/http_log_service.ts
@@ -0,0 +1,144 @@
+import { err, ok, type Result } from "neverthrow";
+import * as http from "node:http";
+import { z } from "zod";
+import type { LogPage, LogService } from "../../coordination/links/mod.ts";
+import { VIEW_LIMITS } from "../../coordination/follower/mod.ts";
+import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import type { LogRecord } from "../../state/view/mod.ts";
+
+/** Longest time for an append, in milliseconds. */
+const APPEND_TIMEOUT_MS = 3_000;
+
+const Appended = z.object({ offset: z.int() });
+const Page = z.object({
+  first: z.int(),
+  head: z.int(),
+  records: z.array(z.object({ offset: z.int(), record: z.json() })),
+});
+
+interface Reply {
+  readonly status: number;
+  readonly text: string;
+}
+
+/** The platform's log over HTTP. */
+export class HttpLogService implements LogService {
+  readonly #baseUrl: string;
+  readonly #agent = new http.Agent({ keepAlive: true });
+
+  /** @param address - `host:port` of the log service. */
+  constructor(address: string) {
+    this.#baseUrl = `http://${address}`;
+  }
+
+  async append(record: LogRecord): Promise<Result<number, DispatchError>> {
+    const body = JSON.stringify(record);
+    const reply = await this.#send("POST", "/v1/records", {
+      body,
+      timeoutMs: APPEND_TIMEOUT_MS,
+    });
+    if (reply.isErr()) {
+      return err(reply.error);
+    }
+    const appended = Appended.safeParse(parseJson(reply.value.text));
+    if (reply.value.status !== 200 || !appended.success) {
+      const message =
+        `the log answered an append with status ${reply.value.status}`;
+      return err(createError("log_unreachable", message));
+    }
+    return ok(appended.data.offset);
+  }
+
+  async read(
+    from: number,
+    limit: number,
+  ): Promise<Result<LogPage, DispatchError>> {
+    const timeoutMs = VIEW_LIMITS.logReadTimeoutMs;
+    const path = `/v1/records?from=${from}&limit=${limit}`;
+    const reply = await this.#send("GET", path, { timeoutMs });
+    if (reply.isErr()) {
+      return err(reply.error);
+    }
+    if (reply.value.status === 410) {
+      const first = z.object({ first: z.int() }).safeParse(
+        parseJson(reply.value.text),
+      );
+      if (first.success && first.data.first > from) {
+        return await this.read(first.data.first, limit);
+      }
+    }
+    const page = Page.safeParse(parseJson(reply.value.text));
+    if (reply.value.status !== 200 || !page.success) {
+      const message =
+        `the log answered a read with status ${reply.value.status}`;
+      return err(createError("log_unreachable", message));
+    }
+    const records = page.data.records.map(({ offset, record }) => ({
+      offset,
+      json: JSON.stringify(record),
+    }));
+    return ok({ first: page.data.first, head: page.data.head, records });
+  }
+
+  #send(
+    method: "GET" | "POST",
+    path: string,
+    options: { body?: string; timeoutMs: number },
+  ): Promise<Result<Reply, DispatchError>> {
+    return new Promise((resolve) => {
+      let isConnected = false;
+      const request = http.request(this.#baseUrl + path, {
+        method,
+        agent: this.#agent,
+        headers: options.body === undefined
+          ? {}
+          : { "content-type": "application/json" },
+      });
+      const fail = (message: string) => {
+        // Once the record may have been written, a lost reply says nothing about the append.
+        const kind = method === "POST" && isConnected
+          ? "publish_unknown"
+          : "log_unreachable";
+        resolve(err(createError(kind, message)));
+      };
+      const timer = setTimeout(
+        () =>
+          request.destroy(new Error(`no reply within ${options.timeoutMs} ms`)),
+        options.timeoutMs,
+      );
+      request.on("socket", (socket) => {
+        isConnected = !socket.connecting;
+        if (socket.connecting) {
+          socket.once("connect", () => isConnected = true);
+        }
+      });
+      request.on("error", (error) => {
+        clearTimeout(timer);
+        fail(error.message);
+      });
+      request.on("response", (response) => {
+        readText(response).then(
+          (text) => resolve(ok({ status: response.statusCode ?? 0, text })),
+          (error) => fail((error as Error).message),
+        ).finally(() => clearTimeout(timer));
+      });
+      request.end(options.body);
+    });
+  }
+}
+
+async function readText(response: http.IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of response) {
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks).toString("utf8");
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/transport/log/mod.ts
@@ -0,0 +1,1 @@
+export { HttpLogService } from "./http_log_service.ts";
--- /dev/null
+++ b/src/transport/peer/connect_peer_caller.ts
@@ -0,0 +1,65 @@
+import { create } from "@bufbuild/protobuf";
+import { createClient } from "@connectrpc/connect";
+import { createConnectTransport } from "@connectrpc/connect-node";
+import { err, ok, type Result } from "neverthrow";
+import type { PeerCaller, PeerStream } from "../../coordination/links/mod.ts";
+import type {
+  GatherReply,
+  GatherRequest,
+} from "../../coordination/messages/mod.ts";
+import {
+  type Frame,
+  GatherRequestSchema,
+  Peer,
+} from "../../protocol/gen/peer_pb.ts";
+import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import { FrameStream } from "./frame_stream.ts";
+
+/** Longest time for a gather call, in milliseconds. */
+const GATHER_TIMEOUT_MS = 2_000;
+
+/** Reaches other processes over HTTP/2 with the Connect protocol. */
+export class ConnectPeerCaller implements PeerCaller {
+  open(address: string): PeerStream {
+    const client = createPeerClient(address);
+    const abort = new AbortController();
+    // The client needs the frames to send, which only exist once the stream does.
+    const stream: FrameStream = new FrameStream(receive(), {
+      // Aborting at once could cut off the last frames; the server ends its side after them.
+      onClose: () => setTimeout(() => abort.abort(), 1_000).unref(),
+    });
+    return stream;
+
+    async function* receive(): AsyncGenerator<Frame> {
+      yield* client.connect(stream.sent, { signal: abort.signal });
+    }
+  }
+
+  async gather(
+    address: string,
+    request: GatherRequest,
+  ): Promise<Result<GatherReply, DispatchError>> {
+    try {
+      const message = create(GatherRequestSchema, request);
+      const reply = await createPeerClient(address).gather(message, {
+        timeoutMs: GATHER_TIMEOUT_MS,
+      });
+      return ok(reply);
+    } catch (error) {
+      return err(
+        createError(
+          "internal",
+          `gather at ${address}: ${(error as Error).message}`,
+        ),
+      );
+    }
+  }
+}
+
+function createPeerClient(address: string) {
+  const transport = createConnectTransport({
+    httpVersion: "2",
+    baseUrl: `http://${address}`,
+  });
+  return createClient(Peer, transport);
+}
--- /dev/null
+++ b/src/transport/peer/peer_server.ts
@@ -0,0 +1,72 @@
+import { create } from "@bufbuild/protobuf";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import * as http2 from "node:http2";
+import type { AddressInfo } from "node:net";
+import type { PeerStream } from "../../coordination/links/mod.ts";
+import type {
+  GatherReply,
+  GatherRequest,
+} from "../../coordination/messages/mod.ts";
+import { GatherReplySchema, Peer } from "../../protocol/gen/peer_pb.ts";
+import { FrameStream } from "./frame_stream.ts";
+
+export interface PeerServerOptions {
+  host: string;
+  /** 0 takes a free port. */
+  port: number;
+  /** Serves one stream until it ends. */
+  serve: (stream: PeerStream) => Promise<void>;
+  /** Answers a gather call. */
+  gather: (request: GatherRequest) => GatherReply;
+}
+
+/** The server for streams and calls from other processes. */
+export class PeerServer {
+  readonly #server: http2.Http2Server;
+  readonly #options: PeerServerOptions;
+  readonly #sessions = new Set<http2.ServerHttp2Session>();
+
+  constructor(options: PeerServerOptions) {
+    this.#options = options;
+    const { serve, gather } = options;
+    this.#server = http2.createServer(
+      connectNodeAdapter({
+        routes: (router) =>
+          router.service(Peer, {
+            async *connect(frames) {
+              const stream = new FrameStream(frames);
+              // The session ends with an error when the stream breaks; the frames sent just stop.
+              const served = serve(stream).catch(() => {}).finally(() =>
+                stream.close()
+              );
+              yield* stream.sent;
+              await served;
+            },
+            gather: (request) => create(GatherReplySchema, gather(request)),
+          }),
+      }),
+    );
+    this.#server.on("session", (session) => {
+      this.#sessions.add(session);
+      session.on("close", () => this.#sessions.delete(session));
+    });
+  }
+
+  /** Starts to listen, and gets the port. */
+  async start(): Promise<number> {
+    const { host, port } = this.#options;
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once("error", reject);
+      this.#server.listen(port, host, resolve);
+    });
+    return (this.#server.address() as AddressInfo).port;
+  }
+
+  /** Stops the server and ends its streams. */
+  stop(): void {
+    this.#server.close();
+    for (const session of this.#sessions) {
+      session.destroy();
+    }
+  }
+}
--- /dev/null
+++ b/src/transport/upstream/http_upstream_caller.ts
@@ -0,0 +1,148 @@
+import { err, ok, type Result } from "neverthrow";
+import * as http from "node:http";
+import type {
+  UpstreamAnswer,
+  UpstreamCaller,
+  UpstreamRequest,
+} from "../../coordination/links/mod.ts";
+import { createError, type DispatchError } from "../../state/errors/mod.ts";
+
+/** Largest answer of one task, in bytes. */
+const MAX_ANSWER_BYTES = 16_777_216;
+
+export interface HttpUpstreamCallerOptions {
+  /** `host:port` of the upstream. */
+  address: string;
+  /** Connections that may be open at one time. */
+  maxConnections: number;
+}
+
+/** Calls the upstream over HTTP/1.1. */
+export class HttpUpstreamCaller implements UpstreamCaller {
+  readonly #agent: http.Agent;
+  readonly #host: string;
+  readonly #port: number;
+
+  constructor(options: HttpUpstreamCallerOptions) {
+    const url = new URL(`http://${options.address}`);
+    this.#host = url.hostname;
+    this.#port = Number(url.port);
+    this.#agent = new http.Agent({
+      keepAlive: true,
+      maxSockets: options.maxConnections,
+    });
+  }
+
+  call(
+    request: UpstreamRequest,
+  ): Promise<Result<UpstreamAnswer, DispatchError>> {
+    return new Promise((resolve) => this.#send(request, resolve));
+  }
+
+  #send(
+    request: UpstreamRequest,
+    resolve: (result: Result<UpstreamAnswer, DispatchError>) => void,
+  ): void {
+    let hasStarted = false;
+    const outgoing = this.#createRequest(request);
+    const finish = (result: Result<UpstreamAnswer, DispatchError>) => {
+      clearTimeout(timer);
+      request.signal.removeEventListener("abort", onAbort);
+      resolve(result);
+    };
+    const fail = (error: DispatchError) => {
+      finish(err(error));
+      outgoing.destroy();
+    };
+    const timer = setTimeout(
+      () => fail(createStopError(hasStarted, "timeout", "expired")),
+      request.timeoutMs,
+    );
+    const onAbort = () =>
+      fail(createStopError(hasStarted, "cancelled_running", "cancelled"));
+    request.signal.addEventListener("abort", onAbort, { once: true });
+    outgoing.on("socket", (socket) => {
+      const start = () => {
+        const refusal = request.checkStart();
+        if (refusal !== undefined) {
+          fail(refusal);
+          return;
+        }
+        // Nothing was written so far: headers leave together with the body.
+        hasStarted = true;
+        outgoing.end(request.body);
+      };
+      socket.connecting ? socket.once("connect", start) : start();
+    });
+    outgoing.on(
+      "error",
+      (error) => finish(err(createCallError(hasStarted, error))),
+    );
+    outgoing.on("response", (response) => {
+      readAnswer(response).then(finish);
+    });
+  }
+
+  #createRequest(request: UpstreamRequest): http.ClientRequest {
+    return http.request({
+      host: this.#host,
+      port: this.#port,
+      method: "POST",
+      path: `/${encodeURIComponent(request.service)}`,
+      // A kept connection may have been closed by the upstream; a write into it leaves open whether the
+      // request ran. A fresh connection that can't be opened is a certain "not run".
+      agent: request.repeatable ? this.#agent : false,
+      headers: {
+        "content-type": "application/octet-stream",
+        "content-length": request.body.length,
+        "x-task-key": encodeURIComponent(request.key),
+        "x-task-index": String(request.index),
+        "x-task-attempt": String(request.attempt),
+      },
+    });
+  }
+}
+
+async function readAnswer(
+  response: http.IncomingMessage,
+): Promise<Result<UpstreamAnswer, DispatchError>> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  try {
+    for await (const chunk of response) {
+      chunks.push(chunk);
+      size += chunk.length;
+      if (size > MAX_ANSWER_BYTES) {
+        response.destroy();
+        return err(
+          createError(
+            "corrupt_answer",
+            `the answer exceeds ${MAX_ANSWER_BYTES} bytes`,
+          ),
+        );
+      }
+    }
+  } catch (error) {
+    return err(createCallError(true, error as Error));
+  }
+  if (!response.complete) {
+    return err(createError("upstream_reset", "the answer ended early"));
+  }
+  return ok({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) });
+}
+
+function createCallError(hasStarted: boolean, error: Error): DispatchError {
+  return hasStarted
+    ? createError("upstream_reset", error.message)
+    : createError("upstream_unreachable", error.message);
+}
+
+function createStopError(
+  hasStarted: boolean,
+  kind: "timeout" | "cancelled_running",
+  kindBeforeStart: "expired" | "cancelled",
+): DispatchError {
+  return hasStarted
+    ? createError(kind, "stopped after the start")
+    : createError(kindBeforeStart, "stopped before the start");
+}
--- /dev/null
+++ b/src/transport/upstream/mod.ts
@@ -0,0 +1,1 @@
+export { HttpUpstreamCaller } from "./http_upstream_caller.ts";
