--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -3,6 +3,8 @@
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import type { TaskStart } from "../../src/stand_in/mod.ts";
+import { Relay } from "./relay.ts";
 
 /** Time that a process may take to stop, in milliseconds. */
 const STOP_TIMEOUT_MS = 30_000;
@@ -16,6 +18,12 @@
   slots?: number;
   /** Speed of each upstream; 1 where none is given. */
   speeds?: number[];
+  /** Puts a relay before each process's peer server and between each process and the log. */
+  hasRelays?: boolean;
+  /** Options of the log stand-in's command line. */
+  logOptions?: string[];
+  /** Settings that every process's settings file gets besides its own. */
+  processSettings?: Record<string, unknown>;
 }
 
 /** A process of the cluster and where it listens. */
@@ -23,14 +31,24 @@
   readonly name: string;
   readonly zone: string;
   readonly httpAddress: string;
-  /** Agents only: the address of the upstream beside it. */
-  readonly upstreamAddress?: string;
+  /** Binary and arguments, to start the process again. */
+  readonly command: [string, string[]];
   child: ChildProcess;
+  /** Relay before the process's peer server. */
+  readonly peerRelay?: Relay | undefined;
+  /** Relay between the process and the log. */
+  readonly logRelay?: Relay | undefined;
+}
+
+/** One edit of the settings tree. */
+export interface ClusterEdit {
+  path: string;
+  value: unknown;
 }
 
 /**
  * A cluster of separate local processes: the log stand-in, entries, and agents with an upstream stand-in
- * beside each. For development scripts, tests and benchmarks.
+ * beside each. For development scripts, tests and benchmarks. Upstream `n` belongs to agent `n`.
  */
 export class Cluster {
   readonly entries: ClusterProcess[] = [];
@@ -38,6 +56,7 @@
   readonly upstreams: ClusterProcess[] = [];
   logAddress = "";
   #log: ChildProcess | undefined;
+  #changes = 0;
   readonly #options: ClusterOptions;
   readonly #folder = mkdtempSync(join(tmpdir(), "cranberrybank-"));
 
@@ -45,88 +64,221 @@
     this.#options = options;
   }
 
-  /** Gets the folder with the settings files and logs of the processes. */
+  /** Gets the folder with the settings files of the processes. */
   get folder(): string {
     return this.#folder;
   }
 
-  /** Starts all processes and waits until they are ready. */
+  /** Starts all processes, publishes the services and waits until all processes are ready. */
   async start(): Promise<void> {
+    const { entryZones, agentZones, services = ["echo"], logOptions = [] } =
+      this.#options;
     const logPort = await findFreePort();
     this.logAddress = `127.0.0.1:${logPort}`;
-    this.#log = startBinary("log_stand_in", ["--port", String(logPort)]);
+    this.#log = startBinary("log_stand_in", [
+      "--port",
+      String(logPort),
+      ...logOptions,
+    ]);
     await waitForHttp(`http://${this.logAddress}/v1/records?from=1`);
-    for (const [index, zone] of this.#options.entryZones.entries()) {
-      this.entries.push(await this.#startEntry(`entry-${index + 1}`, zone));
+    const value = Object.fromEntries(services.map((service) => [service, {}]));
+    await this.publish([{ path: "services", value }]);
+    for (const zone of entryZones) {
+      await this.addEntry(zone);
     }
-    for (const [index, zone] of this.#options.agentZones.entries()) {
-      await this.#startAgent(index, zone);
+    for (const zone of agentZones) {
+      await this.addAgent(zone);
     }
+    await this.waitUntilReady();
+  }
+
+  /** Waits until every process is ready and every entry has a stream to every agent. */
+  async waitUntilReady(): Promise<void> {
     for (const { httpAddress } of [...this.entries, ...this.agents]) {
       await waitForHttp(`http://${httpAddress}/readyz`);
     }
+    for (const entry of this.entries) {
+      await waitFor(async () => {
+        const { confirmed } = await this.getView(entry);
+        const offsets = Object.values(confirmed);
+        return offsets.length >= this.agents.length &&
+          offsets.every((offset) => offset >= 0);
+      });
+    }
   }
 
   /** Stops all processes gracefully, the log last. */
   async stop(): Promise<void> {
-    await Promise.all(
-      [...this.entries, ...this.agents].map(({ child }) => stopChild(child)),
-    );
+    const processes = [...this.entries, ...this.agents];
+    processes.forEach(({ child }) => child.kill("SIGCONT"));
+    await Promise.all(processes.map(({ child }) => stopChild(child)));
     await Promise.all(this.upstreams.map(({ child }) => stopChild(child)));
+    for (const { peerRelay, logRelay } of processes) {
+      peerRelay?.stop();
+      logRelay?.stop();
+    }
     if (this.#log !== undefined) {
       await stopChild(this.#log);
     }
   }
 
-  async #startEntry(name: string, zone: string): Promise<ClusterProcess> {
-    const port = await findFreePort();
-    const path = this.#writeSettings(name, { zone, httpPort: port });
-    return {
-      name,
-      zone,
-      httpAddress: `127.0.0.1:${port}`,
-      child: startBinary("entry", [path]),
-    };
+  /** Adds and starts an entry; it may not be ready yet. */
+  async addEntry(zone: string): Promise<ClusterProcess> {
+    const name = `entry-${this.entries.length + 1}`;
+    const process = await this.#startProcess("entry", { name, zone });
+    this.entries.push(process);
+    return process;
   }
 
-  async #startAgent(index: number, zone: string): Promise<void> {
+  /** Adds and starts an agent with its upstream; it may not be ready yet. */
+  async addAgent(zone: string): Promise<ClusterProcess> {
     const { services = ["echo"], slots = 8, speeds = [] } = this.#options;
-    const name = `agent-${index + 1}`;
+    const name = `agent-${this.agents.length + 1}`;
     const port = await findFreePort();
-    const upstreamPort = await findFreePort();
-    const httpAddress = `127.0.0.1:${port}`;
-    const upstreamAddress = `127.0.0.1:${upstreamPort}`;
-    const path = this.#writeSettings(name, {
+    const upstreamAddress = `127.0.0.1:${port}`;
+    const agent = await this.#startProcess("agent", {
+      name,
       zone,
-      httpPort: port,
       upstreamAddress,
     });
-    const child = startBinary("agent", [path]);
-    this.agents.push({ name, zone, httpAddress, upstreamAddress, child });
-    const upstream = startBinary("upstream_stand_in", [
-      ...["--port", String(upstreamPort), "--agent", httpAddress],
+    const command: [string, string[]] = ["upstream_stand_in", [
+      ...["--port", String(port), "--agent", agent.httpAddress],
       ...["--services", services.join(","), "--slots", String(slots)],
-      ...["--speed", String(speeds[index] ?? 1)],
-    ]);
+      ...["--speed", String(speeds[this.agents.length] ?? 1)],
+    ]];
+    this.agents.push(agent);
     this.upstreams.push({
       name,
       zone,
       httpAddress: upstreamAddress,
-      child: upstream,
+      command,
+      child: startBinary(...command),
     });
+    return agent;
+  }
+
+  /** Kills a process at once. */
+  async kill(process: ClusterProcess): Promise<void> {
+    const exited = new Promise<void>((resolve) =>
+      process.child.once("exit", () => resolve())
+    );
+    process.child.kill("SIGKILL");
+    await exited;
+  }
+
+  /** Stops a process gracefully. */
+  async stopProcess(process: ClusterProcess): Promise<void> {
+    await stopChild(process.child);
+  }
+
+  /** Starts a process again that was killed or stopped. */
+  restart(process: ClusterProcess): void {
+    process.child = startBinary(...process.command);
+  }
+
+  /** Pauses a process. */
+  pause(process: ClusterProcess): void {
+    process.child.kill("SIGSTOP");
   }
 
-  #writeSettings(name: string, settings: Record<string, unknown>): string {
-    const path = join(this.#folder, `${name}.json`);
+  /** Lets a paused process go on. */
+  resume(process: ClusterProcess): void {
+    process.child.kill("SIGCONT");
+  }
+
+  /** Sets the faults of the log stand-in; see `LogFaults`. */
+  async setLogFaults(faults: Record<string, unknown>): Promise<void> {
+    await fetch(`http://${this.logAddress}/v1/faults`, {
+      method: "PUT",
+      body: JSON.stringify(faults),
+    });
+  }
+
+  /** Sets the behavior of an upstream; see `UpstreamBehavior`. */
+  async setBehavior(
+    upstream: ClusterProcess,
+    behavior: Record<string, unknown>,
+  ): Promise<void> {
+    await fetch(`http://${upstream.httpAddress}/v1/behavior`, {
+      method: "PUT",
+      body: JSON.stringify(behavior),
+    });
+  }
+
+  /** Appends a change of the settings to the log, and gets its offset. */
+  async publish(edits: ClusterEdit[]): Promise<number> {
+    this.#changes++;
+    const response = await fetch(`http://${this.logAddress}/v1/records`, {
+      method: "POST",
+      body: JSON.stringify({
+        type: "change",
+        id: `cluster-${this.#changes}`,
+        baseRevision: Number.MAX_SAFE_INTEGER,
+        operator: "cluster",
+        edits,
+      }),
+    });
+    return (await response.json() as { offset: number }).offset;
+  }
+
+  /** Gets the view of a process. */
+  async getView(process: ClusterProcess): Promise<{
+    offset: number;
+    revision: number;
+    confirmed: { [memberId: string]: number };
+    members: { id: string; name: string; role: string; phase: string }[];
+  }> {
+    const response = await fetch(`http://${process.httpAddress}/v1/view`);
+    return await response.json() as Awaited<ReturnType<Cluster["getView"]>>;
+  }
+
+  /** Gets every task start that the upstreams have seen. */
+  async getStarts(): Promise<(TaskStart & { upstream: string })[]> {
+    const starts = await Promise.all(this.upstreams.map(async (upstream) => {
+      const response = await fetch(`http://${upstream.httpAddress}/v1/starts`);
+      const seen = await response.json() as TaskStart[];
+      return seen.map((start) => ({ ...start, upstream: upstream.name }));
+    }));
+    return starts.flat();
+  }
+
+  async #startProcess(
+    role: "entry" | "agent",
+    settings: { name: string; zone: string; upstreamAddress?: string },
+  ): Promise<ClusterProcess> {
+    const httpPort = await findFreePort();
+    const peerPort = await findFreePort();
+    const peerRelay = this.#options.hasRelays
+      ? new Relay(`127.0.0.1:${peerPort}`)
+      : undefined;
+    const logRelay = this.#options.hasRelays
+      ? new Relay(this.logAddress)
+      : undefined;
+    const announcedPeerAddress = await peerRelay?.start();
+    const logAddress = await logRelay?.start() ?? this.logAddress;
+    const path = join(this.#folder, `${settings.name}.json`);
     const all = {
-      name,
       host: "127.0.0.1",
-      peerPort: 0,
-      logAddress: this.logAddress,
+      httpPort,
+      peerPort,
+      logAddress,
+      ...(announcedPeerAddress === undefined ? {} : { announcedPeerAddress }),
+      ...this.#options.processSettings,
       ...settings,
     };
     writeFileSync(path, JSON.stringify(all, undefined, 2));
-    return path;
+    const command: [string, string[]] = [role, [path]];
+    const { name, zone } = settings;
+    const httpAddress = `127.0.0.1:${httpPort}`;
+    return {
+      name,
+      zone,
+      httpAddress,
+      command,
+      peerRelay,
+      logRelay,
+      child: startBinary(...command),
+    };
   }
 }
 
@@ -151,19 +303,22 @@
 }
 
 async function waitForHttp(url: string): Promise<void> {
-  for (let tries = 0; tries < 300; tries++) {
-    try {
-      const response = await fetch(url);
-      await response.arrayBuffer();
-      if (response.ok) {
-        return;
-      }
-    } catch {
-      // The process isn't up yet.
+  await waitFor(async () => {
+    const response = await fetch(url);
+    await response.arrayBuffer();
+    return response.ok;
+  });
+}
+
+/** Waits until a check passes; an error counts as not yet. */
+async function waitFor(check: () => Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 600; tries++) {
+    if (await check().catch(() => false)) {
+      return;
     }
     await new Promise((resolve) => setTimeout(resolve, 50));
   }
-  throw new Error(`${url} wasn't ready in time`);
+  throw new Error("the cluster didn't reach the awaited state in time");
 }
 
 function findFreePort(): Promise<number> {
--- a/scripts/run_demo.ts
+++ b/scripts/run_demo.ts
@@ -23,7 +23,6 @@
   } ms: 2 entries, 6 agents, 3 zones`,
 );
 try {
-  await publish();
   await runJob();
   await runRequest();
   await printTimeline();
@@ -32,29 +31,6 @@
 }
 console.log("all processes have stopped");
 
-async function publish(): Promise<void> {
-  const change = {
-    type: "change",
-    id: "demo",
-    baseRevision: 0,
-    operator: "demo",
-    edits: [{ path: "services", value: { preview: {}, stamp: {} } }],
-  };
-  await fetch(`http://${cluster.logAddress}/v1/records`, {
-    method: "POST",
-    body: JSON.stringify(change),
-  });
-  for (const { httpAddress } of cluster.entries) {
-    for (;;) {
-      const view = await (await fetch(`http://${httpAddress}/v1/view`)).json();
-      if ((view as { revision: number }).revision > 0) {
-        break;
-      }
-      await new Promise((resolve) => setTimeout(resolve, 50));
-    }
-  }
-}
-
 async function runJob(): Promise<void> {
   const tasks = Array.from({ length: 150 }, (_, index) => ({
     body: JSON.stringify({ runMs: 50 + (index * 37) % 200, motif: index }),
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -112,7 +112,8 @@
       role: "agent",
       zone: settings.zone,
       ...(settings.rack === undefined ? {} : { rack: settings.rack }),
-      peerAddress: `${settings.host}:${peerPort}`,
+      peerAddress: settings.announcedPeerAddress ??
+        `${settings.host}:${peerPort}`,
       httpAddress,
       services: upstream.services,
       slots: upstream.slots,
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -98,7 +98,8 @@
       role: "entry",
       zone: settings.zone,
       ...(settings.rack === undefined ? {} : { rack: settings.rack }),
-      peerAddress: `${settings.host}:${peerPort}`,
+      peerAddress: settings.announcedPeerAddress ??
+        `${settings.host}:${peerPort}`,
       httpAddress,
       services: [],
       slots: 0,
--- a/src/state/process_settings/process_settings.ts
+++ b/src/state/process_settings/process_settings.ts
@@ -24,6 +24,8 @@
   httpPort: Port,
   /** Port for streams from other processes; 0 takes a free one. */
   peerPort: Port,
+  /** Address that other processes use for streams, where it differs from the one listened on. */
+  announcedPeerAddress: Address.optional(),
   /** Address of the platform's log service. */
   logAddress: Address,
   /** Agents only: address of the upstream beside this process. */
--- a/tests/cluster/path_test.ts
+++ b/tests/cluster/path_test.ts
@@ -13,17 +13,6 @@
 
   it("serves a job, and gives a resubmission through another entry the same answer", async () => {
     // Guards against a resubmission that runs the job again.
-    await fetch(`http://${cluster.logAddress}/v1/records`, {
-      method: "POST",
-      body: JSON.stringify({
-        type: "change",
-        id: "services",
-        baseRevision: 0,
-        operator: "test",
-        edits: [{ path: "services", value: { echo: {} } }],
-      }),
-    });
-    await new Promise((resolve) => setTimeout(resolve, 2_000));
     const submit = async (entry: number) => {
       const response = await fetch(
         `http://${cluster.entries[entry]?.httpAddress}/v1/jobs`,
@@ -44,11 +33,6 @@
     const [first, second] = await Promise.all([submit(0), submit(1)]);
     expect(first?.status).to.equal(200);
     expect(second).to.deep.equal(first);
-    let starts = 0;
-    for (const { httpAddress } of cluster.upstreams) {
-      starts += (await (await fetch(`http://${httpAddress}/v1/starts`))
-        .json() as unknown[]).length;
-    }
-    expect(starts).to.equal(20);
+    expect(await cluster.getStarts()).to.have.length(20);
   });
 });
