--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -55,6 +55,20 @@
     return controller !== undefined;
   }
 
+  /**
+   * Ends all running submissions after this entry was removed. The homes have given their keys up as lost,
+   * so nothing else than "unknown" may be answered, also for tasks that never started.
+   */
+  close(): void {
+    const error = createError(
+      "coordinator_lost",
+      "the other processes removed this entry",
+    );
+    for (const controller of this.#running.values()) {
+      controller.abort(error);
+    }
+  }
+
   /**
    * Runs a submission, or joins it when it runs already, and gets its answer. Everything but malformed
    * requests is refused after the claim only, so that a resubmission is never told "not run" by mistake.
--- a/src/coordination/membership/silence_watcher.ts
+++ b/src/coordination/membership/silence_watcher.ts
@@ -11,6 +11,9 @@
 /** Longest random wait before a suspicion is written, in milliseconds. */
 const MAX_JITTER_MS = 500;
 
+/** Wait after a failed append, in milliseconds. During an outage of the log every process would retry. */
+const FAILED_APPEND_DELAY_MS = 2_000;
+
 /** Wait for each observer of a suspect: spreads the records, since the log takes few hundred a second. */
 const JITTER_PER_OBSERVER_MS = 2.5;
 
@@ -84,6 +87,10 @@
     if (appended.isOk()) {
       const now = performance.now();
       still.forEach((id) => this.#suspected.set(id, now));
+    } else {
+      await new Promise((resolve) =>
+        setTimeout(resolve, FAILED_APPEND_DELAY_MS)
+      );
     }
   }
 }
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -141,6 +141,7 @@
   /** Closes all links at once. */
   close(): void {
     this.#abort.abort();
+    this.coordinator.close();
     this.#pool.close();
     this.#peerServer.stop();
   }
