--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -4,6 +4,7 @@
   type DispatchError,
   ERROR_ANSWERS,
   isErrorKind,
+  type TaskOutcome,
 } from "../../state/errors/mod.ts";
 import { getDigest } from "../../state/hashing/mod.ts";
 import type { Timeline } from "../../state/timeline/mod.ts";
@@ -76,10 +77,14 @@
     task: PlannedTask,
     signal: AbortSignal,
   ): Promise<TaskAnswer | TaskFailure> {
+    let earlier: TaskOutcome = "not run";
     for (let attempt = 1;; attempt++) {
       const placed = await this.#place(task, { attempt, signal });
       if (placed === undefined) {
-        return createFailure(task, signal.reason as DispatchError);
+        return addEarlier(
+          createFailure(task, signal.reason as DispatchError),
+          earlier,
+        );
       }
       const result = await this.#waitForResult(task, placed, {
         attempt,
@@ -102,8 +107,9 @@
         detail,
       });
       if (signal.aborted || !canRetry(task, answer, attempt)) {
-        return answer;
+        return addEarlier(answer, earlier);
       }
+      earlier = answer.outcome === "not run" ? earlier : answer.outcome;
       await new Promise((resolve) => setTimeout(resolve, REFUSED_DELAY_MS));
     }
   }
@@ -222,6 +228,13 @@
   };
 }
 
+/** A last attempt that didn't run says nothing about the attempts before it, which may have run. */
+function addEarlier(failure: TaskFailure, earlier: TaskOutcome): TaskFailure {
+  return failure.outcome === "not run"
+    ? { ...failure, outcome: earlier }
+    : failure;
+}
+
 /** A task that didn't start may always be placed again; one that may have run only if it is repeatable. */
 function canRetry(
   task: PlannedTask,
