Take claims over when the home of a key changes

Cause: a home granted every key that it didn't know, whoever was the home before, and the gather handlers answered "not ready". Ruled out: merging several changes of the home set into one (a home in between may have granted keys and would never be asked); answering a gather only when all own takeovers are complete (two homes could wait for each other); one call for each source and change (64 removals would cost 64 calls for each member). Change: Takeover compares the home sets at each record. A former home that is alive is asked alone. When it is gone, or hadn't completed its own takeover, every member is asked, and the answers are used after the view age limit. An answer counts for all changes up to its epoch. Unknown keys wait in the home, at most 20,000. After the loss of an entry, the home and a further agent they are held back until the window has passed. Entries keep their claims, release grants that come too late, adopt a grant whose reply was lost with its stream, and go on storing an answer until the home of that time has it. A stopping home waits up to 10 s for the homes that gain its keys. Claim tables are bounded (250,000 claims, 64 MiB of answers), and running claims are indexed by coordinator. Before: tests/cluster/claims_test.ts at: "an agent joins", "stops as planned" and "home is killed" start tasks twice (11, 1 and 3 or more tasks), "entry and the home were killed" runs the key again. With loseCoordinator switched off, "entry was killed" ends in home_unreachable; with the start gate's check of the coordinator and the entry's close switched off, "paused entry" starts 8 tasks after the removal. After: all 6 pass, the whole suite takes 55 s.

--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -163,7 +163,10 @@
   #handleClaim(claim: Claim): void {
     const { stream, claims, timeline } = this.#options;
     timeline.mergeClock(claim.clock);
-    claims.handleClaim(claim, this.entryId, {
+    claims.handleClaim({
+      claim,
+      coordinatorId: this.entryId,
+      isOpen: () => !stream.isClosed,
       reply: (reply) => {
         timeline.record("claim_answered", {
           key: claim.key,
--- /dev/null
+++ b/src/coordination/claims/departures.ts
@@ -0,0 +1,101 @@
+import type { LogFollower } from "../follower/mod.ts";
+
+/** The idempotency window: older departures concern no claim that is still remembered. */
+const WINDOW_MS = 600_000;
+
+interface Departure {
+  readonly role: "entry" | "agent";
+  readonly time: number;
+}
+
+export interface DeparturesOptions {
+  follower: LogFollower;
+  windowMs?: number;
+}
+
+/**
+ * The members that went away within the idempotency window. It is kept by the process, since a home needs
+ * to know of departures before its own announcement.
+ *
+ * Clean departures count as well: a process that has stopped remembers neither its claims nor its starts.
+ */
+export class Departures {
+  readonly #follower: LogFollower;
+  readonly #windowMs: number;
+  readonly #startedAt: number;
+  readonly #departures = new Map<string, Departure>();
+
+  constructor(options: DeparturesOptions) {
+    this.#follower = options.follower;
+    this.#windowMs = options.windowMs ?? WINDOW_MS;
+    this.#startedAt = this.#follower.getTime();
+    this.#follower.addListener((event) => {
+      if (event.type === "removed" || event.type === "left") {
+        const { id, role } = event.member;
+        this.#departures.set(id, { role, time: this.#follower.getTime() });
+        this.#removeExpired();
+      }
+    });
+  }
+
+  /** Gets the time at which this process learned that a member went away. */
+  getTime(memberId: string): number | undefined {
+    return this.#departures.get(memberId)?.time;
+  }
+
+  /** Gets the time of the last departure of an agent. */
+  getLastAgentTime(): number {
+    return this.#getLastTime("agent");
+  }
+
+  /**
+   * Gets the time until which the unknown keys of a home can't be told from fresh ones: an entry, the home
+   * and a further agent went away, so all three places that knew a claim may be lost. Undefined when the
+   * members that are left know all claims.
+   * @param homeId - The home before; empty when there was none.
+   * @param isGone - Did this home go away itself? False when it only hadn't completed its own takeover.
+   */
+  getHoldUntil(homeId: string, isGone: boolean): number | undefined {
+    this.#removeExpired();
+    if (isGone && !this.#isPastKnown()) {
+      return this.#startedAt + this.#windowMs;
+    }
+    const agents = [...this.#departures.values()]
+      .filter(({ role }) => role === "agent").length;
+    const isHeld = this.#getLastTime("entry") > -Infinity &&
+      (agents >= 2 || homeId === "");
+    if (!isHeld) {
+      return undefined;
+    }
+    // A claim was granted and completed while its coordinator and its home were both there.
+    const homeTime = this.getTime(homeId) ?? this.#getLastTime("agent");
+    return Math.min(this.#getLastTime("entry"), homeTime) + this.#windowMs;
+  }
+
+  /** Has this process seen every departure of the window? A snapshot doesn't tell about earlier ones. */
+  #isPastKnown(): boolean {
+    return this.#follower.getTime() - this.#startedAt >= this.#windowMs ||
+      this.#follower.getRecordsAfter(0, 1) !== undefined;
+  }
+
+  #getLastTime(role: "entry" | "agent"): number {
+    let last = -Infinity;
+    for (const departure of this.#departures.values()) {
+      if (departure.role === role) {
+        last = Math.max(last, departure.time);
+      }
+    }
+    return last;
+  }
+
+  /** Forgets old departures. They are kept in the order of their times. */
+  #removeExpired(): void {
+    const limit = this.#follower.getTime() - this.#windowMs;
+    for (const [id, { time }] of this.#departures) {
+      if (time > limit) {
+        return;
+      }
+      this.#departures.delete(id);
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/claims/gather_calls.ts
@@ -0,0 +1,79 @@
+import PQueue from "p-queue";
+import type { HomeFinder } from "../../state/homes/mod.ts";
+import type { LogFollower } from "../follower/mod.ts";
+import type { PeerCaller } from "../links/mod.ts";
+import type { GatherReply } from "../messages/mod.ts";
+import { readKnownClaims } from "./read_known_claims.ts";
+
+/** Gather calls that may be open at one time. */
+const MAX_OPEN_CALLS = 32;
+
+export interface GatherCallsOptions {
+  /** Member id of the home that asks. */
+  memberId: string;
+  follower: LogFollower;
+  homes: HomeFinder;
+  peers: Pick<PeerCaller, "gather">;
+  /** Called for each answer. */
+  onAnswer: (memberId: string) => void;
+}
+
+/** The gather calls of one home and the last answer of each member. */
+export class GatherCalls {
+  readonly #options: GatherCallsOptions;
+  readonly #queue = new PQueue({ concurrency: MAX_OPEN_CALLS });
+  readonly #asked = new Set<string>();
+  readonly #answers = new Map<string, GatherReply>();
+
+  constructor(options: GatherCallsOptions) {
+    this.#options = options;
+  }
+
+  /** Gets the last answer of a member. */
+  get(memberId: string): GatherReply | undefined {
+    return this.#answers.get(memberId);
+  }
+
+  /** Gets the last answers of all members, by member id. */
+  getAll(): ReadonlyMap<string, GatherReply> {
+    return this.#answers;
+  }
+
+  /** Has a member answered at an epoch or later? */
+  hasAnswered(memberId: string, epoch: number): boolean {
+    return (this.#answers.get(memberId)?.epoch ?? -1) >= epoch;
+  }
+
+  /**
+   * Asks members, except those that are being asked already.
+   * @param members - Ids with the first change of homes that each is asked about.
+   */
+  start(members: ReadonlyMap<string, number>): void {
+    for (const [id, since] of members) {
+      if (!this.#asked.has(id)) {
+        this.#asked.add(id);
+        void this.#queue.add(() => this.#ask(id, since));
+      }
+    }
+  }
+
+  /** Forgets all answers. */
+  clear(): void {
+    this.#answers.clear();
+  }
+
+  async #ask(id: string, since: number): Promise<void> {
+    const { peers, memberId, homes, follower, onAnswer } = this.#options;
+    const address = follower.view.getMember(id)?.peerAddress;
+    const request = { home: memberId, epoch: homes.epoch, since };
+    const answer = address === undefined
+      ? undefined
+      : await readKnownClaims(peers, address, request);
+    this.#asked.delete(id);
+    // A member that is ahead may have left out keys that this home would still grant under its own view.
+    if (answer !== undefined && answer.epoch <= homes.epoch) {
+      this.#answers.set(id, answer);
+      onAnswer(id);
+    }
+  }
+}
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -12,7 +12,7 @@
 import { HomeFinder } from "../state/homes/mod.ts";
 import type { StartRecords } from "../state/starts/mod.ts";
 import { Timeline } from "../state/timeline/mod.ts";
-import { PeerServer } from "../transport/peer/mod.ts";
+import { ConnectPeerCaller, PeerServer } from "../transport/peer/mod.ts";
 import { HttpUpstreamCaller } from "../transport/upstream/mod.ts";
 import { createMemberId } from "./create_member_id.ts";
 import type { ProcessContext } from "./process_context.ts";
@@ -22,6 +22,9 @@
 /** Longest wait for the log when an agent stops, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 5_000;
 
+/** Longest wait until the homes that gain this agent's keys have got its claims, in milliseconds. */
+const HANDOVER_TIMEOUT_MS = 10_000;
+
 /** Time for results that are already sent to leave the process, in milliseconds. */
 const FLUSH_MS = 100;
 
@@ -71,12 +74,16 @@
       follower,
       homes,
       memberId: this.memberId,
+      zone: settings.zone,
+      peers: new ConnectPeerCaller(),
+      departures: context.departures,
+      getStartedKeys: () => records.getStartedKeys(),
     });
     this.#peerServer = new PeerServer({
       host: settings.host,
       port: settings.peerPort,
       serve: (stream) => this.#serve(stream),
-      gather: () => ({ ready: false, claims: [] }),
+      gather: (request) => this.#claims.handleGather(request),
     });
     follower.addListener((event) => {
       if (event.type === "left" || event.type === "removed") {
@@ -140,6 +147,9 @@
     await announcer.leave(this.memberId, "leaving", timeout);
     this.#gate.startDraining();
     await this.#executor.waitForIdle();
+    await this.#claims.waitForHandover(
+      AbortSignal.timeout(HANDOVER_TIMEOUT_MS),
+    );
     await new Promise((resolve) => setTimeout(resolve, FLUSH_MS));
     await announcer.leave(
       this.memberId,
@@ -152,6 +162,7 @@
   /** Closes all streams at once. */
   close(): void {
     this.#abort.abort();
+    this.#claims.stop();
     for (const session of this.#sessions.getAll()) {
       session.close();
     }
--- a/src/processes/create_process_context.ts
+++ b/src/processes/create_process_context.ts
@@ -1,3 +1,4 @@
+import { Departures } from "../coordination/claims/mod.ts";
 import { LogFollower, VIEW_LIMITS } from "../coordination/follower/mod.ts";
 import { Metrics } from "../state/metrics/mod.ts";
 import type { ProcessSettings } from "../state/process_settings/mod.ts";
@@ -20,6 +21,7 @@
     zone: settings.zone,
     readAfterMs,
   });
+  const departures = new Departures({ follower });
   const metrics = new Metrics();
   metrics.setGauge("view_offset", () => view.offset);
   metrics.setGauge("view_revision", () => view.revision);
@@ -27,5 +29,6 @@
     "view_age_seconds",
     () => Math.min(follower.getViewAgeMs() / 1_000, 1e9),
   );
-  return { settings, log, follower, metrics, logger: createLogger(settings) };
+  const logger = createLogger(settings);
+  return { settings, log, follower, departures, metrics, logger };
 }
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -30,6 +30,7 @@
   readonly coordinator: JobCoordinator;
   readonly #options: EntryIncarnationOptions;
   readonly #abort = new AbortController();
+  readonly #claims: ClaimClient;
   readonly #pool: AgentPool;
   readonly #peerServer: PeerServer;
   #wasAnnounced = false;
@@ -54,12 +55,17 @@
       pool: this.#pool,
       timeline: this.timeline,
     });
-    const claims = new ClaimClient({ homes, pool: this.#pool });
+    this.#claims = new ClaimClient({
+      memberId: this.memberId,
+      follower,
+      homes,
+      pool: this.#pool,
+    });
     this.coordinator = new JobCoordinator({
       view: follower.view,
       homes,
       pool: this.#pool,
-      claims,
+      claims: this.#claims,
       dispatcher,
       timeline: this.timeline,
     });
@@ -67,7 +73,7 @@
       host: settings.host,
       port: settings.peerPort,
       serve: () => Promise.resolve(),
-      gather: () => ({ ready: false, claims: [] }),
+      gather: (request) => this.#claims.handleGather(request),
     });
     metrics.setGauge("tasks_waiting", () => dispatcher.waiting);
     metrics.setGauge("submissions_running", () => this.coordinator.running);
@@ -142,6 +148,7 @@
   close(): void {
     this.#abort.abort();
     this.coordinator.close();
+    this.#claims.stop();
     this.#pool.close();
     this.#peerServer.stop();
   }
--- a/src/processes/process_context.ts
+++ b/src/processes/process_context.ts
@@ -1,4 +1,5 @@
 import type { Logger } from "tslog";
+import type { Departures } from "../coordination/claims/mod.ts";
 import type { LogFollower } from "../coordination/follower/mod.ts";
 import type { LogService } from "../coordination/links/mod.ts";
 import type { Metrics } from "../state/metrics/mod.ts";
@@ -9,6 +10,7 @@
   readonly settings: ProcessSettings;
   readonly log: LogService;
   readonly follower: LogFollower;
+  readonly departures: Departures;
   readonly metrics: Metrics;
   readonly logger: Logger<Record<string, unknown>>;
 }
--- a/src/state/claims/claim.ts
+++ b/src/state/claims/claim.ts
@@ -6,8 +6,8 @@
   /** Member id of the entry that runs the submission. */
   readonly coordinator: string;
   readonly state: "running" | "done" | "lost";
-  /** The final answer, when the state is done. */
-  readonly answer?: Answer;
+  /** The final answer, when the state is done and the answer wasn't dropped to save memory. */
+  readonly answer?: Answer | undefined;
   /** Monotonic time after which the claim may be forgotten, in milliseconds. */
   readonly expiresAt: number;
 }
--- a/src/state/homes/home_finder.ts
+++ b/src/state/homes/home_finder.ts
@@ -1,14 +1,11 @@
-import { getRank, hasher } from "../hashing/mod.ts";
+import { hasher } from "../hashing/mod.ts";
 import type { ClusterView, MemberState } from "../view/mod.ts";
+import type { HomeCandidate } from "./home_candidate.ts";
+import { HomeSet } from "./home_set.ts";
 
 /** Agents of a zone that serve as homes where the settings don't say otherwise. */
 const DEFAULT_HOMES_PER_ZONE = 64;
 
-interface Candidate<T> {
-  readonly hash: number;
-  readonly value: T;
-}
-
 /**
  * Finds the home of an idempotency key: the agent that keeps the key's claim. Homes are derived from the
  * members, so every process with the same view finds the same home without a message. The key first
@@ -18,64 +15,65 @@
  */
 export class HomeFinder {
   readonly #view: ClusterView;
-  #epoch = -1;
-  #revision = -1;
-  #zones: Candidate<Candidate<MemberState>[]>[] = [];
+  readonly #hashes = new Map<string, number>();
+  #memberEpoch = -1;
+  #limit = 0;
+  #set = new HomeSet([]);
 
   constructor(view: ClusterView) {
     this.#view = view;
   }
 
+  /** Gets the offset of the last record that may have changed the homes. */
+  get epoch(): number {
+    return Math.max(this.#view.epoch, this.#view.revision);
+  }
+
   /** Gets the home of a key, or undefined when no agent is live. */
   find(key: string): MemberState | undefined {
-    this.#refresh();
-    const keyHash = hasher.h32(key);
-    const homes = findHighest(keyHash, this.#zones);
-    return homes === undefined ? undefined : findHighest(keyHash, homes);
+    return this.getSet().find(key);
   }
 
-  /** Gets every agent that is the home of some keys. */
-  getHomes(): MemberState[] {
-    this.#refresh();
-    return this.#zones.flatMap((zone) => zone.value.map((home) => home.value));
+  /** Gets the homes under the current view; the same object as long as they don't change. */
+  getSet(): HomeSet {
+    const limit = this.#view.settings.homesPerZone ?? DEFAULT_HOMES_PER_ZONE;
+    if (this.#memberEpoch !== this.#view.epoch || this.#limit !== limit) {
+      this.#memberEpoch = this.#view.epoch;
+      this.#limit = limit;
+      const set = this.#createSet(limit);
+      this.#set = set.isSame(this.#set) ? this.#set : set;
+    }
+    return this.#set;
   }
 
-  #refresh(): void {
-    if (
-      this.#epoch === this.#view.epoch && this.#revision === this.#view.revision
-    ) {
-      return;
+  #createSet(limit: number): HomeSet {
+    const zones = new Map<string, HomeCandidate<MemberState>[]>();
+    const agents = this.#view.getMembers("agent");
+    if (this.#hashes.size > 2 * agents.length) {
+      this.#hashes.clear();
     }
-    this.#epoch = this.#view.epoch;
-    this.#revision = this.#view.revision;
-    const limit = this.#view.settings.homesPerZone ?? DEFAULT_HOMES_PER_ZONE;
-    const zones = new Map<string, Candidate<MemberState>[]>();
-    for (const member of this.#view.getMembers("agent")) {
+    for (const member of agents) {
       if (member.phase === "live") {
         const candidates = zones.get(member.zone) ?? [];
-        candidates.push({ hash: hasher.h32(member.id), value: member });
+        candidates.push({ hash: this.#getHash(member.id), value: member });
         zones.set(member.zone, candidates);
       }
     }
-    this.#zones = [...zones].map(([zone, candidates]) => ({
-      hash: hasher.h32(zone),
-      value: candidates.sort((a, b) => b.hash - a.hash).slice(0, limit),
-    }));
+    return new HomeSet(
+      [...zones].map(([zone, candidates]) => ({
+        hash: hasher.h32(zone),
+        value: candidates.sort((a, b) => b.hash - a.hash).slice(0, limit),
+      })),
+    );
   }
-}
 
-function findHighest<T>(
-  keyHash: number,
-  candidates: Candidate<T>[],
-): T | undefined {
-  let best: T | undefined;
-  let bestRank = -1;
-  for (const candidate of candidates) {
-    const rank = getRank(keyHash, candidate.hash);
-    if (rank > bestRank) {
-      bestRank = rank;
-      best = candidate.value;
+  /** Gets the hash of a member id. Hashing all ids again at each change would take most of its time. */
+  #getHash(id: string): number {
+    let hash = this.#hashes.get(id);
+    if (hash === undefined) {
+      hash = hasher.h32(id);
+      this.#hashes.set(id, hash);
     }
+    return hash;
   }
-  return best;
 }
--- /dev/null
+++ b/src/state/homes/home_set.ts
@@ -0,0 +1,63 @@
+import { getRank, hasher } from "../hashing/mod.ts";
+import type { MemberState } from "../view/mod.ts";
+import type { HomeCandidate } from "./home_candidate.ts";
+
+/** The homes under one view. It doesn't change, so the homes before and after a change can be compared. */
+export class HomeSet {
+  readonly #zones: HomeCandidate<HomeCandidate<MemberState>[]>[];
+  readonly #homes = new Map<string, MemberState>();
+
+  /** @param zones - The home agents of each availability zone, with hashes of the ids. */
+  constructor(zones: HomeCandidate<HomeCandidate<MemberState>[]>[]) {
+    this.#zones = zones;
+    for (const { value } of zones) {
+      for (const home of value) {
+        this.#homes.set(home.value.id, home.value);
+      }
+    }
+  }
+
+  /** Gets the home of a key, or undefined when no agent is live. */
+  find(key: string): MemberState | undefined {
+    const keyHash = hasher.h32(key);
+    const homes = findHighest(keyHash, this.#zones);
+    return homes === undefined ? undefined : findHighest(keyHash, homes);
+  }
+
+  /** Gets every agent that is the home of some keys. */
+  getHomes(): MemberState[] {
+    return [...this.#homes.values()];
+  }
+
+  /** Gets the home agents of an availability zone. */
+  getZoneHomes(zone: string): MemberState[] {
+    return this.getHomes().filter((home) => home.zone === zone);
+  }
+
+  /** Is the agent the home of some keys? */
+  has(memberId: string): boolean {
+    return this.#homes.has(memberId);
+  }
+
+  /** Do both sets hold the same agents? Then every key has the same home in both. */
+  isSame(other: HomeSet): boolean {
+    return this.#homes.size === other.#homes.size &&
+      [...this.#homes.keys()].every((id) => other.has(id));
+  }
+}
+
+function findHighest<T>(
+  keyHash: number,
+  candidates: HomeCandidate<T>[],
+): T | undefined {
+  let best: T | undefined;
+  let bestRank = -1;
+  for (const candidate of candidates) {
+    const rank = getRank(keyHash, candidate.hash);
+    if (rank > bestRank) {
+      bestRank = rank;
+      best = candidate.value;
+    }
+  }
+  return best;
+}
--- a/src/transport/peer/connect_peer_caller.ts
+++ b/src/transport/peer/connect_peer_caller.ts
@@ -18,6 +18,9 @@
 /** Longest time for a gather call, in milliseconds. */
 const GATHER_TIMEOUT_MS = 2_000;
 
+/** Time after which the connection of a gather call closes: a home may call thousands of members. */
+const IDLE_TIMEOUT_MS = 1_000;
+
 /** Reaches other processes over HTTP/2 with the Connect protocol. */
 export class ConnectPeerCaller implements PeerCaller {
   open(address: string): PeerStream {
@@ -41,7 +44,8 @@
   ): Promise<Result<GatherReply, DispatchError>> {
     try {
       const message = create(GatherRequestSchema, request);
-      const reply = await createPeerClient(address).gather(message, {
+      const client = createPeerClient(address, IDLE_TIMEOUT_MS);
+      const reply = await client.gather(message, {
         timeoutMs: GATHER_TIMEOUT_MS,
       });
       return ok(reply);
@@ -56,10 +60,13 @@
   }
 }
 
-function createPeerClient(address: string) {
+function createPeerClient(address: string, idleConnectionTimeoutMs?: number) {
   const transport = createConnectTransport({
     httpVersion: "2",
     baseUrl: `http://${address}`,
+    ...(idleConnectionTimeoutMs === undefined
+      ? {}
+      : { idleConnectionTimeoutMs }),
   });
   return createClient(Peer, transport);
 }
