Move credits to the entries that queue

Cause: the ledger split the free slots once and gave each credit back to the entry whose task had ended. Idle credits stayed where they were while another entry queued, and the running tasks of a broken stream were forgotten, so their slots were promised a second time.

Ruled out: telling every agent the whole queue (352 agents would each move a credit for one waiting task), and keeping free slots at the agent until an entry asks (one more round trip for each task).

Change: credits belong to a stream (CreditAccount), running tasks to the agent. A free slot goes to the entry that queues and holds the least, by its result when that is the same entry. Idle credits are revoked when another entry queues. The entry tells each agent its share of the queue, with dispatches and heartbeats, and sends few wants under a budget. A dispatch says whether it uses a credit of its stream; one that is sent again takes a slot only when one is free. Sent and wasted messages are counted by kind in the metrics.

Before: no revocation; over-commitment after a broken stream. After: a property test (fast-check, seed 7, 500 runs) finds no slot promised twice and no credit lost, wherever streams break.

--- /dev/null
+++ b/src/coordination/agent/credit_account.ts
@@ -0,0 +1,14 @@
+/** The credits of one stream of one entry. */
+export interface CreditAccount {
+  readonly entryId: string;
+  /** Credits granted on the stream, less those that were used or came back. */
+  unused: number;
+  /** Credits that were asked back and whose return hasn't arrived. */
+  revoking: number;
+  /** Tasks for which the entry wants slots here, as last reported. */
+  queued: number;
+  /** False once the stream has ended or a newer one has replaced it. */
+  isOpen: boolean;
+  readonly grant: (count: number) => void;
+  readonly revoke: (count: number) => void;
+}
--- a/src/coordination/agent/credit_ledger.ts
+++ b/src/coordination/agent/credit_ledger.ts
@@ -1,19 +1,26 @@
-interface Holder {
-  /** Credits that the entry holds and hasn't used. */
-  unused: number;
-  /** Tasks of the entry that run here on a credit. */
-  running: number;
-  /** Tasks that wait at the entry, as last reported. */
-  queued: number;
-  readonly grant: (count: number) => void;
+import type { CreditAccount } from "./credit_account.ts";
+
+export interface CreditAccountOptions {
+  /** Sends credits to the entry. */
+  grant: (count: number) => void;
+  /** Asks the entry for unused credits. */
+  revoke: (count: number) => void;
 }
 
 /**
- * The credits of one agent. A credit is a free slot promised to one entry. Together, unused credits and
- * running tasks never exceed the slots, so a task that is sent on a credit finds its slot free.
+ * The credits of one agent. A credit is a free slot promised to one entry. Unused credits and running
+ * tasks never exceed the slots together, so a task that is sent on a credit finds its slot free. Only a
+ * smaller number of slots leaves more out for a moment, until the excess is revoked.
+ *
+ * Credits follow the demand. A free slot goes to the entry that queues and holds the least, which is
+ * max-min fair; when nobody queues, free slots are spread evenly, so that a task can start at once. Idle
+ * credits are asked back when another entry queues.
  */
 export class CreditLedger {
-  readonly #holders = new Map<string, Holder>();
+  readonly #accounts = new Map<string, CreditAccount>();
+  /** Running tasks by entry. They outlive the stream that brought them. */
+  readonly #running = new Map<string, number>();
+  #runningTotal = 0;
   #slots: number;
   #isOpen = false;
 
@@ -22,107 +29,196 @@
     this.#slots = slots;
   }
 
+  /** Gets the number of slots that are neither promised nor in use; negative after the slots shrank. */
+  get free(): number {
+    let used = this.#runningTotal;
+    for (const account of this.#accounts.values()) {
+      used += account.unused;
+    }
+    return this.#slots - used;
+  }
+
+  /** Gets the number of running tasks. */
+  get running(): number {
+    return this.#runningTotal;
+  }
+
   /** Sets the number of slots. */
   setSlots(slots: number): void {
     this.#slots = slots;
-    this.#grantFree();
+    this.#balance();
   }
 
-  /** Starts or stops granting credits. Credits that are held already stay with their entries. */
+  /** Starts or stops granting credits. Stopping asks all unused credits back. */
   setOpen(isOpen: boolean): void {
     this.#isOpen = isOpen;
-    this.#grantFree();
+    this.#balance();
   }
 
   /**
-   * Adds an entry.
+   * Adds an entry's stream. An older stream of the same entry is replaced, and its unused credits end.
    * @param entryId - Member id of the entry.
-   * @param grant - Sends credits to the entry.
+   * @param options - Reach the entry.
    */
-  addEntry(entryId: string, grant: (count: number) => void): void {
-    this.#holders.set(entryId, { unused: 0, running: 0, queued: 0, grant });
-    this.#grantFree();
+  addEntry(entryId: string, options: CreditAccountOptions): CreditAccount {
+    const older = this.#accounts.get(entryId);
+    if (older !== undefined) {
+      older.isOpen = false;
+    }
+    const account: CreditAccount = {
+      ...options,
+      entryId,
+      unused: 0,
+      revoking: 0,
+      queued: 0,
+      isOpen: true,
+    };
+    this.#accounts.set(entryId, account);
+    this.#balance();
+    return account;
   }
 
-  /** Removes an entry whose stream has closed; its unused credits are free again. */
-  removeEntry(entryId: string): void {
-    this.#holders.delete(entryId);
-    this.#grantFree();
+  /** Removes a stream that has ended; its unused credits are free again. */
+  removeEntry(account: CreditAccount): void {
+    account.isOpen = false;
+    if (this.#accounts.get(account.entryId) === account) {
+      this.#accounts.delete(account.entryId);
+      this.#balance();
+    }
   }
 
-  /** Records the number of tasks that wait at an entry. */
-  setQueued(entryId: string, queued: number): void {
-    const holder = this.#holders.get(entryId);
-    if (holder !== undefined) {
-      holder.queued = queued;
-      this.#grantFree();
+  /** Records the number of tasks that wait for slots of this agent at an entry. */
+  setQueued(account: CreditAccount, queued: number): void {
+    if (account.isOpen && account.queued !== queued) {
+      account.queued = queued;
+      this.#balance();
     }
   }
 
-  /** Records that an entry has used a credit. */
-  useCredit(entryId: string): void {
-    const holder = this.#holders.get(entryId);
-    if (holder !== undefined) {
-      holder.unused = Math.max(0, holder.unused - 1);
-      holder.running++;
+  /**
+   * Takes a slot for a task, and returns false when there is none.
+   * @param account - Stream that brought the task.
+   * @param options - `onCredit` is false for a task that was pushed, or sent again on a new stream: such a
+   * task gets a slot only when one is free and promised to nobody.
+   */
+  grantSlot(account: CreditAccount, options: { onCredit: boolean }): boolean {
+    if (options.onCredit && account.isOpen && account.unused > 0) {
+      account.unused--;
+    } else if (this.free <= 0) {
+      return false;
     }
+    const { entryId } = account;
+    this.#running.set(entryId, this.#getRunning(entryId) + 1);
+    this.#runningTotal++;
+    return true;
   }
 
   /**
    * Records that a task has ended, and gets the number of credits to send with its result.
-   * @param entryId - Entry that sent the task.
+   * @param account - Stream that brought the task.
    */
-  finishTask(entryId: string): number {
-    const holder = this.#holders.get(entryId);
-    if (holder === undefined) {
-      this.#grantFree();
-      return 0;
+  releaseSlot(account: CreditAccount): number {
+    const running = this.#getRunning(account.entryId) - 1;
+    if (running > 0) {
+      this.#running.set(account.entryId, running);
+    } else {
+      this.#running.delete(account.entryId);
     }
-    holder.running = Math.max(0, holder.running - 1);
-    if (!this.#isOpen || this.#getFree() <= 0) {
+    this.#runningTotal--;
+    return this.#grantFreeTo(account);
+  }
+
+  /**
+   * Records that a dispatch on a credit needed no slot, since its attempt is known already.
+   * @param account - Stream that brought the dispatch.
+   */
+  releaseCredit(account: CreditAccount): number {
+    if (!account.isOpen || account.unused <= 0) {
       return 0;
     }
-    holder.unused++;
-    return 1;
+    account.unused--;
+    return this.#grantFreeTo(account);
   }
 
-  #getFree(): number {
-    let used = 0;
-    for (const holder of this.#holders.values()) {
-      used += holder.unused + holder.running;
+  /** Records the return of unused credits; each revocation is answered with one return, of 0 at least. */
+  returnCredits(account: CreditAccount, count: number): void {
+    if (account.isOpen) {
+      account.unused = Math.max(0, account.unused - count);
+      account.revoking = 0;
+      this.#balance();
     }
-    return this.#slots - used;
   }
 
-  #grantFree(): void {
-    if (!this.#isOpen) {
-      return;
-    }
-    const grants = new Map<Holder, number>();
-    for (let free = this.#getFree(); free > 0; free--) {
-      const neediest = this.#findNeediest();
-      if (neediest === undefined) {
+  /** Grants a free slot with a result when its entry is the one to get it: that costs no message. */
+  #grantFreeTo(account: CreditAccount): number {
+    const receiver = this.#isOpen && this.free > 0
+      ? this.#findReceiver(account)
+      : undefined;
+    const granted = receiver === account && account.isOpen ? 1 : 0;
+    account.unused += granted;
+    this.#balance();
+    return granted;
+  }
+
+  /** Grants free slots, and asks idle credits back while another entry queues. */
+  #balance(): void {
+    const grants = new Map<CreditAccount, number>();
+    for (let free = this.#isOpen ? this.free : 0; free > 0; free--) {
+      const receiver = this.#findReceiver();
+      if (receiver === undefined) {
         return;
       }
-      neediest.unused++;
-      grants.set(neediest, (grants.get(neediest) ?? 0) + 1);
+      receiver.unused++;
+      grants.set(receiver, (grants.get(receiver) ?? 0) + 1);
     }
-    for (const [holder, count] of grants) {
-      holder.grant(count);
+    for (const [account, count] of grants) {
+      account.grant(count);
     }
+    this.#revokeIdle();
   }
 
-  #findNeediest(): Holder | undefined {
-    let neediest: Holder | undefined;
-    for (const holder of this.#holders.values()) {
-      if (neediest === undefined || getNeed(holder) > getNeed(neediest)) {
-        neediest = holder;
+  /** At most one revocation is open on a stream, so that a return can be matched with it. */
+  #revokeIdle(): void {
+    let wanted = Math.max(0, -this.free);
+    for (const account of this.#accounts.values()) {
+      wanted += Math.max(0, account.queued - account.unused);
+      wanted -= account.revoking;
+    }
+    for (const account of this.#accounts.values()) {
+      const isIdle = !this.#isOpen || this.free < 0 || account.queued === 0;
+      const count = this.#isOpen
+        ? Math.min(wanted, account.unused)
+        : account.unused;
+      if (isIdle && account.revoking === 0 && count > 0) {
+        account.revoking = count;
+        wanted -= count;
+        account.revoke(count);
       }
     }
-    return neediest;
   }
-}
 
-function getNeed(holder: Holder): number {
-  return holder.queued - holder.unused;
+  /**
+   * Finds the entry for a free slot. Without demand a slot stays with the preferred entry unless another
+   * one holds nothing here, since each move costs a message.
+   */
+  #findReceiver(preferred?: CreditAccount): CreditAccount | undefined {
+    let best: CreditAccount | undefined;
+    let bestRank: [number, number] = [2, 0];
+    for (const account of this.#accounts.values()) {
+      const held = account.unused + this.#getRunning(account.entryId);
+      const rank: [number, number] = account.queued > account.unused
+        ? [0, held]
+        : [1, preferred?.isOpen ? Math.min(held, 1) : held];
+      const order = rank[0] - bestRank[0] || rank[1] - bestRank[1];
+      if (order < 0 || (order === 0 && account === preferred)) {
+        best = account;
+        bestRank = rank;
+      }
+    }
+    return best;
+  }
+
+  #getRunning(entryId: string): number {
+    return this.#running.get(entryId) ?? 0;
+  }
 }
--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -1,3 +1,4 @@
+import type { MessageCounts } from "../../state/metrics/mod.ts";
 import type { Timeline } from "../../state/timeline/mod.ts";
 import type { ClaimService } from "../claims/mod.ts";
 import { Heartbeats, type LogFollower, VIEW_LIMITS } from "../follower/mod.ts";
@@ -9,9 +10,12 @@
   Hello,
   PeerMessage,
 } from "../messages/mod.ts";
+import { createFailedResult } from "./create_failed_result.ts";
+import type { CreditAccount } from "./credit_account.ts";
 import type { CreditLedger } from "./credit_ledger.ts";
 import type { SessionTable } from "./session_table.ts";
 import type { TaskExecutor } from "./task_executor.ts";
+import type { TaskResult } from "./task_result.ts";
 
 export interface EntrySessionOptions {
   stream: PeerStream;
@@ -23,6 +27,7 @@
   claims: ClaimService;
   sessions: SessionTable;
   timeline: Timeline;
+  messages: MessageCounts;
 }
 
 /** The agent's side of one stream that an entry has opened. */
@@ -30,6 +35,7 @@
   readonly #options: EntrySessionOptions;
   readonly #heartbeats: Heartbeats;
   #hello: Hello | undefined;
+  #account: CreditAccount | undefined;
 
   constructor(options: EntrySessionOptions) {
     this.#options = options;
@@ -65,36 +71,42 @@
       }
     } finally {
       stream.close();
-      // A newer stream of the same entry may have replaced this one already.
-      if (sessions.remove(this) && this.#hello?.wantsCredits) {
-        credits.removeEntry(this.entryId);
+      sessions.remove(this);
+      if (this.#account !== undefined) {
+        credits.removeEntry(this.#account);
       }
     }
   }
 
   #open(hello: Hello): void {
-    const { stream, credits, memberId, zone, sessions } = this.#options;
+    const { credits, memberId, zone, sessions } = this.#options;
     this.#hello = hello;
-    stream.send({
+    this.#send({
       case: "hello",
       value: { memberId, zone, wantsCredits: false },
     });
     sessions.add(this);
     if (hello.wantsCredits) {
-      credits.addEntry(
-        this.entryId,
-        (count) => stream.send({ case: "credit", value: { count } }),
-      );
+      this.#account = credits.addEntry(this.entryId, {
+        grant: (count) => this.#send({ case: "credit", value: { count } }),
+        revoke: (count) =>
+          this.#send({ case: "creditRevoke", value: { count } }),
+      });
       void this.#sendHeartbeats();
     }
   }
 
+  #send(message: PeerMessage): void {
+    this.#options.messages.recordSent(message.case);
+    this.#options.stream.send(message);
+  }
+
   async #sendHeartbeats(): Promise<void> {
-    const { stream, timeline } = this.#options;
+    const { stream, credits, timeline } = this.#options;
     while (!stream.isClosed) {
-      stream.send({
+      this.#send({
         case: "heartbeat",
-        value: this.#heartbeats.create(0, timeline.getClock()),
+        value: this.#heartbeats.create(credits.running, timeline.getClock()),
       });
       await new Promise((resolve) =>
         setTimeout(resolve, VIEW_LIMITS.heartbeatIntervalMs)
@@ -103,7 +115,7 @@
   }
 
   #handle(message: PeerMessage): void {
-    const { credits, executor, timeline } = this.#options;
+    const { executor, timeline } = this.#options;
     if (this.#hello === undefined && message.case !== "hello") {
       return;
     }
@@ -114,7 +126,7 @@
       case "heartbeat":
         timeline.mergeClock(message.value.clock);
         this.#heartbeats.receive(message.value);
-        credits.setQueued(this.entryId, message.value.queued);
+        this.#setQueued(message.value.queued);
         return;
       case "dispatch":
         void this.#handleDispatch(message.value);
@@ -123,7 +135,10 @@
         executor.cancel(message.value);
         return;
       case "want":
-        credits.setQueued(this.entryId, message.value.queued);
+        this.#setQueued(message.value.queued);
+        return;
+      case "creditReturn":
+        this.#handleCreditReturn(message.value.count);
         return;
       case "claim":
         this.#handleClaim(message.value);
@@ -131,7 +146,6 @@
       case "complete":
         this.#handleComplete(message.value);
         return;
-      case "creditReturn":
       case "result":
       case "credit":
       case "creditRevoke":
@@ -143,25 +157,67 @@
     }
   }
 
+  #setQueued(queued: number): void {
+    if (this.#account !== undefined) {
+      this.#options.credits.setQueued(this.#account, queued);
+    }
+  }
+
+  #handleCreditReturn(count: number): void {
+    const { credits, messages } = this.#options;
+    if (this.#account === undefined) {
+      return;
+    }
+    if (count === 0) {
+      messages.recordWasted("creditRevoke");
+      messages.recordWasted("creditReturn");
+    } else {
+      // An upper bound: a credit that came with a result cost no message of its own.
+      messages.recordWasted("credit");
+    }
+    credits.returnCredits(this.#account, count);
+  }
+
   async #handleDispatch(dispatch: Dispatch): Promise<void> {
-    const { stream, executor, credits, timeline } = this.#options;
+    const { stream, timeline } = this.#options;
     timeline.mergeClock(dispatch.clock);
-    credits.useCredit(this.entryId);
-    const result = await executor.run(dispatch, this.entryId);
-    const granted = credits.finishTask(this.entryId);
-    stream.send({
+    // A dispatch of a broken stream comes again on the next one. It must not use the new stream's credits.
+    if (this.#account === undefined || stream.isClosed) {
+      return;
+    }
+    const { result, granted } = await this.#runDispatch(
+      dispatch,
+      this.#account,
+    );
+    const { dispatchId } = dispatch;
+    const clock = timeline.getClock();
+    this.#send({
       case: "result",
-      value: {
-        ...result,
-        dispatchId: dispatch.dispatchId,
-        credits: granted,
-        clock: timeline.getClock(),
-      },
+      value: { ...result, dispatchId, credits: granted, clock },
     });
   }
 
+  async #runDispatch(
+    dispatch: Dispatch,
+    account: CreditAccount,
+  ): Promise<{ result: TaskResult; granted: number }> {
+    const { executor, credits } = this.#options;
+    const { onCredit, queued } = dispatch;
+    if (executor.hasRecord(dispatch)) {
+      const granted = onCredit ? credits.releaseCredit(account) : 0;
+      return { result: await executor.run(dispatch, this.entryId), granted };
+    }
+    const hasSlot = credits.grantSlot(account, { onCredit });
+    credits.setQueued(account, queued);
+    if (!hasSlot) {
+      return { result: createFailedResult("busy", "no free slot"), granted: 0 };
+    }
+    const result = await executor.run(dispatch, this.entryId);
+    return { result, granted: credits.releaseSlot(account) };
+  }
+
   #handleClaim(claim: Claim): void {
-    const { stream, claims, timeline } = this.#options;
+    const { claims, timeline } = this.#options;
     timeline.mergeClock(claim.clock);
     claims.handleClaim(claim, this.entryId, {
       reply: (reply) => {
@@ -170,7 +226,7 @@
           detail: reply.outcome,
         });
         const clock = timeline.getClock();
-        stream.send({
+        this.#send({
           case: "claimReply",
           value: { ...reply, claimId: claim.claimId, clock },
         });
@@ -179,9 +235,9 @@
   }
 
   #handleComplete(complete: Complete): void {
-    const { stream, claims } = this.#options;
+    const { claims } = this.#options;
     const stored = claims.handleComplete(complete, this.entryId);
-    stream.send({
+    this.#send({
       case: "completeReply",
       value: { claimId: complete.claimId, stored },
     });
--- a/src/coordination/agent/task_executor.ts
+++ b/src/coordination/agent/task_executor.ts
@@ -57,6 +57,12 @@
     await this.#queue.onIdle();
   }
 
+  /** Does an attempt have a record already, so that running it takes no slot? */
+  hasRecord(dispatch: Dispatch): boolean {
+    const { key, index, attempt } = dispatch;
+    return this.#records.get(key, index, attempt) !== undefined;
+  }
+
   /**
    * Runs an attempt, or gets the result of the same attempt when it arrived before.
    * @param dispatch - The attempt.
--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -1,5 +1,11 @@
-import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import {
+  createError,
+  type DispatchError,
+  ERROR_ANSWERS,
+  isErrorKind,
+} from "../../state/errors/mod.ts";
 import type { MemberState } from "../../state/view/mod.ts";
+import type { MessageCounts } from "../../state/metrics/mod.ts";
 import type { Timeline } from "../../state/timeline/mod.ts";
 import { Heartbeats, type LogFollower, VIEW_LIMITS } from "../follower/mod.ts";
 import type { PeerCaller, PeerStream } from "../links/mod.ts";
@@ -28,12 +34,14 @@
   timeline: Timeline;
   /** Called when credits arrive or the link comes up. */
   onChange: () => void;
-  /** Gets the number of tasks that wait for a credit. */
-  getQueued: () => number;
+  /** Gets the number of waiting tasks that this agent is told. */
+  getDemand: (link: AgentLink) => number;
+  messages: MessageCounts;
 }
 
 interface PendingDispatch {
   readonly message: Dispatch;
+  cancel?: Cancel;
   readonly resolve: (result: Result | DispatchError) => void;
 }
 
@@ -51,6 +59,10 @@
   #heartbeats: Heartbeats;
   #heardAt = performance.now();
   #credits = 0;
+  #load = 0;
+  #toldQueued = 0;
+  #wantedAt = -Infinity;
+  #isWantOpen = false;
   #isUp = false;
   #nextId = 1;
 
@@ -69,6 +81,21 @@
     return this.#credits;
   }
 
+  /** Gets the number of tasks that run at the agent, as far as this entry knows. */
+  get load(): number {
+    return Math.max(this.#load, this.#dispatches.size);
+  }
+
+  /** Gets the queued count that the agent was last told. */
+  get toldQueued(): number {
+    return this.#toldQueued;
+  }
+
+  /** Gets the time of the last want, of `performance.now()`. */
+  get wantedAt(): number {
+    return this.#wantedAt;
+  }
+
   /** Has the agent answered on the current stream? */
   get isUp(): boolean {
     return this.#isUp;
@@ -102,6 +129,7 @@
       stream.close();
       this.#isUp = false;
       this.#credits = 0;
+      this.#toldQueued = 0;
       this.#failClaims();
       if (!this.#abort.signal.aborted) {
         await new Promise((resolve) => setTimeout(resolve, RECONNECT_DELAY_MS));
@@ -124,14 +152,16 @@
     this.#failClaims();
   }
 
-  /** Sends an attempt on a credit, and waits for its result. */
-  dispatch(task: Omit<Dispatch, "dispatchId" | "queued" | "clock">): {
-    id: number;
-    result: Promise<Result | DispatchError>;
-  } {
+  /** Sends an attempt, and waits for its result. */
+  dispatch(
+    task: Omit<Dispatch, "dispatchId" | "queued" | "clock">,
+  ): { id: number; result: Promise<Result | DispatchError> } {
     const id = this.#nextId++;
     const message: Dispatch = { ...task, dispatchId: id, queued: 0, clock: 0 };
-    this.#credits--;
+    if (task.onCredit) {
+      this.#credits--;
+    }
+    this.#load++;
     const result = new Promise<Result | DispatchError>((resolve) => {
       this.#dispatches.set(id, { message, resolve });
     });
@@ -139,8 +169,21 @@
     return { id, result };
   }
 
+  /** Tells the agent that tasks wait for its slots. */
+  want(queued: number): void {
+    this.#closeWant();
+    this.#toldQueued = queued;
+    this.#wantedAt = performance.now();
+    this.#isWantOpen = true;
+    this.#send({ case: "want", value: { queued } });
+  }
+
   /** Cancels a dispatch. Its result says whether it had started. */
   cancel(cancel: Cancel): void {
+    const pending = this.#dispatches.get(cancel.dispatchId);
+    if (pending !== undefined) {
+      pending.cancel = cancel;
+    }
     this.#send({ case: "cancel", value: cancel });
   }
 
@@ -201,7 +244,7 @@
   async #runStream(stream: PeerStream): Promise<void> {
     const { memberId, zone, follower } = this.#options;
     this.#heartbeats = new Heartbeats(follower);
-    stream.send({
+    this.#send({
       case: "hello",
       value: { memberId, zone, wantsCredits: true },
     });
@@ -212,10 +255,13 @@
   }
 
   async #sendHeartbeats(stream: PeerStream): Promise<void> {
-    const { timeline, getQueued } = this.#options;
+    const { timeline } = this.#options;
     while (!stream.isClosed) {
-      const value = this.#heartbeats.create(getQueued(), timeline.getClock());
-      stream.send({ case: "heartbeat", value });
+      this.#closeWant();
+      this.#toldQueued = this.#options.getDemand(this);
+      const clock = timeline.getClock();
+      const value = this.#heartbeats.create(this.#toldQueued, clock);
+      this.#send({ case: "heartbeat", value });
       await new Promise((resolve) =>
         setTimeout(resolve, VIEW_LIMITS.heartbeatIntervalMs)
       );
@@ -231,10 +277,15 @@
         this.#options.timeline.mergeClock(message.value.clock);
         this.#heardAt = performance.now();
         this.#heartbeats.receive(message.value);
+        this.#load = message.value.queued;
         return;
       case "credit":
+        this.#isWantOpen = false;
         this.#addCredits(message.value.count);
         return;
+      case "creditRevoke":
+        this.#handleCreditRevoke(message.value.count);
+        return;
       case "result":
         this.#handleResult(message.value);
         return;
@@ -244,7 +295,6 @@
       case "completeReply":
         this.#receiveComplete(message.value.claimId, message.value.stored);
         return;
-      case "creditRevoke":
       case "dispatch":
       case "cancel":
       case "creditReturn":
@@ -264,8 +314,12 @@
       return;
     }
     this.#isUp = true;
-    for (const { message } of this.#dispatches.values()) {
-      this.#sendDispatch(message);
+    for (const { message, cancel } of this.#dispatches.values()) {
+      if (cancel !== undefined) {
+        // Sent first, it leaves a tombstone where the dispatch itself was lost.
+        this.#send({ case: "cancel", value: cancel });
+      }
+      this.#sendDispatch({ ...message, onCredit: false });
     }
     this.#options.onChange();
   }
@@ -274,10 +328,30 @@
     this.#options.timeline.mergeClock(result.clock);
     const pending = this.#dispatches.get(result.dispatchId);
     this.#dispatches.delete(result.dispatchId);
+    this.#load = Math.max(0, this.#load - 1);
+    if (isRefusal(result)) {
+      this.#options.messages.recordWasted("dispatch");
+      this.#options.messages.recordWasted("result");
+    }
     pending?.resolve(result);
     this.#addCredits(result.credits);
   }
 
+  /** Gives unused credits back. Each revocation gets one return, so that the agent can match them. */
+  #handleCreditRevoke(asked: number): void {
+    const count = Math.min(asked, this.#credits);
+    this.#credits -= count;
+    this.#send({ case: "creditReturn", value: { count } });
+  }
+
+  /** Counts a want that has brought no credit as wasted. */
+  #closeWant(): void {
+    if (this.#isWantOpen) {
+      this.#isWantOpen = false;
+      this.#options.messages.recordWasted("want");
+    }
+  }
+
   #handleClaimReply(reply: ClaimReply): void {
     this.#options.timeline.mergeClock(reply.clock);
     const receive = this.#claims.get(reply.claimId);
@@ -310,16 +384,24 @@
   }
 
   #sendDispatch(message: Dispatch): void {
-    const { timeline, getQueued } = this.#options;
+    this.#toldQueued = this.#options.getDemand(this);
     const value = {
       ...message,
-      queued: getQueued(),
-      clock: timeline.getClock(),
+      queued: this.#toldQueued,
+      clock: this.#options.timeline.getClock(),
     };
     this.#send({ case: "dispatch", value });
   }
 
   #send(message: PeerMessage): void {
+    this.#options.messages.recordSent(message.case);
     this.#stream?.send(message);
   }
 }
+
+/** Was the dispatch refused although it was not cancelled? */
+function isRefusal(result: Result): boolean {
+  const kind = result.errorKind;
+  return isErrorKind(kind) && kind !== "cancelled" &&
+    ERROR_ANSWERS[kind].outcome === "not run";
+}
--- a/src/coordination/entry/agent_pool.ts
+++ b/src/coordination/entry/agent_pool.ts
@@ -1,6 +1,7 @@
 import type { MemberState, ViewEvent } from "../../state/view/mod.ts";
 import type { LogFollower } from "../follower/mod.ts";
 import { AgentLink, type AgentLinkOptions } from "./agent_link.ts";
+import { ServiceIndex } from "./service_index.ts";
 
 export interface AgentPoolOptions extends Omit<AgentLinkOptions, "member"> {
   follower: LogFollower;
@@ -10,9 +11,15 @@
 export class AgentPool {
   readonly #options: AgentPoolOptions;
   readonly #links = new Map<string, AgentLink>();
+  /** The linked agents by service. */
+  readonly index: ServiceIndex;
 
   constructor(options: AgentPoolOptions) {
     this.#options = options;
+    this.index = new ServiceIndex({
+      view: options.follower.view,
+      getLinks: () => this.#links.values(),
+    });
     options.follower.addListener((event) => this.#handleViewEvent(event));
   }
 
@@ -42,7 +49,7 @@
 
   /** Does some agent in service offer the service? */
   hasService(service: string): boolean {
-    return this.#findInService(service).length > 0;
+    return this.index.getLinks(service).length > 0;
   }
 
   /** Can a task of the service be sent now? */
@@ -59,7 +66,7 @@
     service: string,
     avoidedId: string | undefined,
   ): AgentLink | undefined {
-    const offering = this.#findInService(service);
+    const offering = this.index.getLinks(service);
     let best: AgentLink | undefined;
     for (const link of offering) {
       const isAvoided = link.member.id === avoidedId && offering.length > 1;
@@ -70,15 +77,6 @@
     return best;
   }
 
-  #findInService(service: string): AgentLink[] {
-    const view = this.#options.follower.view;
-    return this.getAll().filter((link) => {
-      const member = view.getMember(link.member.id);
-      return member !== undefined && view.isInService(member) &&
-        member.services.includes(service);
-    });
-  }
-
   #handleViewEvent(event: ViewEvent): void {
     switch (event.type) {
       case "joined":
@@ -103,11 +101,13 @@
     }
     const link = new AgentLink({ ...this.#options, member });
     this.#links.set(member.id, link);
+    this.index.removeAll();
     void link.run();
   }
 
   #remove(id: string): void {
     this.#links.get(id)?.close();
     this.#links.delete(id);
+    this.index.removeAll();
   }
 }
--- a/src/coordination/entry/dispatch_queue.ts
+++ b/src/coordination/entry/dispatch_queue.ts
@@ -23,6 +23,7 @@
   readonly #customers = new Map<string, CustomerQueue>();
   #virtualTime = 0;
   #waiting = 0;
+  readonly #waitingByService = new Map<string, number>();
 
   /** @param canPlace - Can a task be sent to an agent now? */
   constructor(canPlace: (options: DispatchQueueOptions) => boolean) {
@@ -34,6 +35,11 @@
     return this.#waiting;
   }
 
+  /** Gets the number of waiting tasks by service. */
+  get waitingByService(): ReadonlyMap<string, number> {
+    return this.#waitingByService;
+  }
+
   /** Gets the number of waiting tasks, or 0 while none of them can be placed. */
   get size(): number {
     return this.#findNext() === undefined ? 0 : this.#waiting;
@@ -51,7 +57,7 @@
     );
     queue.waiting.splice(position + 1, 0, item);
     this.#customers.set(item.options.customer, queue);
-    this.#waiting++;
+    this.#addWaiting(item, 1);
   }
 
   dequeue(): RunFunction | undefined {
@@ -63,7 +69,7 @@
     const [item] = queue.waiting.splice(index, 1) as [Waiting];
     this.#virtualTime = queue.virtualTime;
     queue.virtualTime += 1 / item.options.weight;
-    this.#waiting--;
+    this.#addWaiting(item, -1);
     return item.run;
   }
 
@@ -87,13 +93,20 @@
     for (const queue of this.#customers.values()) {
       const index = queue.waiting.findIndex((item) => item.options.id === id);
       if (index >= 0) {
-        queue.waiting.splice(index, 1);
-        this.#waiting--;
+        const [item] = queue.waiting.splice(index, 1) as [Waiting];
+        this.#addWaiting(item, -1);
         return;
       }
     }
   }
 
+  #addWaiting(item: Waiting, count: number): void {
+    const { service } = item.options;
+    this.#waiting += count;
+    const waiting = (this.#waitingByService.get(service) ?? 0) + count;
+    this.#waitingByService.set(service, waiting);
+  }
+
   #findNext(): { queue: CustomerQueue; index: number } | undefined {
     let best: { queue: CustomerQueue; index: number } | undefined;
     for (const queue of this.#customers.values()) {
--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -11,6 +11,7 @@
 import type { Result } from "../messages/mod.ts";
 import type { AgentLink } from "./agent_link.ts";
 import type { AgentPool } from "./agent_pool.ts";
+import { Demand } from "./demand.ts";
 import { DispatchQueue } from "./dispatch_queue.ts";
 import type { DispatchQueueOptions } from "./dispatch_queue_options.ts";
 import type { PlannedTask } from "./planned_task.ts";
@@ -38,12 +39,17 @@
 export class TaskDispatcher {
   readonly #pool: AgentPool;
   readonly #timeline: Timeline;
+  readonly #demand: Demand;
   readonly #waiting: DispatchQueue;
   readonly #queue: PQueue<DispatchQueue, DispatchQueueOptions>;
 
   constructor(options: TaskDispatcherOptions) {
     this.#pool = options.pool;
     this.#timeline = options.timeline;
+    this.#demand = new Demand({
+      index: this.#pool.index,
+      getWaiting: () => this.#waiting.waitingByService,
+    });
     const waiting = new DispatchQueue((task) =>
       this.#pool.canPlace(task.service, task.homeId)
     );
@@ -62,6 +68,11 @@
     return this.#waiting.waiting;
   }
 
+  /** Gets the number of waiting tasks that one agent is told. */
+  getDemand(link: AgentLink): number {
+    return this.#demand.getShare(link);
+  }
+
   /** Starts the waiting tasks that can be placed now. */
   startPlaceable(): void {
     // Setting the concurrency is p-queue's way to look at its queue again.
@@ -122,7 +133,7 @@
       return undefined;
     }
     try {
-      return await this.#queue.add(
+      const placed = this.#queue.add(
         () => Promise.resolve(this.#send(task, options.attempt)),
         {
           customer: task.customer,
@@ -133,6 +144,10 @@
           signal: options.signal,
         },
       );
+      if (this.#waiting.waiting > 0) {
+        this.#demand.start();
+      }
+      return await placed;
     } catch {
       return undefined;
     }
@@ -159,7 +174,9 @@
       timeoutMs,
       repeatable,
       customer,
+      onCredit: true,
     });
+    this.#demand.recordDispatch();
     return { link, id, result };
   }
 
--- a/src/coordination/messages/dispatch.ts
+++ b/src/coordination/messages/dispatch.ts
@@ -9,6 +9,9 @@
   timeoutMs: number;
   repeatable: boolean;
   customer: string;
+  /** Tasks for which the sender wants slots of the receiver. */
   queued: number;
+  /** Does the dispatch use a credit of this stream? False for a push, and for a dispatch that is sent again. */
+  onCredit: boolean;
   clock: number;
 }
--- a/src/coordination/messages/heartbeat.ts
+++ b/src/coordination/messages/heartbeat.ts
@@ -11,7 +11,7 @@
   outageReports: OutageReport[];
   /** Records that follow the peer's last reported view offset. */
   records: RawLogRecord[];
-  /** Tasks that wait for a credit at the sender. */
+  /** From an entry: tasks for which it wants slots of the receiver. From an agent: its running tasks. */
   queued: number;
   clock: number;
 }
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -10,6 +10,7 @@
 import type { PeerStream } from "../coordination/links/mod.ts";
 import { Announcer, SilenceWatcher } from "../coordination/membership/mod.ts";
 import { HomeFinder } from "../state/homes/mod.ts";
+import { MessageCounts } from "../state/metrics/mod.ts";
 import type { StartRecords } from "../state/starts/mod.ts";
 import { Timeline } from "../state/timeline/mod.ts";
 import { PeerServer } from "../transport/peer/mod.ts";
@@ -46,12 +47,14 @@
   readonly #sessions = new SessionTable();
   readonly #claims: ClaimService;
   readonly #peerServer: PeerServer;
+  readonly #messages: MessageCounts;
   #wasAnnounced = false;
 
   constructor(options: AgentIncarnationOptions) {
     const { context, upstream, records } = options;
     const { follower, settings } = context;
     this.#options = options;
+    this.#messages = new MessageCounts(context.metrics);
     this.memberId = createMemberId(settings.name);
     this.timeline = new Timeline(this.memberId);
     this.#gate = new StartGate({ follower, memberId: this.memberId });
@@ -179,6 +182,7 @@
       claims: this.#claims,
       sessions: this.#sessions,
       timeline: this.timeline,
+      messages: this.#messages,
     });
     return session.run();
   }
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -6,6 +6,7 @@
 } from "../coordination/entry/mod.ts";
 import { Announcer, SilenceWatcher } from "../coordination/membership/mod.ts";
 import { HomeFinder } from "../state/homes/mod.ts";
+import { MessageCounts } from "../state/metrics/mod.ts";
 import { Timeline } from "../state/timeline/mod.ts";
 import { ConnectPeerCaller, PeerServer } from "../transport/peer/mod.ts";
 import { createMemberId } from "./create_member_id.ts";
@@ -48,7 +49,8 @@
       follower,
       timeline: this.timeline,
       onChange: () => dispatcher.startPlaceable(),
-      getQueued: () => dispatcher.waiting,
+      getDemand: (link) => dispatcher.getDemand(link),
+      messages: new MessageCounts(metrics),
     });
     const dispatcher = new TaskDispatcher({
       pool: this.#pool,
--- /dev/null
+++ b/tests/coordination/agent/credit_ledger_test.ts
@@ -0,0 +1,132 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { CreditLedger } from "../../../src/coordination/agent/mod.ts";
+import { FakeEntry } from "./fake_entry.ts";
+
+const ENTRIES = 3;
+const SLOTS = 4;
+
+type Step = {
+  type: "queue" | "deliver" | "end" | "break" | "open" | "slots" | "closed";
+  entry: number;
+  count: number;
+};
+
+function runSteps(steps: Step[]): void {
+  const ledger = new CreditLedger(SLOTS);
+  const entries = Array.from(
+    { length: ENTRIES },
+    (_, n) => new FakeEntry(ledger, `entry-${n}`),
+  );
+  ledger.setOpen(true);
+  let slots = SLOTS;
+  for (const step of steps) {
+    const { count } = step;
+    const entry = entries[step.entry] as FakeEntry;
+    const before = ledger.free;
+    switch (step.type) {
+      case "queue":
+        entry.queue(count);
+        break;
+      case "deliver":
+        entry.deliver(count);
+        break;
+      case "end":
+        entry.endTask();
+        break;
+      case "break":
+        entry.breakStream();
+        break;
+      case "open":
+        entry.openStream();
+        break;
+      case "slots":
+        slots = 1 + count;
+        ledger.setSlots(slots);
+        continue;
+      case "closed":
+        ledger.setOpen(count % 2 === 0);
+        break;
+      default:
+        step.type satisfies never;
+    }
+    expect(ledger.free, "promised and used slots").to.be.least(
+      Math.min(0, before),
+    );
+    expect(entries.reduce((sum, { running }) => sum + running, 0))
+      .to.equal(ledger.running);
+  }
+  settle(ledger, entries);
+  const held = entries.reduce((sum, { credits }) => sum + credits, 0);
+  expect(ledger.running).to.equal(0);
+  expect(held, "credits after everything has ended").to.equal(slots);
+}
+
+/** Lets everything end, with all streams open. */
+function settle(ledger: CreditLedger, entries: FakeEntry[]): void {
+  ledger.setOpen(true);
+  entries.forEach((entry) => entry.openStream());
+  for (let round = 0; round < 500; round++) {
+    entries.forEach((entry) => {
+      entry.deliver(100);
+      entry.endTask();
+    });
+  }
+  expect(entries.map(({ queued }) => queued)).to.deep.equal([0, 0, 0]);
+}
+
+describe("CreditLedger", () => {
+  it("never promises a slot twice and loses none, wherever streams break", () => {
+    // Guards against over-commitment and leaks: a task that finds no slot, or a slot nobody can use.
+    const types: Step["type"][] = [
+      ...["queue", "deliver", "end", "deliver", "end"] as const,
+      ...["break", "open", "slots", "closed"] as const,
+    ];
+    const step = fc.record({
+      type: fc.constantFrom(...types),
+      entry: fc.nat(ENTRIES - 1),
+      count: fc.nat(6),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 120 }), runSteps),
+      { seed: 7, numRuns: 500 },
+    );
+  });
+
+  describe("setQueued", () => {
+    it("moves all idle credits to the entry that queues, within two round trips", () => {
+      // Guards against a burst at one entry that leaves the slots promised to idle entries unused.
+      const ledger = new CreditLedger(8);
+      const busy = new FakeEntry(ledger, "busy");
+      const idle = new FakeEntry(ledger, "idle");
+      ledger.setOpen(true);
+      busy.deliver(10);
+      idle.deliver(10);
+      busy.queue(150);
+      for (let trip = 0; trip < 2; trip++) {
+        busy.deliver(100);
+        idle.deliver(100);
+      }
+      busy.deliver(100);
+      expect(busy.running).to.equal(8);
+    });
+
+    it("gives freed slots to a second entry that queues until both hold the same", () => {
+      // Guards against starvation by an entry whose queue never empties.
+      const ledger = new CreditLedger(8);
+      const first = new FakeEntry(ledger, "first");
+      ledger.setOpen(true);
+      first.queue(100);
+      first.deliver(100);
+      const second = new FakeEntry(ledger, "second");
+      second.queue(100);
+      for (let n = 0; n < 8; n++) {
+        second.deliver(100);
+        first.endTask();
+        first.deliver(100);
+      }
+      second.deliver(100);
+      expect(second.running).to.equal(4);
+    });
+  });
+});
