Ask for credits again while tasks wait, and revoke beyond the told queue

Cause: wants were sent only when a task was queued, so a queue whose first wants met agents without a free slot waited for the next heartbeat. An entry that had told a queue kept its idle credits until its next report.

Change: the demand looks again every 10 ms while tasks wait, with other agents for the odd tasks; an agent revokes what exceeds the told queue.

--- a/src/coordination/agent/credit_ledger.ts
+++ b/src/coordination/agent/credit_ledger.ts
@@ -185,11 +185,8 @@
       wanted -= account.revoking;
     }
     for (const account of this.#accounts.values()) {
-      const isIdle = !this.#isOpen || this.free < 0 || account.queued === 0;
-      const count = this.#isOpen
-        ? Math.min(wanted, account.unused)
-        : account.unused;
-      if (isIdle && account.revoking === 0 && count > 0) {
+      const count = this.#getRevocable(account, wanted);
+      if (account.revoking === 0 && count > 0) {
         account.revoking = count;
         wanted -= count;
         account.revoke(count);
@@ -197,6 +194,14 @@
     }
   }
 
+  #getRevocable(account: CreditAccount, wanted: number): number {
+    if (!this.#isOpen) {
+      return account.unused;
+    }
+    const kept = this.free < 0 ? 0 : account.queued;
+    return Math.min(wanted, account.unused - kept);
+  }
+
   /**
    * Finds the entry for a free slot. Without demand a slot stays with the preferred entry unless another
    * one holds nothing here, since each move costs a message.
--- a/src/coordination/entry/demand.ts
+++ b/src/coordination/entry/demand.ts
@@ -98,5 +98,8 @@
     }
     // The odd tasks are told to other agents next time: the asked ones may have no slot to give.
     this.#rotation++;
+    if (links.size > 0) {
+      this.start();
+    }
   }
 }
--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -73,6 +73,11 @@
     return this.#demand.getShare(link);
   }
 
+  /** Stops the timers. */
+  stop(): void {
+    this.#demand.stop();
+  }
+
   /** Starts the waiting tasks that can be placed now. */
   startPlaceable(): void {
     // Setting the concurrency is p-queue's way to look at its queue again.
