--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -146,6 +146,7 @@
   close(): void {
     this.#abort.abort();
     this.coordinator.close();
+    this.#dispatcher.stop();
     this.#pool.close();
     this.#peerServer.stop();
   }
