Check settings for contradictions and explain what an operator meant

Cause: the tree was checked against its schema only. A timeout above the deadline or a team quota above its customer's was accepted and then never met, an unknown key was reported without its path, and a removal below a missing node created its parents, so that it could add an empty service.

Ruled out: checks in ctl alone. Two accepted changes can contradict each other, so the rule must run again when a record is applied.

Change: checkSettings (schema, nearest known key, units, contradictions after inheritance) decides at apply; applyEdits is shared with ctl. A built-in timeout follows a shorter deadline, since no operator stated it. resolveRuleSources names the node of each value, resolveQuotas lets a team inherit from its customer. Path revisions below a replaced node are dropped since the node's own revision stands for them.

--- /dev/null
+++ b/src/state/settings/create_settings_error.ts
@@ -0,0 +1,87 @@
+import { z } from "zod";
+import { createError, type DispatchError } from "../errors/mod.ts";
+import { findNearestName } from "./find_nearest_name.ts";
+
+const UNITS: readonly (readonly [string, string])[] = [
+  ["Ms", "milliseconds"],
+  ["Bytes", "bytes"],
+];
+
+/**
+ * Creates the error of a tree that doesn't match its schema: the path, and what an operator probably meant.
+ * @param error - The schema library's error.
+ * @param schema - The schema.
+ * @param value - The checked value.
+ */
+export function createSettingsError(
+  error: z.ZodError,
+  schema: z.ZodType,
+  options: { value: unknown },
+): DispatchError {
+  const issue = error.issues[0];
+  if (issue === undefined) {
+    return createError("invalid_settings", "the settings are invalid");
+  }
+  if (issue.code === "unrecognized_keys") {
+    return createUnknownKeyError(schema, issue.path, issue.keys[0] ?? "");
+  }
+  const path = issue.path.map(String).join(".");
+  const message = `"${path}": ${issue.message}${
+    formatUnit(issue.path, options.value)
+  }`;
+  return createError("invalid_settings", message, { path });
+}
+
+function createUnknownKeyError(
+  schema: z.ZodType,
+  parent: readonly PropertyKey[],
+  key: string,
+): DispatchError {
+  const path = [...parent.map(String), key].join(".");
+  const nearest = findNearestName(key, findKnownKeys(schema, parent));
+  const unit = nearest === undefined ? undefined : findUnit(nearest);
+  const hint = nearest === undefined
+    ? ""
+    : `; the nearest known setting is "${
+      [...parent.map(String), nearest].join(".")
+    }"${unit === undefined ? "" : ` (in ${unit})`}`;
+  const message = `"${path}" is not a known setting${hint}`;
+  return createError("invalid_settings", message, { path });
+}
+
+/** Formats the unit of a number for which something else was given, such as `"5s"`. */
+function formatUnit(path: readonly PropertyKey[], value: unknown): string {
+  const unit = findUnit(String(path[path.length - 1] ?? ""));
+  let given = value;
+  for (const name of path) {
+    given = (given as Record<PropertyKey, unknown> | undefined)?.[name];
+  }
+  return unit === undefined || given === undefined
+    ? ""
+    : `; give a whole number of ${unit}, not ${JSON.stringify(given)}`;
+}
+
+function findUnit(name: string): string | undefined {
+  return UNITS.find(([suffix]) => name.endsWith(suffix))?.[1];
+}
+
+function findKnownKeys(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): string[] {
+  let node: unknown = schema;
+  for (const name of path) {
+    const inner = getInner(node);
+    node = inner instanceof z.ZodObject
+      ? inner.shape[String(name)]
+      : inner instanceof z.ZodRecord
+      ? inner.valueType
+      : undefined;
+  }
+  const inner = getInner(node);
+  return inner instanceof z.ZodObject ? Object.keys(inner.shape) : [];
+}
+
+function getInner(schema: unknown): unknown {
+  return schema instanceof z.ZodOptional ? schema.unwrap() : schema;
+}
--- a/src/state/settings/mod.ts
+++ b/src/state/settings/mod.ts
@@ -1,5 +1,11 @@
+export { checkSettings } from "./check_settings.ts";
 export { DEFAULT_RULES } from "./default_rules.ts";
+export { findNearestName } from "./find_nearest_name.ts";
+export type { Quotas } from "./quotas.ts";
+export { resolveQuotas } from "./resolve_quotas.ts";
 export { resolveRules } from "./resolve_rules.ts";
+export { resolveRuleSources } from "./resolve_rule_sources.ts";
 export type { ResolvedRules } from "./resolved_rules.ts";
+export type { RuleSource } from "./rule_source.ts";
 export { Rules } from "./rules.ts";
 export { SettingsTree } from "./settings_tree.ts";
--- a/src/state/settings/resolve_rules.ts
+++ b/src/state/settings/resolve_rules.ts
@@ -1,5 +1,5 @@
-import { DEFAULT_RULES } from "./default_rules.ts";
 import type { ResolvedRules } from "./resolved_rules.ts";
+import { resolveRuleSources } from "./resolve_rule_sources.ts";
 import type { SettingsTree } from "./settings_tree.ts";
 
 /**
@@ -13,7 +13,10 @@
   service: string,
   options: { job?: string } = {},
 ): ResolvedRules {
-  const node = tree.services?.[service];
-  const job = options.job === undefined ? undefined : node?.jobs?.[options.job];
-  return { ...DEFAULT_RULES, ...tree.rules, ...node?.rules, ...job?.rules };
+  const sources = resolveRuleSources(tree, service, options);
+  const rules = Object.entries(sources).map(([name, { value }]) => [
+    name,
+    value,
+  ]);
+  return Object.fromEntries(rules) as ResolvedRules;
 }
--- a/src/state/view/mod.ts
+++ b/src/state/view/mod.ts
@@ -1,3 +1,4 @@
+export { applyEdits } from "./apply_edits.ts";
 export type { ChangeOutcome } from "./change_outcome.ts";
 export type { ChangeRecord } from "./change_record.ts";
 export { ClusterView } from "./cluster_view.ts";
--- a/src/state/view/settings_store.ts
+++ b/src/state/view/settings_store.ts
@@ -1,5 +1,6 @@
-import { createError, createSchemaError } from "../errors/mod.ts";
-import { SettingsTree } from "../settings/mod.ts";
+import { createError } from "../errors/mod.ts";
+import { checkSettings, type SettingsTree } from "../settings/mod.ts";
+import { applyEdits } from "./apply_edits.ts";
 import type { ChangeOutcome } from "./change_outcome.ts";
 import type { ChangeRecord } from "./change_record.ts";
 import type { SettingsSnapshot } from "./settings_snapshot.ts";
@@ -73,38 +74,47 @@
     const winner = this.#findWinner(change);
     if (winner !== undefined) {
       const message =
-        `revision ${winner} changed the same settings after ${change.baseRevision}`;
+        `revision ${winner.revision} changed "${winner.path}" after revision ${change.baseRevision}`;
       return {
         type: "rejected",
-        winner,
-        error: createError("revision_conflict", message),
+        winner: winner.revision,
+        error: createError("revision_conflict", message, { path: winner.path }),
       };
     }
-    const edited = structuredClone(this.#tree);
-    for (const edit of change.edits) {
-      setPath(edited, edit.path.split("."), edit.value);
+    const checked = checkSettings(applyEdits(this.#tree, change.edits));
+    if (checked.isErr()) {
+      return { type: "rejected", error: checked.error };
     }
-    const checked = SettingsTree.safeParse(edited);
-    if (!checked.success) {
-      return {
-        type: "rejected",
-        error: createSchemaError("invalid_settings", checked.error),
-      };
-    }
-    this.#tree = checked.data;
+    this.#tree = checked.value;
     this.#revision = offset;
     for (const edit of change.edits) {
-      this.#pathRevisions.set(edit.path, offset);
+      this.#setPathRevision(edit.path, offset);
     }
     return { type: "accepted", revision: offset };
   }
 
-  #findWinner(change: ChangeRecord): number | undefined {
-    let winner: number | undefined;
+  /** An edit of a node also stands for all nodes below it, so their older revisions are dropped. */
+  #setPathRevision(path: string, revision: number): void {
+    for (const other of this.#pathRevisions.keys()) {
+      if (other.startsWith(`${path}.`)) {
+        this.#pathRevisions.delete(other);
+      }
+    }
+    this.#pathRevisions.set(path, revision);
+  }
+
+  /** Finds the newest change after the base revision that touched the same nodes. */
+  #findWinner(
+    change: ChangeRecord,
+  ): { path: string; revision: number } | undefined {
+    let winner: { path: string; revision: number } | undefined;
     for (const edit of change.edits) {
       for (const [path, revision] of this.#pathRevisions) {
-        if (revision > change.baseRevision && isRelated(path, edit.path)) {
-          winner = Math.max(winner ?? 0, revision);
+        if (
+          revision > Math.max(change.baseRevision, winner?.revision ?? 0) &&
+          isRelated(path, edit.path)
+        ) {
+          winner = { path, revision };
         }
       }
     }
@@ -116,38 +126,3 @@
   return first === second || first.startsWith(`${second}.`) ||
     second.startsWith(`${first}.`);
 }
-
-function setPath(
-  tree: Record<string, unknown>,
-  path: string[],
-  value: unknown,
-): void {
-  const last = path[path.length - 1] as string;
-  let node = tree;
-  for (const name of path.slice(0, -1)) {
-    const child = Object.hasOwn(node, name) ? node[name] : undefined;
-    if (typeof child === "object" && child !== null && !Array.isArray(child)) {
-      node = child as Record<string, unknown>;
-    } else {
-      const created: Record<string, unknown> = {};
-      Object.defineProperty(node, name, {
-        value: created,
-        enumerable: true,
-        writable: true,
-        configurable: true,
-      });
-      node = created;
-    }
-  }
-  if (value === null) {
-    delete node[last];
-  } else {
-    // A plain assignment to "__proto__" would change the prototype in place of adding a property.
-    Object.defineProperty(node, last, {
-      value,
-      enumerable: true,
-      writable: true,
-      configurable: true,
-    });
-  }
-}
--- a/tests/state/view/settings_store_test.ts
+++ b/tests/state/view/settings_store_test.ts
@@ -60,5 +60,22 @@
       );
       expect(store.revision).to.equal(0);
     });
+
+    it("removes nothing, and adds nothing, for a path that doesn't exist", () => {
+      // Guards against a removal that creates an empty service on the way to its path.
+      const store = new SettingsStore();
+      store.apply(createChange("a", 0, "services.x.rules", null), 1);
+      expect(store.tree).to.deep.equal({});
+    });
+
+    it("rejects a racing edit below a node that was replaced", () => {
+      // Guards against a dropped revision of a child that its replaced parent doesn't stand for.
+      const store = new SettingsStore();
+      store.apply(createChange("a", 0, "services.x.rules.priority", 1), 1);
+      store.apply(createChange("b", 1, "services.x", {}), 2);
+      expect(
+        store.apply(createChange("c", 1, "services.x.rules.priority", 2), 3),
+      ).to.include({ type: "rejected", winner: 2 });
+    });
   });
 });
