Add ctl: settings, zones and upstreams, status, submit, cancel, timeline

Cause: operators could change settings only by writing records to the log by hand, and nothing said whether a change was accepted or in force.

Ruled out: a control process that publishes for operators. No instance is reserved for control, and the outcome follows from the log alone.

Change: ctl applies the log's records to a view of its own. ChangePublisher takes the outcome of a change from that view and never from the append's reply, so a lost reply is settled by the change id before a second append. "In force" needs each live member's own view or a heartbeat that an entry has from it, or the view age limit; then the rest is listed and the exit code is 7. A status of 5xx from the log no longer counts as "not appended". GET /v1/view?brief=true leaves out settings and members.

Conclusion: a rejected operator sees the revision that won and who published it.

--- /dev/null
+++ b/src/bin/ctl.ts
@@ -0,0 +1,107 @@
+#!/usr/bin/env node
+import sade from "sade";
+import { applySettings } from "../ctl/apply_settings.ts";
+import type { CtlFlags } from "../ctl/ctl_flags.ts";
+import type { PublishFlags } from "../ctl/publish_flags.ts";
+import { readSettings } from "../ctl/read_settings.ts";
+import { readStatus } from "../ctl/read_status.ts";
+import { readTimeline } from "../ctl/read_timeline.ts";
+import { removeSettings } from "../ctl/remove_settings.ts";
+import { runCommand } from "../ctl/run_command.ts";
+import { sendCancel } from "../ctl/send_cancel.ts";
+import { sendJob } from "../ctl/send_job.ts";
+import { setServiceState } from "../ctl/set_service_state.ts";
+import { setSettings } from "../ctl/set_settings.ts";
+import type { SubmitFlags } from "../ctl/submit_flags.ts";
+
+// An empty default keeps the parser from turning a value such as a key of digits into a number.
+const program = sade("cranberrybank-ctl")
+  .option("--log", "host:port of the log service", "")
+  .option("--settings", "JSON file with logAddress and operator", "")
+  .option("--operator", "Name that changes are published under", "")
+  .option("--timeout", "Seconds until a command gives up on the log", "30")
+  .option("--json", "Prints one JSON object", false);
+
+program.command("settings get [path]", "Prints the settings in force")
+  .option("--resolved", "service or service/job: rules after inheritance", "")
+  .action((path: string | undefined, flags: CtlFlags & { resolved: string }) =>
+    runCommand(flags, (context) =>
+      readSettings(context, {
+        ...(path === undefined ? {} : { path }),
+        resolved: flags.resolved,
+      }))
+  );
+
+addPublishOptions(program.command("settings set <path> <json>", "Sets a value"))
+  .action((path: string, json: string, flags: PublishFlags) =>
+    runCommand(flags, (context) => setSettings(context, { path, json }, flags))
+  );
+
+addPublishOptions(
+  program.command("settings apply <file>", "Applies several edits at once"),
+).action((file: string, flags: PublishFlags) =>
+  runCommand(flags, (context) => applySettings(context, file, flags))
+);
+
+addPublishOptions(
+  program.command("settings remove <path>", "Removes a value"),
+).action((path: string, flags: PublishFlags) =>
+  runCommand(flags, (context) => removeSettings(context, path, flags))
+);
+
+for (const kind of ["zone", "upstream"] as const) {
+  addPublishOptions(
+    program.command(`${kind} <state> <name>`, `Takes a ${kind} out or in`),
+  ).option("--force", "Accepts a name that no live member has", false)
+    .action((
+      state: string,
+      name: string,
+      flags: PublishFlags & { force: boolean },
+    ) =>
+      runCommand(
+        flags,
+        (context) =>
+          setServiceState(
+            context,
+            { kind, state, name, force: flags.force },
+            flags,
+          ),
+      )
+    );
+}
+
+program.command("status", "Prints members, zones and revisions in force")
+  .action((flags: CtlFlags) => runCommand(flags, readStatus));
+
+addSubmitOptions(program.command("submit [file]", "Submits a job or a request"))
+  .option("--service", "Service of a single request", "")
+  .option("--body", "Body of a single request", "")
+  .option("--repeatable", "The single request may run more than once", false)
+  .action((file: string | undefined, flags: SubmitFlags) =>
+    runCommand(flags, (context) => sendJob(context, file, flags))
+  );
+
+addSubmitOptions(program.command("cancel <key>", "Cancels a submission"))
+  .action((key: string, flags: SubmitFlags) =>
+    runCommand(flags, (context) => sendCancel(context, key, flags))
+  );
+
+addSubmitOptions(program.command("timeline <key>", "Prints a key's events"))
+  .action((key: string, flags: SubmitFlags) =>
+    runCommand(flags, (context) => readTimeline(context, key, flags))
+  );
+
+program.parse(process.argv);
+
+function addPublishOptions(command: sade.Sade): sade.Sade {
+  return command
+    .option("--base", "Revision that the change is based on", "")
+    .option("--change-id", "Id of a change whose outcome is unknown", "");
+}
+
+function addSubmitOptions(command: sade.Sade): sade.Sade {
+  return command
+    .option("--key", "Idempotency key", "")
+    .option("--customer", "Customer of the submission", "default")
+    .option("--team", "Team of the customer", "");
+}
--- /dev/null
+++ b/src/ctl/apply_settings.ts
@@ -0,0 +1,39 @@
+import { readFileSync } from "node:fs";
+import { z } from "zod";
+import { createError } from "../state/errors/mod.ts";
+import { createFailure } from "./create_failure.ts";
+import type { CtlAnswer } from "./ctl_answer.ts";
+import type { CtlContext } from "./ctl_context.ts";
+import { publishEdits } from "./publish_edits.ts";
+import type { PublishFlags } from "./publish_flags.ts";
+
+const EditsFile = z.strictObject({
+  edits: z.array(z.strictObject({ path: z.string().min(1), value: z.json() }))
+    .min(1).max(1000),
+});
+
+/**
+ * Applies the edits of a file as one change: all of them or none.
+ * @param context - The command.
+ * @param path - Path of a file `{"edits": [{"path", "value"}]}`; a null value removes a node.
+ * @param flags - The options.
+ */
+export async function applySettings(
+  context: CtlContext,
+  path: string,
+  flags: PublishFlags,
+): Promise<CtlAnswer> {
+  let edits: z.infer<typeof EditsFile>["edits"];
+  try {
+    edits = EditsFile.parse(JSON.parse(readFileSync(path, "utf8"))).edits;
+  } catch (error) {
+    const issue = error instanceof z.ZodError ? error.issues[0] : undefined;
+    const reason = issue === undefined
+      ? (error as Error).message
+      : `${issue.path.join(".")}: ${issue.message}`;
+    return createFailure(
+      createError("invalid_settings", `${path}: ${reason}`, { path }),
+    );
+  }
+  return await publishEdits(context, edits, flags);
+}
--- /dev/null
+++ b/src/ctl/ctl_answer.ts
@@ -0,0 +1,8 @@
+/** What a command prints and the exit code it ends with. */
+export interface CtlAnswer {
+  readonly exitCode: number;
+  /** For people. */
+  readonly text: string;
+  /** For scripts, printed by `--json`. */
+  readonly value: Record<string, unknown>;
+}
--- /dev/null
+++ b/src/ctl/get_exit_code.ts
@@ -0,0 +1,28 @@
+import { ERROR_ANSWERS, type ErrorKind } from "../state/errors/mod.ts";
+
+/**
+ * Gets the exit code of an error. 0 is success, 1 a wrong command line and 7 a change that stands but that
+ * some members didn't confirm; see docs/operators.md.
+ */
+export function getExitCode(kind: ErrorKind): number {
+  switch (kind) {
+    case "invalid_settings":
+    case "invalid_request":
+    case "missing_idempotency_key":
+    case "body_too_large":
+      return 2;
+    case "revision_conflict":
+    case "idempotency_conflict":
+      return 3;
+    case "log_unreachable":
+      return 4;
+    case "publish_unknown":
+      return 5;
+    case "not_found":
+    case "unknown_service":
+    case "unknown_customer":
+      return 6;
+    default:
+      return ERROR_ANSWERS[kind].outcome === "not run" ? 8 : 9;
+  }
+}
--- /dev/null
+++ b/src/ctl/process_reply.ts
@@ -0,0 +1,5 @@
+/** The whole reply of a process. */
+export interface ProcessReply {
+  readonly status: number;
+  readonly body: Buffer;
+}
--- /dev/null
+++ b/src/ctl/publish_edits.ts
@@ -0,0 +1,96 @@
+import { randomUUID } from "node:crypto";
+import { createError } from "../state/errors/mod.ts";
+import { checkSettings } from "../state/settings/mod.ts";
+import {
+  applyEdits,
+  type ChangeOutcome,
+  type ChangeRecord,
+  LogRecord,
+} from "../state/view/mod.ts";
+import { ChangePublisher } from "./change_publisher.ts";
+import { createFailure } from "./create_failure.ts";
+import type { CtlAnswer } from "./ctl_answer.ts";
+import type { CtlContext } from "./ctl_context.ts";
+import type { PublishFlags } from "./publish_flags.ts";
+import { waitForConfirmations } from "./wait_for_confirmations.ts";
+
+/**
+ * Publishes edits as one change, and waits until the change is in force.
+ * @param context - The command.
+ * @param edits - The edits.
+ * @param flags - Base revision and change id, where they are given.
+ */
+export async function publishEdits(
+  context: CtlContext,
+  edits: ChangeRecord["edits"],
+  flags: PublishFlags,
+): Promise<CtlAnswer> {
+  const { view } = context.follower;
+  const id = flags["change-id"] === "" ? randomUUID() : flags["change-id"];
+  const parsed = LogRecord.safeParse({
+    type: "change",
+    id,
+    baseRevision: flags.base === "" ? view.revision : Number(flags.base),
+    operator: context.operator,
+    edits,
+  });
+  if (!parsed.success || parsed.data.type !== "change") {
+    const issue = parsed.error?.issues[0];
+    const message = `${issue?.path.join(".")}: ${issue?.message}`;
+    return createFailure(createError("invalid_settings", message));
+  }
+  const checked = checkSettings(applyEdits(view.settings, edits));
+  const isKnown = view.getChangeOutcome(id) !== undefined;
+  if (checked.isErr() && !isKnown) {
+    return createFailure(checked.error);
+  }
+  const outcome = await new ChangePublisher(context).publish(parsed.data);
+  return outcome.isErr()
+    ? createFailure(outcome.error, { changeId: id })
+    : await createAnswer(context, parsed.data, outcome.value);
+}
+
+async function createAnswer(
+  context: CtlContext,
+  change: ChangeRecord,
+  outcome: ChangeOutcome,
+): Promise<CtlAnswer> {
+  const changeId = change.id;
+  if (outcome.type === "rejected") {
+    const { winner, error } = outcome;
+    const by = winner === undefined
+      ? undefined
+      : await findOperator(context, winner);
+    const message = by === undefined
+      ? error.message
+      : `${error.message} (by ${by})`;
+    const details = { changeId, winner, winnerOperator: by };
+    return createFailure({ ...error, message }, details);
+  }
+  const { revision } = outcome;
+  const unconfirmed = await waitForConfirmations(context, {
+    offset: revision,
+  });
+  const value = { status: "in force", revision, changeId, unconfirmed };
+  if (unconfirmed.length === 0) {
+    const text = `revision ${revision} is accepted and in force`;
+    return { exitCode: 0, text, value };
+  }
+  const text = `revision ${revision} is accepted and in force by the view age` +
+    ` limit; not confirmed by:\n  ${unconfirmed.join("\n  ")}`;
+  return { exitCode: 7, text, value };
+}
+
+/** Finds who published a revision, if its record is still retained. */
+async function findOperator(
+  context: CtlContext,
+  revision: number,
+): Promise<string | undefined> {
+  const page = await context.log.read(revision, 1);
+  const raw = page.isOk() ? page.value.records[0] : undefined;
+  if (raw?.offset !== revision) {
+    return undefined;
+  }
+  const record = LogRecord.safeParse(JSON.parse(raw.json));
+  return record.data?.type === "change" ? record.data.operator : undefined;
+}
--- /dev/null
+++ b/src/ctl/read_status.ts
@@ -0,0 +1,69 @@
+import type { MemberState } from "../state/view/mod.ts";
+import type { CtlAnswer } from "./ctl_answer.ts";
+import type { CtlContext } from "./ctl_context.ts";
+import { formatTable } from "./format_table.ts";
+import type { ProcessView } from "./process_view.ts";
+import { readProcessViews } from "./read_process_views.ts";
+
+/** Reads the members, the revision in force at each of them, the ages of their views, and the zones. */
+export async function readStatus(context: CtlContext): Promise<CtlAnswer> {
+  const { view } = context.follower;
+  const members = [...view.getMembers("entry"), ...view.getMembers("agent")];
+  const views = await readProcessViews(members);
+  const zones = createZones(context, members);
+  const rows = members.map((member) => createRow(member, views.get(member.id)));
+  const text = [
+    `revision ${view.revision}, log offset ${view.offset}`,
+    "",
+    formatTable(zones),
+    "",
+    formatTable(rows),
+  ].join("\n");
+  return {
+    exitCode: 0,
+    text,
+    value: {
+      status: "ok",
+      revision: view.revision,
+      offset: view.offset,
+      zones,
+      members: rows,
+    },
+  };
+}
+
+function createZones(context: CtlContext, members: readonly MemberState[]) {
+  const { view } = context.follower;
+  const names = new Set([
+    ...members.map(({ zone }) => zone),
+    ...Object.keys(view.settings.zones ?? {}),
+  ]);
+  return [...names].sort().map((zone) => {
+    const inZone = members.filter((member) => member.zone === zone);
+    const count = (role: string) =>
+      inZone.filter((member) => member.role === role).length;
+    return {
+      zone,
+      state: view.isZoneIn(zone) ? "in" : "out",
+      entries: count("entry"),
+      agents: count("agent"),
+      upstreamsOut: inZone.filter((member) =>
+        member.role === "agent" && !view.isUpstreamIn(member.name)
+      ).length,
+    };
+  });
+}
+
+function createRow(member: MemberState, view: ProcessView | undefined) {
+  return {
+    member: member.id,
+    role: member.role,
+    zone: member.zone,
+    phase: member.phase,
+    httpAddress: member.httpAddress,
+    isReachable: view !== undefined,
+    revision: view?.revision ?? null,
+    viewAgeMs: view?.ageMs ?? null,
+    canStartWork: view?.canStartWork ?? null,
+  };
+}
--- /dev/null
+++ b/src/ctl/send_cancel.ts
@@ -0,0 +1,48 @@
+import { createError } from "../state/errors/mod.ts";
+import { createFailure } from "./create_failure.ts";
+import type { CtlAnswer } from "./ctl_answer.ts";
+import type { CtlContext } from "./ctl_context.ts";
+import { sendRequest } from "./send_request.ts";
+import type { SubmitFlags } from "./submit_flags.ts";
+
+/**
+ * Cancels a submission at the entry that runs it. Only that entry knows it, so all entries are asked.
+ * @param context - The command.
+ * @param key - Idempotency key as the caller gave it.
+ * @param flags - The options.
+ */
+export async function sendCancel(
+  context: CtlContext,
+  key: string,
+  flags: SubmitFlags,
+): Promise<CtlAnswer> {
+  const entries = context.follower.view.getMembers("entry");
+  const replies = await Promise.all(entries.map(async (entry) => ({
+    entry: entry.id,
+    reply: await sendRequest(
+      entry.httpAddress,
+      `/v1/jobs/${encodeURIComponent(key)}`,
+      { method: "DELETE", headers: { "x-customer": flags.customer } },
+    ),
+  })));
+  const found = replies.find(({ reply }) =>
+    reply.isOk() && reply.value.status === 202
+  );
+  if (found !== undefined) {
+    return {
+      exitCode: 0,
+      text: `${found.entry} is cancelling ${key}`,
+      value: { status: "cancelling", key, entry: found.entry },
+    };
+  }
+  const unreachable = replies.filter(({ reply }) => reply.isErr()).map((
+    { entry },
+  ) => entry);
+  const error = unreachable.length === 0
+    ? createError("not_found", `no entry runs a submission with key ${key}`)
+    : createError(
+      "not_ready",
+      `not found, but these entries didn't answer: ${unreachable.join(", ")}`,
+    );
+  return createFailure(error, { key, unreachable });
+}
--- /dev/null
+++ b/src/ctl/set_service_state.ts
@@ -0,0 +1,48 @@
+import { createError } from "../state/errors/mod.ts";
+import { findNearestName } from "../state/settings/mod.ts";
+import { createFailure } from "./create_failure.ts";
+import type { CtlAnswer } from "./ctl_answer.ts";
+import type { CtlContext } from "./ctl_context.ts";
+import { publishEdits } from "./publish_edits.ts";
+import type { PublishFlags } from "./publish_flags.ts";
+
+export interface SetServiceStateOptions {
+  kind: "zone" | "upstream";
+  /** "in" or "out", as typed. */
+  state: string;
+  name: string;
+  /** Accepts a name that no live member has. */
+  force: boolean;
+}
+
+/** Takes an availability zone or an upstream out of service, or back in. */
+export async function setServiceState(
+  context: CtlContext,
+  options: SetServiceStateOptions,
+  flags: PublishFlags,
+): Promise<CtlAnswer> {
+  const { kind, state, name, force } = options;
+  if (state !== "in" && state !== "out") {
+    const message = `"${state}" is neither "in" nor "out"`;
+    return createFailure(createError("invalid_request", message));
+  }
+  const { view } = context.follower;
+  const names = kind === "zone"
+    ? [...view.getMembers("agent"), ...view.getMembers("entry")].map((member) =>
+      member.zone
+    )
+    : view.getMembers("agent").map((member) => member.name);
+  const stated = kind === "zone"
+    ? view.settings.zones
+    : view.settings.upstreams;
+  const known = [...new Set([...names, ...Object.keys(stated ?? {})])];
+  if (!known.includes(name) && !force) {
+    const nearest = findNearestName(name, known);
+    const hint = nearest === undefined ? "" : `; the nearest is "${nearest}"`;
+    const message = `no live member has the ${kind} "${name}"${hint}` +
+      "; use --force to publish it all the same";
+    return createFailure(createError("not_found", message));
+  }
+  const edits = [{ path: `${kind}s.${name}`, value: { state } }];
+  return await publishEdits(context, edits, flags);
+}
--- /dev/null
+++ b/src/ctl/set_settings.ts
@@ -0,0 +1,36 @@
+import { createError } from "../state/errors/mod.ts";
+import type { ChangeRecord } from "../state/view/mod.ts";
+import { createFailure } from "./create_failure.ts";
+import type { CtlAnswer } from "./ctl_answer.ts";
+import type { CtlContext } from "./ctl_context.ts";
+import { publishEdits } from "./publish_edits.ts";
+import type { PublishFlags } from "./publish_flags.ts";
+
+/**
+ * Sets the value at a path.
+ * @param context - The command.
+ * @param edit - Dotted path and the value as JSON text.
+ * @param flags - The options.
+ */
+export async function setSettings(
+  context: CtlContext,
+  edit: { path: string; json: string },
+  flags: PublishFlags,
+): Promise<CtlAnswer> {
+  let value: ChangeRecord["edits"][number]["value"];
+  try {
+    value = JSON.parse(edit.json);
+  } catch (error) {
+    const message = `"${edit.path}": not JSON: ${(error as Error).message}`;
+    return createFailure(
+      createError("invalid_settings", message, { path: edit.path }),
+    );
+  }
+  if (value === null) {
+    const message = `"${edit.path}": use "settings remove" to remove a node`;
+    return createFailure(
+      createError("invalid_settings", message, { path: edit.path }),
+    );
+  }
+  return await publishEdits(context, [{ path: edit.path, value }], flags);
+}
--- a/src/processes/handle_status_request.ts
+++ b/src/processes/handle_status_request.ts
@@ -35,13 +35,17 @@
       return createJsonAnswer(200, { memberId, events });
     }
     case "GET /v1/view":
-      return createJsonAnswer(200, createViewBody(options));
+      return createJsonAnswer(200, createViewBody(request, options));
     default:
       return undefined;
   }
 }
 
-function createViewBody(options: StatusOptions): unknown {
+/** The view; at target scale the settings and members are some MB, so `?brief=true` leaves them out. */
+function createViewBody(
+  request: HttpRequest,
+  options: StatusOptions,
+): unknown {
   const { follower } = options.context;
   const { view } = follower;
   return {
@@ -54,8 +58,10 @@
       Number.MAX_SAFE_INTEGER,
     ),
     canStartWork: follower.canStartWork(),
-    settings: view.settings,
-    members: [...view.getMembers("entry"), ...view.getMembers("agent")],
     confirmed: options.confirmed,
+    ...(request.query.get("brief") === "true" ? {} : {
+      settings: view.settings,
+      members: [...view.getMembers("entry"), ...view.getMembers("agent")],
+    }),
   };
 }
--- a/src/transport/log/http_log_service.ts
+++ b/src/transport/log/http_log_service.ts
@@ -44,7 +44,10 @@
     if (reply.value.status !== 200 || !appended.success) {
       const message =
         `the log answered an append with status ${reply.value.status}`;
-      return err(createError("log_unreachable", message));
+      // Only a refusal of the request itself (4xx, such as too many appends) excludes that it took effect.
+      const isRefused = reply.value.status >= 400 && reply.value.status < 500;
+      const kind = isRefused ? "log_unreachable" : "publish_unknown";
+      return err(createError(kind, message));
     }
     return ok(appended.data.offset);
   }
--- /dev/null
+++ b/tests/cluster/operators_test.ts
@@ -0,0 +1,114 @@
+import { expect } from "chai";
+import { execFile } from "node:child_process";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { Cluster } from "../../scripts/lib/cluster.ts";
+
+interface CtlRun {
+  code: number;
+  value: Record<string, unknown>;
+}
+
+function runCtl(cluster: Cluster, ...args: string[]): Promise<CtlRun> {
+  const path = new URL("../../src/bin/ctl.js", import.meta.url).pathname;
+  const common = ["--json", "--log", cluster.logAddress, "--operator", "test"];
+  return new Promise((resolve) => {
+    execFile(process.execPath, [path, ...args, ...common], (error, stdout) => {
+      const code = typeof error?.code === "number" ? error.code : 0;
+      resolve({ code, value: JSON.parse(stdout) });
+    });
+  });
+}
+
+describe("operators", function () {
+  this.timeout(60_000);
+  const cluster = new Cluster({
+    entryZones: ["a", "b"],
+    agentZones: ["a", "b", "c"],
+  });
+
+  before(() => cluster.start());
+  after(() => cluster.stop());
+
+  it("lets one of two racing operators win, and tells the other which revision won", async () => {
+    // Guards against two operators who are both told that their value is in force.
+    const { value } = await runCtl(cluster, "settings", "get");
+    const base = ["--base", String(value["revision"])];
+    const runs = await Promise.all(
+      ["1", "2"].map((priority) =>
+        runCtl(cluster, "settings", "set", "rules.priority", priority, ...base)
+      ),
+    );
+    const won = runs.find(({ code }) => code === 0);
+    const lost = runs.find(({ code }) => code === 3);
+    expect(won?.value).to.deep.include({
+      status: "in force",
+      unconfirmed: [],
+    });
+    expect(lost?.value["winner"]).to.equal(won?.value["revision"]);
+    expect(lost?.value["winnerOperator"]).to.equal("test");
+  });
+
+  it("settles a lost append reply, and the change stands once", async () => {
+    await cluster.setLogFaults({ lostReplies: 1 });
+    const { code, value } = await runCtl(
+      cluster,
+      ...["settings", "set", "services.echo.rules.deadlineMs", "9000"],
+    );
+    expect(code).to.equal(0);
+    const response = await fetch(
+      `http://${cluster.logAddress}/v1/records?from=1`,
+    );
+    const { records } = await response.json() as {
+      records: { record: { id?: string } }[];
+    };
+    const id = value["changeId"];
+    expect(records.filter(({ record }) => record.id === id)).to.have.length(1);
+  });
+
+  it("reports a zone out as in force once every member has applied it", async () => {
+    // Guards against "in force" while an agent of the zone may still start tasks.
+    const { code, value } = await runCtl(cluster, "zone", "out", "b");
+    expect(code).to.equal(0);
+    for (const member of [...cluster.entries, ...cluster.agents]) {
+      const { revision } = await cluster.getView(member);
+      expect(revision).to.be.at.least(value["revision"] as number);
+    }
+    expect((await runCtl(cluster, "zone", "in", "b")).code).to.equal(0);
+    expect((await runCtl(cluster, "zone", "out", "bb")).code).to.equal(6);
+  });
+
+  it("submits a job, and merges the events of all processes", async () => {
+    // Guards against a timeline that shows an effect before its cause.
+    const file = join(cluster.folder, "job.json");
+    const tasks = [{ body: '{"runMs":10}' }, { body: '{"runMs":10}' }];
+    writeFileSync(file, JSON.stringify({ service: "echo", tasks }));
+    const run = await runCtl(cluster, "submit", file, "--key", "0123");
+    expect([run.code, run.value["status"]]).to.deep.equal([0, "complete"]);
+    const { value } = await runCtl(cluster, "timeline", "0123");
+    const types = (value["events"] as { type: string }[]).map(({ type }) =>
+      type
+    );
+    const order = [
+      "submission_received",
+      "claim_answered",
+      "claim_granted",
+      "task_started",
+      "task_ended",
+      "submission_answered",
+    ].map((type) => types.indexOf(type));
+    expect(order).to.deep.equal(order.toSorted((a, b) => a - b));
+    expect(order[0]).to.equal(0);
+  });
+
+  it("answers misuse with an exit code for each cause", async () => {
+    const runs = await Promise.all([
+      runCtl(cluster, "settings", "set", "rules.timeout", "5"),
+      runCtl(cluster, "settings", "get", "rules.hedging"),
+      runCtl(cluster, "cancel", "no-such-key"),
+      runCtl(cluster, "submit", "--service", "nothing"),
+      runCtl(cluster, "submit", "/no/such/file"),
+    ]);
+    expect(runs.map(({ code }) => code)).to.deep.equal([2, 6, 6, 6, 2]);
+  });
+});
