Take no answer as whole that doesn't state where it ends

Cause: an answer without content-length and without chunks ends with its connection. The kernel closes the connection of an upstream that was killed in the same way, so a truncated body passed as the whole answer; its digest is computed over the truncated body and doesn't help.

Ruled out: answers with a length or in chunks, which Node reports as incomplete at every byte position.

Change: such an answer is corrupt_answer (unknown). 204 and 304 have no body and stay allowed.

--- a/src/transport/upstream/http_upstream_caller.ts
+++ b/src/transport/upstream/http_upstream_caller.ts
@@ -128,9 +128,25 @@
   if (!response.complete) {
     return err(createError("upstream_reset", "the answer ended early"));
   }
+  if (!isEndMarked(response)) {
+    return err(
+      createError("corrupt_answer", "the answer doesn't state its length"),
+    );
+  }
   return ok({ status: response.statusCode ?? 0, body: Buffer.concat(chunks) });
 }
 
+/**
+ * Does the answer state where it ends? One that ends with its connection can't be told from a truncated
+ * one: the kernel of an upstream that was killed closes the connection in the same way.
+ */
+function isEndMarked(response: http.IncomingMessage): boolean {
+  const { headers, statusCode } = response;
+  return headers["content-length"] !== undefined ||
+    headers["transfer-encoding"] !== undefined ||
+    statusCode === 204 || statusCode === 304;
+}
+
 function createCallError(hasStarted: boolean, error: Error): DispatchError {
   return hasStarted
     ? createError("upstream_reset", error.message)
--- /dev/null
+++ b/tests/lib/oracle.ts
@@ -0,0 +1,165 @@
+import type { TaskStart } from "../../src/stand_in/mod.ts";
+import type { CallerAnswer } from "./caller_answer.ts";
+
+/** Failures that state nothing but that this entry doesn't know; they agree with every other answer. */
+const IGNORANT_KINDS = [
+  "home_unreachable",
+  "held_back",
+  "coordinator_lost",
+  "not_ready",
+];
+
+/** One submission by a caller. A resubmission is another one with the same key. */
+export interface OracleSubmission {
+  readonly key: string;
+  readonly bodies: readonly string[];
+  readonly repeatable: boolean;
+  readonly sentAt: number;
+  /** What the caller got; undefined when it gave up or its connection broke. */
+  answer?: CallerAnswer;
+  answeredAt?: number;
+}
+
+/** Knows what callers sent and got, and checks it against the task starts that the upstreams counted. */
+export class Oracle {
+  readonly submissions: OracleSubmission[] = [];
+
+  /** Records a submission. Its caller sets `answer` and `answeredAt` later. */
+  add(submission: Omit<OracleSubmission, "sentAt">): OracleSubmission {
+    const added = { ...submission, sentAt: Date.now() };
+    this.submissions.push(added);
+    return added;
+  }
+
+  /** Gets the share of keys for which some caller got a complete answer. */
+  getCompletedShare(): number {
+    const keys = new Set(this.submissions.map(({ key }) => key));
+    const complete = this.submissions.filter(({ answer }) =>
+      answer?.status === "complete"
+    );
+    return new Set(complete.map(({ key }) => key)).size / keys.size;
+  }
+
+  /** Finds every broken guarantee. Call it after all work has ended, since "not run" covers later starts. */
+  findViolations(starts: readonly TaskStart[]): string[] {
+    return [
+      ...this.findDoubleStarts(starts),
+      ...this.submissions.flatMap((submission) =>
+        this.#checkAnswer(submission, starts)
+      ),
+      ...this.#findDisagreements(),
+    ];
+  }
+
+  /** Finds tasks that started twice, and attempts that did where the task is repeatable. */
+  findDoubleStarts(starts: readonly TaskStart[]): string[] {
+    const repeatable = new Set(
+      this.submissions.filter((submission) => submission.repeatable).map((
+        { key },
+      ) => key),
+    );
+    const counts = new Map<string, number>();
+    for (const { key, index, attempt } of starts) {
+      const suffix = repeatable.has(getCallerKey(key)) ? `/${attempt}` : "";
+      const id = `${getCallerKey(key)}/${index}${suffix}`;
+      counts.set(id, (counts.get(id) ?? 0) + 1);
+    }
+    return [...counts].filter(([, count]) => count > 1)
+      .map(([id, count]) => `${id} started ${count} times`);
+  }
+
+  #checkAnswer(
+    submission: OracleSubmission,
+    starts: readonly TaskStart[],
+  ): string[] {
+    const { key, bodies, answer } = submission;
+    const own = starts.filter((start) => getCallerKey(start.key) === key);
+    switch (answer?.status) {
+      case undefined:
+        return [];
+      case "complete":
+        return bodies.flatMap((body, index) => {
+          const found = answer.answers.filter((one) => one.index === index);
+          const isRight = found.length === 1 && found[0]?.body === body &&
+            own.some((start) => start.index === index);
+          return isRight
+            ? []
+            : [`${key}/${index}: partial, wrong or without a start`];
+        }).concat(
+          answer.answers.length === bodies.length
+            ? []
+            : [`${key}: ${answer.answers.length} answers`],
+        );
+      case "failed":
+        return bodies.flatMap((_, index) =>
+          this.#checkOutcome(submission, { index, own })
+        );
+    }
+  }
+
+  /** Checks the word about one task of a failed submission. */
+  #checkOutcome(
+    submission: OracleSubmission,
+    options: { index: number; own: readonly TaskStart[] },
+  ): string[] {
+    const { key, answer } = submission;
+    const { index } = options;
+    if (answer?.status !== "failed") {
+      return [];
+    }
+    const found = answer.tasks?.filter((task) => task.index === index) ?? [];
+    if (answer.tasks !== undefined && found.length !== 1) {
+      return [`${key}/${index}: ${found.length} outcomes`];
+    }
+    const { outcome, kind } = found[0] ??
+      { ...answer.error, outcome: answer.error.outcome };
+    const own = options.own.filter((start) => start.index === index);
+    if (outcome === "run" && own.length === 0) {
+      return [`${key}/${index}: "run" (${kind}) without a start`];
+    }
+    const isUntrue = outcome === "not run" &&
+      own.some((start) => !this.#isExplained(submission, start));
+    return isUntrue ? [`${key}/${index}: untrue "not run" (${kind})`] : [];
+  }
+
+  /** Can a start belong to another submission of the key, such as a resubmission after "not run"? */
+  #isExplained(submission: OracleSubmission, start: TaskStart): boolean {
+    return this.submissions.some((other) =>
+      other !== submission && other.key === submission.key &&
+      other.sentAt <= start.timeMs &&
+      (other.answeredAt ?? Infinity) >= start.timeMs &&
+      !(other.answer?.status === "failed" &&
+        other.answer.error.outcome === "not run")
+    );
+  }
+
+  /** Finds callers that got another answer after somebody had got a complete one. */
+  #findDisagreements(): string[] {
+    return this.submissions.flatMap((first) =>
+      first.answer?.status !== "complete"
+        ? []
+        : this.submissions.filter((other) =>
+          other.key === first.key && other.answer !== undefined &&
+          (other.answer.status === "complete" ||
+            other.sentAt >= (first.answeredAt ?? Infinity)) &&
+          !isAgreeing(first.answer, other.answer)
+        ).map((other) =>
+          `${first.key}: another answer: ${other.answer?.status}`
+        )
+    );
+  }
+}
+
+/** Gets the key as the caller gave it; upstreams see it with the customer as scope. */
+function getCallerKey(key: string): string {
+  return key.slice(key.indexOf("/") + 1);
+}
+
+function isAgreeing(
+  complete: CallerAnswer | undefined,
+  other: CallerAnswer,
+): boolean {
+  return other.status === "complete"
+    ? JSON.stringify(complete) === JSON.stringify(other)
+    : IGNORANT_KINDS.includes(other.error.kind);
+}
