Add the load tool with a lower bound and a reference schedule

Ruled out: a closed loop (it hides queueing), expected load in place of an exact amount of work (seeds would offer different loads), a bound that includes other jobs (some scheduler may serve any one job first). Change: src/load and the binary load.ts drive running entries over HTTP in an open loop with seeded jobs; scripts/run_load.ts starts a fresh cluster for each run and reads what the workers ran from the stand-ins. Before: no figures.

--- /dev/null
+++ b/scripts/run_load.ts
@@ -0,0 +1,168 @@
+/**
+ * Starts a cluster of a given shape, runs load scenarios against it, and prints the reports and a summary
+ * over the seeds. Each run gets a fresh cluster. For example:
+ * `node dist/scripts/run_load.js --scenarios steady-70,overload-150 --seeds 1,2,3 --out /tmp/load.jsonl`
+ */
+import { appendFileSync } from "node:fs";
+import sade from "sade";
+import {
+  formatLoadReport,
+  LOAD_CUSTOMERS,
+  LOAD_SCENARIOS,
+  LOAD_SERVICES,
+  LOAD_SHAPES,
+  type LoadEvent,
+  type LoadReport,
+  type LoadScenario,
+  type LoadShape,
+  type PlannedJob,
+  publishEvent,
+  runLoad,
+  type TaskRun,
+} from "../src/load/mod.ts";
+import { createJobs } from "../src/load/mod.ts";
+import { Cluster } from "./lib/cluster.ts";
+import { formatLoadSummary } from "./lib/format_load_summary.ts";
+
+interface Options {
+  scenarios: string;
+  shape: string;
+  seeds: string;
+  placements: string;
+  out?: string;
+}
+
+interface RunOptions {
+  scenario: LoadScenario;
+  shape: LoadShape;
+  seed: number;
+  placement: string;
+}
+
+sade("run_load", true)
+  .option("--scenarios", "Scenarios, separated by commas", "steady-70")
+  .option("--shape", "groupement or direccion", "groupement")
+  .option("--seeds", "Seeds, separated by commas", "1,2,3")
+  .option(
+    "--placements",
+    "Placement policies, separated by commas; default leaves the setting out",
+    "default",
+  )
+  .option("--out", "File to which the reports are appended as JSON lines")
+  .action(async (options: Options) => {
+    const shape = Object.values(LOAD_SHAPES).find(({ name }) =>
+      name === options.shape
+    );
+    const scenarios = options.scenarios.split(",").map((name) =>
+      LOAD_SCENARIOS[name]
+    );
+    if (shape === undefined || scenarios.includes(undefined)) {
+      console.error("unknown scenario or shape");
+      process.exit(2);
+    }
+    const reports: LoadReport[] = [];
+    for (const scenario of scenarios as LoadScenario[]) {
+      // The policies alternate within a seed, so that a change of the machine's load meets all of them.
+      for (const seed of String(options.seeds).split(",").map(Number)) {
+        for (const placement of options.placements.split(",")) {
+          const report = await run({ scenario, shape, seed, placement });
+          reports.push(report);
+          console.log(formatLoadReport(report));
+          if (options.out !== undefined) {
+            appendFileSync(options.out, JSON.stringify(report) + "\n");
+          }
+        }
+      }
+    }
+    console.log(formatLoadSummary(reports));
+    process.exit(0);
+  })
+  .parse(process.argv);
+
+async function run(options: RunOptions): Promise<LoadReport> {
+  const { shape, placement } = options;
+  const cluster = new Cluster({
+    entryZones: [...shape.entryZones],
+    agentZones: [...shape.agentZones],
+    services: LOAD_SERVICES.map(({ name }) => name),
+    slots: shape.slots,
+    speeds: [...shape.speeds],
+    processSettings: {
+      maxConnections: shape.maxConnections,
+      logLevel: "error",
+    },
+  });
+  await cluster.start();
+  try {
+    await cluster.publish([
+      { path: "customers", value: LOAD_CUSTOMERS },
+      ...(placement === "default"
+        ? []
+        : [{ path: "placement", value: placement }]),
+    ]);
+    // The change is in force everywhere, and credits have settled.
+    await new Promise((resolve) => setTimeout(resolve, 2_000));
+    return await runLoad({
+      ...options,
+      entryAddresses: cluster.entries.map(({ httpAddress }) => httpAddress),
+      agentAddresses: cluster.agents.map(({ httpAddress }) => httpAddress),
+      applyEvent: (event) => applyEvent(cluster, event),
+      readRuns: (startedAt) => readRuns(cluster, { ...options, startedAt }),
+    });
+  } finally {
+    await cluster.stop();
+  }
+}
+
+async function applyEvent(cluster: Cluster, event: LoadEvent): Promise<void> {
+  switch (event.type) {
+    case "zone":
+      await publishEvent(cluster.logAddress, event, {
+        id: `load-${event.zone}-${event.atMs}`,
+      });
+      return;
+    case "behavior": {
+      const upstream = cluster.upstreams[event.worker];
+      if (upstream !== undefined) {
+        await cluster.setBehavior(upstream, { mode: event.mode });
+      }
+      return;
+    }
+    case "cancel":
+      return;
+    default:
+      return event satisfies never;
+  }
+}
+
+/** Reads what the workers ran. A task's end follows from its run time and the speed of its worker. */
+async function readRuns(
+  cluster: Cluster,
+  options: RunOptions & { startedAt: number },
+): Promise<TaskRun[]> {
+  const { shape, startedAt } = options;
+  const jobs = new Map<string, PlannedJob>();
+  for (const job of createJobs(options)) {
+    jobs.set(getSuffix(job.key), job);
+  }
+  const starts = await cluster.getStarts();
+  return starts.map(({ key, index, timeMs, upstream }) => {
+    const worker = cluster.upstreams.findIndex(({ name }) => name === upstream);
+    const runMs = jobs.get(getSuffix(key))?.runMs[index] ?? 0;
+    const startMs = timeMs - startedAt;
+    const endMs = startMs + runMs / (shape.speeds[worker] ?? 1);
+    // The processes put the customer before the client's key.
+    return {
+      key: key.slice(key.indexOf("/") + 1),
+      index,
+      worker,
+      startMs,
+      endMs,
+    };
+  });
+}
+
+/** Gets the part of a key that doesn't depend on when the run was made: seed and position. */
+function getSuffix(key: string): string {
+  return key.split("-").slice(-2).join("-");
+}
--- /dev/null
+++ b/src/load/create_load_report.ts
@@ -0,0 +1,215 @@
+import { createReferenceSchedule } from "./create_reference_schedule.ts";
+import { getAllowedWork } from "./get_allowed_work.ts";
+import { getCapacity } from "./get_capacity.ts";
+import { getFairShares } from "./get_fair_shares.ts";
+import { getLowerBoundMs } from "./get_lower_bound_ms.ts";
+import { getMessageFigures } from "./get_message_figures.ts";
+import { getPercentiles } from "./get_percentiles.ts";
+import { getWorkBySecond } from "./get_work_by_second.ts";
+import type { JobResult } from "./job_result.ts";
+import { LOAD_CUSTOMERS } from "./load_customers.ts";
+import type { LoadReport } from "./load_report.ts";
+import type { LoadScenario } from "./load_scenario.ts";
+import type { LoadShape } from "./load_shape.ts";
+import type { TaskRun } from "./task_run.ts";
+
+/** The goodput counts from this share of the run on, when the queues have filled. */
+const WINDOW_START_SHARE = 0.25;
+
+/** The work of a zone change counts until this long after the zone is back, in milliseconds. */
+const RETURN_MS = 5_000;
+
+export interface LoadReportOptions {
+  scenario: LoadScenario;
+  shape: LoadShape;
+  seed: number;
+  placement: string;
+  startedAt: number;
+  loadAverage: [number, number];
+  /** Results in order of the jobs' arrivals. */
+  results: readonly JobResult[];
+  /** Increase of the processes' counters. */
+  counters: ReadonlyMap<string, number>;
+  /** What the workers ran, when their records can be read. */
+  runs?: readonly TaskRun[] | undefined;
+}
+
+/** Creates the report of a run. */
+export function createLoadReport(options: LoadReportOptions): LoadReport {
+  const { scenario, shape, results, runs, counters } = options;
+  const tasks = results.reduce((sum, { job }) => sum + job.runMs.length, 0);
+  const refused = results.filter((result) => result.outcome === "not run");
+  return {
+    scenario: scenario.name,
+    shape: shape.name,
+    seed: options.seed,
+    placement: options.placement,
+    load: scenario.load,
+    startedAt: new Date(options.startedAt).toISOString(),
+    loadAverage: options.loadAverage,
+    jobs: results.length,
+    tasks,
+    lateMs: getPercentiles(results.map((result) => result.lateMs)),
+    response: createResponse(results, shape),
+    answers: getCounts(results.map((result) => result.kind)),
+    taskFailures: getCounts(results.flatMap((result) => result.taskKinds)),
+    refusalMs: getPercentiles(refused.map(getResponseMs)),
+    goodput: getGoodput(options),
+    fairness: createFairness(options),
+    messages: getMessageFigures({ results, runs, counters }),
+    ...(runs === undefined ? {} : { work: createWork(options, runs) }),
+    ...createFailingWorker(options),
+  };
+}
+
+function createResponse(
+  results: readonly JobResult[],
+  shape: LoadShape,
+): LoadReport["response"] {
+  const reference = createReferenceSchedule(
+    results.map((result) => result.job),
+    shape,
+  );
+  const rows = results.map((result, position) => ({
+    result,
+    ms: getResponseMs(result),
+    ideal: getLowerBoundMs(result.job.runMs, shape),
+    reference: reference[position] ?? 0,
+  }));
+  const complete = rows.filter(({ result }) => result.kind === "complete");
+  return {
+    ms: getPercentiles(complete.map((row) => row.ms)),
+    overIdeal: getPercentiles(complete.map((row) => row.ms / row.ideal)),
+    overReference: getPercentiles(
+      complete.map((row) => row.ms / row.reference),
+    ),
+    referenceOverIdeal: getPercentiles(
+      rows.map((row) => row.reference / row.ideal),
+    ),
+  };
+}
+
+function getResponseMs(result: JobResult): number {
+  return (result.answeredMs ?? Infinity) - result.job.arrivalMs;
+}
+
+function getWork(result: JobResult): number {
+  return result.job.runMs.reduce((sum, runMs) => sum + runMs, 0);
+}
+
+/** Finds the complete jobs whose answers came while the load was on. */
+function findInWindow(options: LoadReportOptions): JobResult[] {
+  const { durationMs } = options.scenario;
+  return options.results.filter(({ kind, answeredMs = Infinity }) =>
+    kind === "complete" && answeredMs >= durationMs * WINDOW_START_SHARE &&
+    answeredMs < durationMs
+  );
+}
+
+function getGoodput(options: LoadReportOptions): number {
+  const { durationMs } = options.scenario;
+  const windowMs = durationMs * (1 - WINDOW_START_SHARE);
+  const done = findInWindow(options).reduce((sum, r) => sum + getWork(r), 0);
+  return done / (windowMs * getCapacity(options.shape));
+}
+
+function createFairness(options: LoadReportOptions): LoadReport["fairness"] {
+  const windowShare = 1 - WINDOW_START_SHARE;
+  const inWindow = findInWindow(options);
+  const getSum = (results: readonly JobResult[], customer: string) =>
+    results.reduce(
+      (sum, r) => r.job.customer === customer ? sum + getWork(r) : sum,
+      0,
+    );
+  const customers = Object.entries(LOAD_CUSTOMERS);
+  const demands = new Map(
+    customers.map((
+      [name, { weight }],
+    ) => [name, {
+      work: getSum(options.results, name) * windowShare,
+      weight,
+    }]),
+  );
+  const capacity = getCapacity(options.shape) * options.scenario.durationMs *
+    windowShare;
+  const entitled = getFairShares(demands, capacity);
+  return Object.fromEntries(customers.map(([name]) => {
+    const completed = getSum(inWindow, name);
+    return [name, {
+      offered: (demands.get(name)?.work ?? 0) / capacity,
+      completed: completed / capacity,
+      ofEntitled: completed / (entitled.get(name) ?? 1),
+    }];
+  }));
+}
+
+function createWork(
+  options: LoadReportOptions,
+  runs: readonly TaskRun[],
+): LoadReport["work"] {
+  const { scenario, shape, results } = options;
+  const seconds = Math.ceil(scenario.durationMs / 1_000);
+  const events = scenario.events.filter((event) => event.type === "zone");
+  const isOut = (zone: string | undefined, timeMs: number) =>
+    events.findLast((event) => event.zone === zone && event.atMs <= timeMs)
+      ?.state === "out";
+  const complete = new Set(
+    results.filter((r) => r.kind === "complete").map((r) => r.job.key),
+  );
+  const doneBySecond = getWorkBySecond(runs, {
+    speeds: shape.speeds,
+    seconds,
+    isCounted: (run, timeMs) =>
+      complete.has(run.key) && !isOut(shape.agentZones[run.worker], timeMs),
+  });
+  const jobs = results.map((result) => result.job);
+  const allowedBySecond = getAllowedWork(jobs, { shape, events, seconds });
+  const from = events[0]?.atMs ?? 0;
+  const to = (events[events.length - 1]?.atMs ?? 0) + RETURN_MS;
+  const getSum = (values: number[]) =>
+    values.slice(Math.floor(from / 1_000), Math.ceil(to / 1_000)).reduce(
+      (sum, value) => sum + value,
+      0,
+    );
+  const zoneChangeShare = events.length === 0
+    ? undefined
+    : getSum(doneBySecond) / getSum(allowedBySecond);
+  return { doneBySecond, allowedBySecond, zoneChangeShare };
+}
+
+function createFailingWorker(
+  options: LoadReportOptions,
+): Pick<LoadReport, "failingWorker"> {
+  const { scenario, results, runs } = options;
+  const event = scenario.events.find((event) =>
+    event.type === "behavior" && event.mode === "failing"
+  );
+  if (event?.type !== "behavior") {
+    return {};
+  }
+  const afterMs = event.atMs + 1_000;
+  const later = results.filter(({ job }) => job.arrivalMs >= afterMs);
+  const tasks = later.reduce((sum, { job }) => sum + job.runMs.length, 0);
+  const lost = later.flatMap((result) => result.taskKinds)
+    .filter((kind) => kind === "upstream_failed").length;
+  const lostJobs = later.filter(({ kind }) => kind === "upstream_failed");
+  const laterRuns = runs?.filter((run) => run.startMs >= afterMs);
+  const atWorker = laterRuns?.filter((run) => run.worker === event.worker);
+  return {
+    failingWorker: {
+      lostTaskShare: lost / tasks,
+      lostJobShare: lostJobs.length / later.length,
+      startShare: atWorker === undefined || laterRuns === undefined
+        ? undefined
+        : atWorker.length / laterRuns.length,
+    },
+  };
+}
+
+function getCounts(kinds: readonly string[]): { [kind: string]: number } {
+  const counts: { [kind: string]: number } = {};
+  for (const kind of kinds) {
+    counts[kind] = (counts[kind] ?? 0) + 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/src/load/load_shapes.ts
@@ -0,0 +1,26 @@
+import type { LoadShape } from "./load_shape.ts";
+
+/**
+ * The two clusters of section 1.6 of the design page as they are today. The speeds are unequal and add up
+ * to the number of agents, so the capacity is that of agents of speed 1.
+ */
+export const LOAD_SHAPES = {
+  groupement: {
+    name: "groupement",
+    entryZones: ["a", "b", "c"],
+    agentZones: ["a", "b", "c", "a", "b", "c", "a", "b", "c", "a"],
+    speeds: [1.5, 1.25, 1.25, 1, 1, 1, 1, 0.75, 0.75, 0.5],
+    slots: 8,
+    maxConnections: 64,
+    clientLatencyMs: 1,
+  },
+  direccion: {
+    name: "direccion",
+    entryZones: ["a", "b", "c", "d"],
+    agentZones: ["a", "b", "c", "d", "a", "b", "c", "d", "a", "b"],
+    speeds: [1.5, 1.25, 1.25, 1, 1, 1, 1, 0.75, 0.75, 0.5],
+    slots: 8,
+    maxConnections: 64,
+    clientLatencyMs: 3,
+  },
+} as const satisfies Record<string, LoadShape>;
--- /dev/null
+++ b/src/load/publish_event.ts
@@ -0,0 +1,28 @@
+import type { LoadEvent } from "./load_event.ts";
+
+/**
+ * Publishes a zone's change of state as an operator does, by a change record in the log.
+ * @param logAddress - `host:port` of the log service.
+ * @param event - The event.
+ * @param options - Unique id of the change.
+ */
+export async function publishEvent(
+  logAddress: string,
+  event: Extract<LoadEvent, { type: "zone" }>,
+  options: { id: string },
+): Promise<void> {
+  const response = await fetch(`http://${logAddress}/v1/records`, {
+    method: "POST",
+    body: JSON.stringify({
+      type: "change",
+      id: options.id,
+      // The operator accepts whatever the others changed before.
+      baseRevision: Number.MAX_SAFE_INTEGER,
+      operator: "load",
+      edits: [{ path: `zones.${event.zone}.state`, value: event.state }],
+    }),
+  });
+  if (!response.ok) {
+    throw new Error(`the log refused the change: status ${response.status}`);
+  }
+}
