--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -32,6 +32,7 @@
   readonly #options: EntryIncarnationOptions;
   readonly #abort = new AbortController();
   readonly #pool: AgentPool;
+  readonly #dispatcher: TaskDispatcher;
   readonly #peerServer: PeerServer;
   #wasAnnounced = false;
 
@@ -56,6 +57,7 @@
       pool: this.#pool,
       timeline: this.timeline,
     });
+    this.#dispatcher = dispatcher;
     const claims = new ClaimClient({ homes, pool: this.#pool });
     this.coordinator = new JobCoordinator({
       view: follower.view,
