--- a/src/coordination/follower/heartbeats.ts
+++ b/src/coordination/follower/heartbeats.ts
@@ -4,6 +4,9 @@
 /** Records relayed in one heartbeat. */
 const MAX_RECORDS = 200;
 
+/** Largest age that a heartbeat can state; a larger one, or none, is stated as this. */
+const MAX_AGE_MS = 0xffffffff;
+
 /**
  * The heartbeats of one stream. The echo of the own sequence dates what the peer states: the peer made the
  * message after it had received the echoed heartbeat, hence after the local time when that one was sent.
@@ -43,7 +46,7 @@
       sequence: this.#sequence,
       echo: this.#peerSequence,
       viewOffset: this.#follower.view.offset,
-      viewAgeMs: Math.min(Math.ceil(this.#follower.getViewAgeMs()), 0xffffffff),
+      viewAgeMs: Math.min(Math.ceil(this.#follower.getViewAgeMs()), MAX_AGE_MS),
       outageReports: this.#follower.outages.getReports(now),
       records,
       queued,
@@ -54,8 +57,8 @@
   /** Takes records, proof and reports from a received heartbeat. */
   receive(heartbeat: Heartbeat): void {
     this.#receivedAt = this.#follower.getTime();
-    this.#peerSequence = heartbeat.sequence;
-    this.#peerOffset = heartbeat.viewOffset;
+    this.#peerSequence = Math.max(this.#peerSequence, heartbeat.sequence);
+    this.#peerOffset = Math.max(this.#peerOffset, heartbeat.viewOffset);
     this.#follower.applyRecords(heartbeat.records);
     const sentAt = this.#sentAt.get(heartbeat.echo);
     if (sentAt === undefined) {
@@ -66,7 +69,8 @@
         this.#sentAt.delete(sequence);
       }
     }
-    if (this.#follower.view.offset >= heartbeat.viewOffset) {
+    const hasProof = heartbeat.viewAgeMs < MAX_AGE_MS;
+    if (hasProof && this.#follower.view.offset >= heartbeat.viewOffset) {
       this.#follower.addProof(sentAt - heartbeat.viewAgeMs);
     }
     this.#follower.outages.mergeReports(heartbeat.outageReports, sentAt);
--- a/src/coordination/follower/log_follower.ts
+++ b/src/coordination/follower/log_follower.ts
@@ -1,8 +1,11 @@
 import type { ClusterView, ViewEvent } from "../../state/view/mod.ts";
-import { LogRecord } from "../../state/view/mod.ts";
-import type { LogService } from "../links/mod.ts";
+import type { LogRecord } from "../../state/view/mod.ts";
+import type { LogPage, LogService } from "../links/mod.ts";
 import type { RawLogRecord } from "../messages/mod.ts";
+import { findSnapshot } from "./find_snapshot.ts";
+import type { KnownSnapshot } from "./known_snapshot.ts";
 import { OutageReports } from "./outage_reports.ts";
+import { parseLogRecord } from "./parse_log_record.ts";
 import { VIEW_LIMITS } from "./view_limits.ts";
 
 /** Records that are kept to relay them to other processes. */
@@ -11,6 +14,9 @@
 /** Records read at one time. */
 const READ_LIMIT = 500;
 
+/** A process that starts skips to the newest snapshot when it would have to read more records than this. */
+const MAX_START_RECORDS = 2_000;
+
 /** Reads that may be open at one time, so that a slow log doesn't delay the next proof. */
 const MAX_OPEN_READS = 8;
 
@@ -19,8 +25,8 @@
   log: LogService;
   /** Availability zone of this process. */
   zone: string;
-  /** The log is read when the view's age is at least this. */
-  readAfterMs?: number;
+  /** Agents get records by heartbeats, and read the log only when these leave their view old. */
+  role?: "entry" | "agent";
   /** Monotonic clock in milliseconds. */
   getTime?: () => number;
 }
@@ -33,18 +39,19 @@
 export class LogFollower {
   readonly view: ClusterView;
   readonly #log: LogService;
-  readonly #readAfterMs: number;
+  readonly #role: "entry" | "agent";
   readonly #getTime: () => number;
   readonly #outages: OutageReports;
   readonly #listeners = new Set<(event: ViewEvent, offset: number) => void>();
   #recent: RawLogRecord[] = [];
   #proofTime = -Infinity;
   #openReads = 0;
+  #snapshot: KnownSnapshot | undefined;
 
   constructor(options: LogFollowerOptions) {
     this.view = options.view;
     this.#log = options.log;
-    this.#readAfterMs = options.readAfterMs ?? 0;
+    this.#role = options.role ?? "entry";
     this.#getTime = options.getTime ?? (() => performance.now());
     this.#outages = new OutageReports(options.zone);
   }
@@ -54,6 +61,11 @@
     return this.#outages;
   }
 
+  /** Gets the newest snapshot that was seen in the log. */
+  get snapshot(): KnownSnapshot | undefined {
+    return this.#snapshot;
+  }
+
   /** Gets the current time of the monotonic clock that proofs refer to, in milliseconds. */
   getTime(): number {
     return this.#getTime();
@@ -90,22 +102,38 @@
     return this.#recent.slice(offset + 1 - first, offset + 1 - first + limit);
   }
 
-  /** Reads the log at a fixed interval until the signal aborts. */
+  /** Gets the interval of the log reads, in milliseconds; agents share a number of reads a second. */
+  getReadIntervalMs(): number {
+    if (this.#role !== "agent") {
+      return VIEW_LIMITS.readIntervalMs;
+    }
+    const agents = this.view.getMembers("agent").length;
+    return Math.max(
+      VIEW_LIMITS.readIntervalMs,
+      agents / VIEW_LIMITS.agentReadsPerSecond * 1_000,
+    );
+  }
+
+  /** Reads the log at an interval until the signal aborts. A slow read doesn't delay the next one. */
   async run(signal: AbortSignal): Promise<void> {
+    const readAfterMs = this.#role === "agent"
+      ? VIEW_LIMITS.agentReadAfterMs
+      : 0;
     while (!signal.aborted) {
+      // Overlapping reads of a process that starts would all fetch the same records.
+      const maxOpen = this.#proofTime === -Infinity ? 1 : MAX_OPEN_READS;
       if (
-        this.getViewAgeMs() >= this.#readAfterMs &&
-        this.#openReads < MAX_OPEN_READS
+        this.getViewAgeMs() >= readAfterMs && this.#openReads < maxOpen
       ) {
         void this.readOnce();
       }
       await new Promise((resolve) =>
-        setTimeout(resolve, VIEW_LIMITS.readIntervalMs)
+        setTimeout(resolve, this.getReadIntervalMs())
       );
     }
   }
 
-  /** Reads the log up to its head. Returns false when the log can't be reached. */
+  /** Reads the log up to its head. Returns false when the log can't be reached, or has a gap. */
   async readOnce(): Promise<boolean> {
     this.#openReads++;
     try {
@@ -117,15 +145,16 @@
           return false;
         }
         this.#outages.removeOwnReport();
-        if (page.value.first > this.view.offset + 1) {
-          this.#applySnapshot(page.value.records);
+        const offset = this.view.offset;
+        if (this.#isSnapshotNeeded(page.value)) {
+          await this.#applySnapshot(page.value);
         }
         this.applyRecords(page.value.records);
         if (this.view.offset >= page.value.head) {
           this.addProof(sentAt);
           return true;
         }
-        if (page.value.records.length === 0) {
+        if (this.view.offset === offset) {
           return false;
         }
       }
@@ -149,43 +178,62 @@
   }
 
   #applyRecord(raw: RawLogRecord): void {
-    const record = parseRecord(raw.json);
+    const record = parseLogRecord(raw.json);
+    let { json } = raw;
     if (record === undefined) {
       this.view.skip(raw.offset);
+    } else if (record.type === "snapshot") {
+      this.#setSnapshot(raw.offset, record);
+      // Who gets the record by a heartbeat has every record before it; at target scale a view is some MB.
+      json = JSON.stringify({ ...record, view: null });
     }
     const events = record === undefined
       ? []
       : this.view.apply(record, raw.offset);
-    this.#recent.push({ offset: raw.offset, json: raw.json });
+    this.#recent.push({ offset: raw.offset, json });
     if (this.#recent.length > 2 * MAX_RELAYED_RECORDS) {
       this.#recent = this.#recent.slice(-MAX_RELAYED_RECORDS);
     }
+    this.#notify(events, raw.offset);
+  }
+
+  #notify(events: readonly ViewEvent[], offset: number): void {
     for (const event of events) {
       for (const listener of this.#listeners) {
-        listener(event, raw.offset);
+        listener(event, offset);
       }
     }
   }
 
-  /** Starts from the newest usable snapshot when the records in between aren't retained any more. */
-  #applySnapshot(records: readonly RawLogRecord[]): void {
-    for (const raw of [...records].reverse()) {
-      const record = parseRecord(raw.json);
-      const isUsable = record?.type === "snapshot" &&
-        record.at + 1 >= (records[0]?.offset ?? 0);
-      if (isUsable && this.view.setSnapshot(record.view)) {
-        this.#recent = [];
-        return;
-      }
+  /** Have the records after the view passed out of retention, or are there too many of them at a start? */
+  #isSnapshotNeeded(page: LogPage): boolean {
+    const isStart = this.view.offset === 0 && page.head > MAX_START_RECORDS;
+    return isStart || page.first > this.view.offset + 1;
+  }
+
+  /** Goes on from the newest usable snapshot, unless other reads have brought the view further. */
+  async #applySnapshot(page: LogPage): Promise<void> {
+    const found = await findSnapshot(this.#log, page);
+    if (found === undefined) {
+      return;
+    }
+    const events = this.view.setSnapshot(found.record.view);
+    if (events !== undefined) {
+      this.#recent = [];
+      this.#setSnapshot(found.offset, found.record);
+      this.#notify(events, this.view.offset);
     }
   }
-}
 
-function parseRecord(json: string): LogRecord | undefined {
-  try {
-    const parsed = LogRecord.safeParse(JSON.parse(json));
-    return parsed.success ? parsed.data : undefined;
-  } catch {
-    return undefined;
+  #setSnapshot(
+    offset: number,
+    record: Extract<LogRecord, { type: "snapshot" }>,
+  ): void {
+    // The writer's clock may be wrong. The last proof limits the error: a record that is new to the view was
+    // appended after it.
+    const wallAgeMs = Math.max(0, Date.now() - (record.timeMs ?? 0));
+    const ageMs = Math.min(wallAgeMs, this.getViewAgeMs());
+    const time = this.#getTime() - ageMs;
+    this.#snapshot = { offset, at: record.at, time };
   }
 }
--- a/src/coordination/follower/view_limits.ts
+++ b/src/coordination/follower/view_limits.ts
@@ -10,8 +10,10 @@
   logReadTimeoutMs: 1_500,
   /** An outage report is used for at most this long. */
   maxOutageReportAgeMs: 2_000,
-  /** Interval of an entry's log reads. */
+  /** Interval of an entry's log reads, and the shortest one of an agent's. */
   readIntervalMs: 400,
+  /** Log reads a second by all agents together, at most. */
+  agentReadsPerSecond: 2_000,
   /** Agents read the log themselves only when heartbeats leave their view older than this. */
   agentReadAfterMs: 2_000,
   /** Interval of the heartbeats on every stream. */
--- a/src/processes/create_process_context.ts
+++ b/src/processes/create_process_context.ts
@@ -1,4 +1,4 @@
-import { LogFollower, VIEW_LIMITS } from "../coordination/follower/mod.ts";
+import { LogFollower } from "../coordination/follower/mod.ts";
 import { Metrics } from "../state/metrics/mod.ts";
 import type { ProcessSettings } from "../state/process_settings/mod.ts";
 import { ClusterView } from "../state/view/mod.ts";
@@ -13,12 +13,11 @@
 ): ProcessContext {
   const log = new HttpLogService(settings.logAddress);
   const view = new ClusterView();
-  const readAfterMs = role === "agent" ? VIEW_LIMITS.agentReadAfterMs : 0;
   const follower = new LogFollower({
     view,
     log,
     zone: settings.zone,
-    readAfterMs,
+    role,
   });
   const metrics = new Metrics();
   metrics.setGauge("view_offset", () => view.offset);
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -4,6 +4,7 @@
   JobCoordinator,
   TaskDispatcher,
 } from "../coordination/entry/mod.ts";
+import { SnapshotWriter } from "../coordination/follower/mod.ts";
 import { Announcer, SilenceWatcher } from "../coordination/membership/mod.ts";
 import { HomeFinder } from "../state/homes/mod.ts";
 import { Timeline } from "../state/timeline/mod.ts";
@@ -120,6 +121,13 @@
         })),
     });
     void watcher.run(signal);
+    const snapshots = new SnapshotWriter({
+      memberId: this.memberId,
+      follower,
+      log,
+      intervalMs: settings.snapshotIntervalMs,
+    });
+    void snapshots.run(signal);
   }
 
   /** Finishes the running submissions and leaves. */
--- a/src/state/view/cluster_view.ts
+++ b/src/state/view/cluster_view.ts
@@ -112,15 +112,17 @@
     };
   }
 
-  /** Sets the view from a snapshot, unless that would take it back. */
-  setSnapshot(value: unknown): boolean {
+  /**
+   * Sets the view from a snapshot, and gets what that changed. Gets undefined, and changes nothing, when the
+   * snapshot is unreadable or would take the view back.
+   */
+  setSnapshot(value: unknown): ViewEvent[] | undefined {
     const snapshot = ViewSnapshot.safeParse(value);
     if (!snapshot.success || snapshot.data.offset < this.#offset) {
-      return false;
+      return undefined;
     }
     this.#offset = snapshot.data.offset;
     this.#settings.setSnapshot(snapshot.data.settings);
-    this.#members.setSnapshot(snapshot.data.members);
-    return true;
+    return this.#members.setSnapshot(snapshot.data.members);
   }
 }
--- a/src/state/view/log_record.ts
+++ b/src/state/view/log_record.ts
@@ -37,6 +37,8 @@
     /** The snapshot holds the view after this offset. */
     at: z.int().min(0),
     view: z.json(),
+    /** Wall-clock time of the writer. Only used to tell whether a new snapshot is due. */
+    timeMs: z.number().optional(),
   }),
 ]);
 
--- a/src/state/view/member_table.ts
+++ b/src/state/view/member_table.ts
@@ -108,8 +108,9 @@
     };
   }
 
-  /** Sets the state from a part of a snapshot. */
-  setSnapshot(snapshot: MembersSnapshot): void {
+  /** Sets the state from a part of a snapshot, and gets what that changes for those who follow events. */
+  setSnapshot(snapshot: MembersSnapshot): ViewEvent[] {
+    const before = this.#members;
     this.#members = new Map(
       snapshot.members.map((member) => [member.id, member]),
     );
@@ -117,6 +118,23 @@
     this.#suspicions = new Map(
       snapshot.suspicions.map(([id, observers]) => [id, new Map(observers)]),
     );
+    const events: ViewEvent[] = [];
+    for (const member of before.values()) {
+      if (!this.#members.has(member.id)) {
+        // The records are gone, so a clean leave can't be told from a removal; this is the safe reading.
+        events.push({ type: "removed", member });
+      }
+    }
+    for (const member of this.#members.values()) {
+      const known = before.get(member.id);
+      if (known === undefined) {
+        events.push({ type: "joined", member });
+      }
+      if (member.phase === "leaving" && known?.phase !== "leaving") {
+        events.push({ type: "leaving", member });
+      }
+    }
+    return events;
   }
 
   #remove(member: MemberState, type: "left" | "removed"): ViewEvent {
--- a/tests/cluster/operators_test.ts
+++ b/tests/cluster/operators_test.ts
@@ -112,3 +112,56 @@
     expect(runs.map(({ code }) => code)).to.deep.equal([2, 6, 6, 6, 2]);
   });
 });
+
+describe("retention and outages of the log", function () {
+  this.timeout(60_000);
+  const cluster = new Cluster({
+    entryZones: ["a", "b"],
+    agentZones: ["a", "b"],
+    logOptions: ["--retained", "40"],
+    processSettings: { snapshotIntervalMs: 1_000 },
+  });
+
+  before(() => cluster.start());
+  after(() => cluster.stop());
+
+  async function getStatus(address: string, path: string): Promise<number> {
+    const response = await fetch(`http://${address}${path}`);
+    await response.arrayBuffer();
+    return response.status;
+  }
+
+  it("lets an instance start after the first records have passed out of retention", async () => {
+    // Guards against a replaced instance that serves older settings, or never becomes ready.
+    let revision = 0;
+    for (let n = 0; n < 100; n++) {
+      const edit = { path: "rules.priority", value: n % 9 };
+      revision = await cluster.publish([edit]);
+      await new Promise((resolve) => setTimeout(resolve, 30));
+    }
+    const late = await cluster.addEntry("b");
+    await cluster.waitUntilReady();
+    const view = await cluster.getView(late);
+    expect(view.revision).to.equal(revision);
+    expect(view.members).to.have.length(5);
+    const { code, value } = await runCtl(cluster, "settings", "get");
+    expect([code, value["revision"]]).to.deep.equal([0, revision]);
+  });
+
+  it("keeps an instance that starts during an outage not ready until the log is back", async () => {
+    // Guards against an instance that works under no settings, or gives up.
+    await cluster.setLogFaults({ isDown: true });
+    const started = await cluster.addEntry("a");
+    const { httpAddress } = started;
+    while (await getStatus(httpAddress, "/healthz").catch(() => 0) !== 200) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    await new Promise((resolve) => setTimeout(resolve, 1_000));
+    expect(await getStatus(httpAddress, "/readyz")).to.equal(503);
+    const { code } = await runCtl(cluster, "status", "--timeout", "1");
+    expect(code).to.equal(4);
+    await cluster.setLogFaults({});
+    await cluster.waitUntilReady();
+    expect(await getStatus(httpAddress, "/readyz")).to.equal(200);
+  });
+});
--- /dev/null
+++ b/tests/coordination/follower/log_follower_test.ts
@@ -0,0 +1,141 @@
+import { expect } from "chai";
+import * as fc from "fast-check";
+import { LogFollower } from "../../../src/coordination/follower/mod.ts";
+import { ClusterView, type ViewEvent } from "../../../src/state/view/mod.ts";
+import { MemoryLog } from "./memory_log.ts";
+
+function createFollower(log: MemoryLog, role?: "entry" | "agent"): LogFollower {
+  return new LogFollower({ view: new ClusterView(), log, zone: "a", role });
+}
+
+async function appendSnapshot(log: MemoryLog, view: ClusterView) {
+  const snapshot = JSON.parse(JSON.stringify(view.createSnapshot()));
+  await log.append({ type: "snapshot", at: view.offset, view: snapshot });
+}
+
+describe("LogFollower", () => {
+  it("starts from the newest snapshot after retention has passed", async () => {
+    // Guards against a new instance that serves older settings, or none.
+    const log = new MemoryLog();
+    const writer = createFollower(log);
+    for (let n = 0; n < 1_500; n++) {
+      await log.change(n % 9);
+      if (n === 100 || n === 900) {
+        await writer.readOnce();
+        await appendSnapshot(log, writer.view);
+      }
+    }
+    await writer.readOnce();
+    log.first = 800;
+    const late = createFollower(log);
+    expect(await late.readOnce()).to.equal(true);
+    expect(late.view.createSnapshot()).to.deep.equal(
+      writer.view.createSnapshot(),
+    );
+  });
+
+  it("waits while the retained records have a gap before them", async () => {
+    // Guards against a view that misses records and passes for complete.
+    const log = new MemoryLog();
+    const writer = createFollower(log);
+    await log.change(1);
+    await writer.readOnce();
+    await appendSnapshot(log, writer.view);
+    await log.change(2);
+    await log.change(3);
+    log.first = 4;
+    const late = createFollower(log);
+    expect(await late.readOnce()).to.equal(false);
+    expect(late.canStartWork()).to.equal(false);
+    expect(late.view.revision).to.equal(0);
+  });
+
+  it("tells a process that lagged behind retention which members are gone", async () => {
+    // Guards against links and claims that outlive their member when its records were never read.
+    const log = new MemoryLog();
+    const writer = createFollower(log);
+    const lagging = createFollower(log);
+    const events: string[] = [];
+    lagging.addListener((event: ViewEvent) => {
+      if (event.type !== "change") {
+        events.push(`${event.type} ${event.member.id}`);
+      }
+    });
+    await log.announce("e1", "a");
+    await lagging.readOnce();
+    await log.append({ type: "leave", memberId: "e1", phase: "left" });
+    await log.announce("e2", "a");
+    await writer.readOnce();
+    await appendSnapshot(log, writer.view);
+    log.first = 4;
+    expect(await lagging.readOnce()).to.equal(true);
+    expect(events).to.deep.equal(["joined e1", "removed e1", "joined e2"]);
+  });
+
+  it("lets agents share 2,000 reads a second", async () => {
+    // Guards against 8,800 agents that read the log every 400 ms when the heartbeats stop.
+    const log = new MemoryLog();
+    const agent = createFollower(log, "agent");
+    expect(agent.getReadIntervalMs()).to.equal(400);
+    for (let n = 0; n < 1_000; n++) {
+      await log.announce(`a${n}`, "a", "agent");
+    }
+    await agent.readOnce();
+    expect(agent.getReadIntervalMs()).to.equal(500);
+  });
+
+  it("never goes back, whatever is read, retained and written as a snapshot", async () => {
+    // Guards against a revision that goes down because of an old snapshot or an old page.
+    const action = fc.oneof(
+      fc.constantFrom("change", "announce", "retain"),
+      fc.tuple(fc.constantFrom("read", "snapshot"), fc.nat(2)),
+    );
+    await fc.assert(
+      fc.asyncProperty(
+        fc.array(action, { minLength: 10, maxLength: 60 }),
+        runActions,
+      ),
+      { seed: 11, numRuns: 300 },
+    );
+  });
+});
+
+async function runActions(actions: (string | [string, number])[]) {
+  const log = new MemoryLog();
+  const reference = createFollower(log);
+  const followers = [0, 1, 2].map(() => createFollower(log));
+  let newest = 0;
+  for (const [step, action] of actions.entries()) {
+    const [name, n] = typeof action === "string" ? [action, 0] : action;
+    const follower = followers[n]!;
+    const before = follower.view.revision;
+    switch (name) {
+      case "change":
+        await log.change(step % 9);
+        break;
+      case "announce":
+        await log.announce(`e${step}`, "a");
+        break;
+      case "retain":
+        log.first = Math.max(log.first, newest + 1);
+        break;
+      case "snapshot":
+        // A follower that is behind writes an old snapshot after newer records.
+        await appendSnapshot(log, follower.view);
+        if (follower.view.offset + 1 >= log.first) {
+          newest = Math.max(newest, follower.view.offset);
+        }
+        break;
+      default: {
+        const isComplete = await follower.readOnce();
+        await reference.readOnce();
+        expect(follower.view.revision).to.be.at.least(before);
+        if (isComplete) {
+          expect(follower.view.createSnapshot()).to.deep.equal(
+            reference.view.createSnapshot(),
+          );
+        }
+      }
+    }
+  }
+}
