Test that a heartbeat with too few records proves nothing

A heartbeat carries the records that the peer lacks, so the offset only decides when there are more than 200.

Change: a test with 300 missing records.

--- a/tests/coordination/follower/heartbeats_test.ts
+++ b/tests/coordination/follower/heartbeats_test.ts
@@ -180,4 +180,27 @@
     // 60,000 ms on the way, 100 ms since the echo was sent, and 100 ms that the sender stated.
     expect(world.followers[stale]!.getViewAgeMs()).to.equal(60_200);
   });
+
+  it("prove nothing to a peer that doesn't hold the relayed records yet", async () => {
+    // Guards against a proof that is counted when one heartbeat can't carry all missing records.
+    const world = new World();
+    const run = (name: string, a: number, b = 0) => world.run({ name, a, b });
+    for (let n = 0; n < 300; n++) {
+      await run("append", 0);
+    }
+    await run("read", 0);
+    await run("serve", 0);
+    await run("return", 0);
+    const [fresh, behind] = world.followers;
+    const ages: number[] = [];
+    for (let n = 0; n < 3; n++) {
+      await run("send", 1, 1);
+      await run("deliver", 0);
+      await run("send", 0);
+      await run("deliver", 0);
+      ages.push(behind!.getViewAgeMs());
+    }
+    expect(fresh!.view.offset).to.equal(300);
+    expect(ages).to.deep.equal([Infinity, 0, 0]);
+  });
 });
