Derive metrics and log lines from the timeline, and bound the log volume

Cause: operators saw counts of answered submissions only. Refusals, claim, queue and run times, log traffic, outage mode and removals were not reported anywhere.

Ruled out: metrics calls next to each timeline call. The same facts would be stated twice in code that several people change at this time.

Change: the timeline passes each event to EventRecorder, which counts and times; the gate's refusals are now events. Counters have labels. Failed answers carry X-Error-Kind. Tests for the causal order of the merged timeline.

Conclusion: events of other modules are counted once they are recorded. Cancel and Complete frames carry no Lamport clock yet, so an event that only a cancel caused can be shown before it.

--- a/src/coordination/agent/task_executor.ts
+++ b/src/coordination/agent/task_executor.ts
@@ -101,10 +101,11 @@
   #runNew(dispatch: Dispatch, coordinatorId: string): Promise<TaskResult> {
     const refusal = this.#gate.getRefusalFor(coordinatorId);
     if (refusal !== undefined) {
-      return Promise.resolve(createFailedResult(refusal.kind, refusal.message));
+      return Promise.resolve(this.#refuse(dispatch, refusal));
     }
     if (this.load >= this.#queue.concurrency + this.#maxWaiting) {
-      return Promise.resolve(createFailedResult("busy", "no free slot"));
+      const busy = createError("busy", "no free slot");
+      return Promise.resolve(this.#refuse(dispatch, busy));
     }
     const result = this.#queue.add(() => this.#start(dispatch, coordinatorId));
     // A very short queue may have started the attempt at once; then its record says so already.
@@ -117,6 +118,18 @@
     return result;
   }
 
+  #refuse(dispatch: Dispatch, refusal: DispatchError): TaskResult {
+    const { key, index, attempt } = dispatch;
+    const { kind, message } = refusal;
+    this.#timeline.record("task_refused", {
+      key,
+      index,
+      attempt,
+      detail: kind,
+    });
+    return createFailedResult(kind, message);
+  }
+
   async #start(dispatch: Dispatch, coordinatorId: string): Promise<TaskResult> {
     const { key, index, attempt } = dispatch;
     const controller = new AbortController();
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -56,7 +56,9 @@
     this.#options = options;
     this.#messages = new MessageCounts(context.metrics);
     this.memberId = createMemberId(settings.name);
-    this.timeline = new Timeline(this.memberId);
+    this.timeline = new Timeline(this.memberId, {
+      onRecord: (event) => context.events.record(event),
+    });
     this.#gate = new StartGate({ follower, memberId: this.memberId });
     this.#executor = new TaskExecutor({
       gate: this.#gate,
--- a/src/processes/agent_process.ts
+++ b/src/processes/agent_process.ts
@@ -51,6 +51,7 @@
       zone: settings.zone,
     });
     void follower.run(this.#abort.signal);
+    void this.#context.monitor.run(this.#abort.signal);
     this.#finished = this.#run();
   }
 
--- a/src/processes/create_process_context.ts
+++ b/src/processes/create_process_context.ts
@@ -4,14 +4,25 @@
 import { ClusterView } from "../state/view/mod.ts";
 import { HttpLogService } from "../transport/log/mod.ts";
 import { createLogger } from "./create_logger.ts";
+import { EventRecorder } from "./event_recorder.ts";
+import { LogLimiter } from "./log_limiter.ts";
+import { MeasuredLogService } from "./measured_log_service.ts";
 import type { ProcessContext } from "./process_context.ts";
+import { ViewMonitor } from "./view_monitor.ts";
 
 /** Creates what the parts of an entry or an agent share. */
 export function createProcessContext(
   settings: ProcessSettings,
   role: "entry" | "agent",
 ): ProcessContext {
-  const log = new HttpLogService(settings.logAddress);
+  const metrics = new Metrics();
+  const logger = createLogger(settings);
+  const limiter = new LogLimiter({ logger });
+  const events = new EventRecorder({ metrics, limiter });
+  const log = new MeasuredLogService(
+    new HttpLogService(settings.logAddress),
+    metrics,
+  );
   const view = new ClusterView();
   const follower = new LogFollower({
     view,
@@ -19,12 +30,21 @@
     zone: settings.zone,
     role,
   });
-  const metrics = new Metrics();
+  const monitor = new ViewMonitor({ follower, metrics, limiter });
   metrics.setGauge("view_offset", () => view.offset);
   metrics.setGauge("view_revision", () => view.revision);
   metrics.setGauge(
     "view_age_seconds",
     () => Math.min(follower.getViewAgeMs() / 1_000, 1e9),
   );
-  return { settings, log, follower, metrics, logger: createLogger(settings) };
+  return {
+    settings,
+    log,
+    follower,
+    metrics,
+    logger,
+    limiter,
+    events,
+    monitor,
+  };
 }
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -42,7 +42,9 @@
     const { follower, settings, metrics } = context;
     this.#options = options;
     this.memberId = createMemberId(settings.name);
-    this.timeline = new Timeline(this.memberId);
+    this.timeline = new Timeline(this.memberId, {
+      onRecord: (event) => context.events.record(event),
+    });
     const homes = new HomeFinder(follower.view);
     this.#pool = new AgentPool({
       memberId: this.memberId,
--- a/src/processes/entry_process.ts
+++ b/src/processes/entry_process.ts
@@ -52,6 +52,7 @@
       zone: settings.zone,
     });
     void follower.run(this.#abort.signal);
+    void this.#context.monitor.run(this.#abort.signal);
     this.#finished = this.#run();
   }
 
@@ -135,7 +136,7 @@
     if (context.idempotencyKey === "") {
       const message = "the header Idempotency-Key is missing";
       const path = "Idempotency-Key";
-      return createErrorAnswer(
+      return this.#refuse(
         createError("missing_idempotency_key", message, { path }),
       );
     }
@@ -147,22 +148,49 @@
     options: { incarnation: EntryIncarnation; context: RequestContext },
   ): Promise<HttpAnswer> {
     const { incarnation, context } = options;
-    const { metrics } = this.#context;
     const receivedAt = performance.now();
     const submission = request.path[1] === "jobs"
       ? parseJob(request.body, context)
       : parseSingleRequest(request, context);
     if (submission.isErr()) {
-      metrics.add("submissions_invalid");
-      return createErrorAnswer(submission.error);
+      return this.#refuse(submission.error, { key: context.idempotencyKey });
     }
     const answer = await incarnation.coordinator.submit(submission.value);
-    metrics.recordTime("submission", performance.now() - receivedAt);
-    metrics.add(
-      answer.status < 400 ? "submissions_answered" : "submissions_failed",
-    );
+    this.#recordAnswer(submission.value, answer, receivedAt);
     return answer;
   }
+
+  /** Refuses a request that is malformed, before anything was claimed. */
+  #refuse(error: DispatchError, fields: { key?: string } = {}): HttpAnswer {
+    const { metrics, limiter } = this.#context;
+    metrics.add("submissions", 1, { labels: { result: error.kind } });
+    limiter.write("warn", "request refused", { ...fields, ...error });
+    return createErrorAnswer(error);
+  }
+
+  #recordAnswer(
+    submission: Submission,
+    answer: HttpAnswer,
+    receivedAt: number,
+  ): void {
+    const { metrics, limiter } = this.#context;
+    const result = answer.headers?.["x-error-kind"] ?? "complete";
+    const timeMs = performance.now() - receivedAt;
+    metrics.recordTime("submission", timeMs);
+    metrics.add("submissions", 1, { labels: { result } });
+    const level = result === "complete" ? "info" : "warn";
+    limiter.write(
+      level,
+      `submission ${level === "info" ? "answered" : "failed"}`,
+      {
+        key: submission.key,
+        service: submission.service,
+        tasks: submission.tasks.length,
+        result,
+        timeMs: Math.round(timeMs),
+      },
+    );
+  }
 }
 
 function readContext(request: HttpRequest): RequestContext {
--- a/src/processes/process_context.ts
+++ b/src/processes/process_context.ts
@@ -3,6 +3,9 @@
 import type { LogService } from "../coordination/links/mod.ts";
 import type { Metrics } from "../state/metrics/mod.ts";
 import type { ProcessSettings } from "../state/process_settings/mod.ts";
+import type { EventRecorder } from "./event_recorder.ts";
+import type { LogLimiter } from "./log_limiter.ts";
+import type { ViewMonitor } from "./view_monitor.ts";
 
 /** What the parts of a process share, over all incarnations of its member. */
 export interface ProcessContext {
@@ -11,4 +14,7 @@
   readonly follower: LogFollower;
   readonly metrics: Metrics;
   readonly logger: Logger<Record<string, unknown>>;
+  readonly limiter: LogLimiter;
+  readonly events: EventRecorder;
+  readonly monitor: ViewMonitor;
 }
--- a/src/protocol/http/format_job_answer.ts
+++ b/src/protocol/http/format_job_answer.ts
@@ -15,13 +15,15 @@
 ): StoredAnswer {
   switch (outcome.type) {
     case "complete":
-      return createAnswer(200, {
+      return createAnswer(200, {}, {
         key,
         status: "complete",
         answers: outcome.answers.map(formatTaskAnswer),
       });
     case "failed":
       return createAnswer(ERROR_ANSWERS[outcome.error.kind].status, {
+        "x-error-kind": outcome.error.kind,
+      }, {
         key,
         status: "failed",
         error: { ...outcome.error, outcome: outcome.outcome },
@@ -36,14 +38,18 @@
   }
 }
 
-function createAnswer(status: number, body: unknown): StoredAnswer {
+function createAnswer(
+  status: number,
+  headers: { [name: string]: string },
+  body: unknown,
+): StoredAnswer {
   const text = JSON.stringify(body) + "\n";
   const contentType = "application/json";
   return {
     status,
     contentType,
     body: new TextEncoder().encode(text),
-    headers: {},
+    headers,
   };
 }
 
--- a/src/state/metrics/metrics.ts
+++ b/src/state/metrics/metrics.ts
@@ -3,15 +3,30 @@
 /** Percentiles that are reported for each histogram. */
 const PERCENTILES = [50, 90, 99, 99.9, 100];
 
+const PREFIX = "cranberrybank_";
+
+export interface CountOptions {
+  /** Labels of the counter; the number of their values must be bounded. */
+  labels?: { readonly [name: string]: string };
+}
+
 /** The counters, gauges and histograms of a process. */
 export class Metrics {
-  readonly #counters = new Map<string, number>();
+  readonly #counters = new Map<string, Map<string, number>>();
   readonly #gauges = new Map<string, () => number>();
   readonly #histograms = new Map<string, Histogram>();
 
-  /** Adds to a counter. */
-  add(name: string, count = 1): void {
-    this.#counters.set(name, (this.#counters.get(name) ?? 0) + count);
+  /**
+   * Adds to a counter.
+   * @param name - Name without prefix and suffix.
+   * @param count - What to add.
+   * @param options - Labels.
+   */
+  add(name: string, count = 1, options: CountOptions = {}): void {
+    const labels = formatLabels(options.labels ?? {});
+    const values = this.#counters.get(name) ?? new Map<string, number>();
+    values.set(labels, (values.get(labels) ?? 0) + count);
+    this.#counters.set(name, values);
   }
 
   /** Sets the function that gets the value of a gauge. */
@@ -36,23 +51,40 @@
   /** Gets the text of all metrics, one per line, in the usual exposition format. */
   format(): string {
     const lines: string[] = [];
-    for (const [name, value] of this.#counters) {
-      lines.push(`cranberrybank_${name}_total ${value}`);
+    for (const [name, values] of this.#counters) {
+      lines.push(`# TYPE ${PREFIX}${name}_total counter`);
+      for (const [labels, value] of values) {
+        lines.push(`${PREFIX}${name}_total${labels} ${value}`);
+      }
     }
     for (const [name, getValue] of this.#gauges) {
-      lines.push(`cranberrybank_${name} ${getValue()}`);
+      lines.push(`# TYPE ${PREFIX}${name} gauge`);
+      lines.push(`${PREFIX}${name} ${getValue()}`);
     }
     for (const [name, histogram] of this.#histograms) {
-      for (const percentile of PERCENTILES) {
-        const seconds = histogram.getValueAtPercentile(percentile) / 1e6;
-        lines.push(
-          `cranberrybank_${name}_seconds{quantile="${
-            percentile / 100
-          }"} ${seconds}`,
-        );
-      }
-      lines.push(`cranberrybank_${name}_seconds_count ${histogram.totalCount}`);
+      lines.push(...formatHistogram(`${PREFIX}${name}_seconds`, histogram));
     }
     return lines.join("\n") + "\n";
   }
 }
+
+function formatHistogram(name: string, histogram: Histogram): string[] {
+  const count = histogram.totalCount;
+  const quantiles = PERCENTILES.map((percentile) => {
+    const seconds = histogram.getValueAtPercentile(percentile) / 1e6;
+    return `${name}{quantile="${percentile / 100}"} ${seconds}`;
+  });
+  return [
+    `# TYPE ${name} summary`,
+    ...quantiles,
+    `${name}_sum ${count === 0 ? 0 : histogram.mean * count / 1e6}`,
+    `${name}_count ${count}`,
+  ];
+}
+
+function formatLabels(labels: { readonly [name: string]: string }): string {
+  const pairs = Object.entries(labels).map(([name, value]) =>
+    `${name}=${JSON.stringify(value)}`
+  );
+  return pairs.length === 0 ? "" : `{${pairs.join(",")}}`;
+}
--- a/src/state/timeline/timeline.ts
+++ b/src/state/timeline/timeline.ts
@@ -6,6 +6,8 @@
 export interface TimelineOptions {
   /** Largest number of events that are kept. */
   maxEvents?: number;
+  /** Called for each event, such as to count it. */
+  onRecord?: (event: TimelineEvent) => void;
 }
 
 /**
@@ -15,6 +17,7 @@
 export class Timeline {
   readonly #memberId: string;
   readonly #maxEvents: number;
+  readonly #onRecord: ((event: TimelineEvent) => void) | undefined;
   readonly #events: TimelineEvent[] = [];
   #next = 0;
   #clock = 0;
@@ -22,6 +25,7 @@
   constructor(memberId: string, options: TimelineOptions = {}) {
     this.#memberId = memberId;
     this.#maxEvents = options.maxEvents ?? MAX_EVENTS;
+    this.#onRecord = options.onRecord;
   }
 
   /** Gets the clock to put on an outgoing message. */
@@ -52,6 +56,7 @@
     };
     this.#events[this.#next % this.#maxEvents] = event;
     this.#next++;
+    this.#onRecord?.(event);
   }
 
   /** Gets the kept events, oldest first. */
--- /dev/null
+++ b/tests/ctl/merge_events_test.ts
@@ -0,0 +1,37 @@
+import { expect } from "chai";
+import { mergeEvents } from "../../src/ctl/merge_events.ts";
+import { Timeline } from "../../src/state/timeline/mod.ts";
+
+describe("mergeEvents", () => {
+  it("puts a cause before its effect when the wall clocks disagree", () => {
+    // Guards against a timeline in which a task ends before it was sent.
+    const entry = new Timeline("entry#1");
+    const agent = new Timeline("agent#1");
+    entry.record("task_sent", { key: "k" });
+    agent.mergeClock(entry.getClock());
+    agent.record("task_started", { key: "k" });
+    entry.mergeClock(agent.getClock());
+    entry.record("task_answered", { key: "k" });
+    const slow = agent.getEvents().map((event) => ({
+      ...event,
+      timeMs: event.timeMs - 60_000,
+    }));
+    const merged = mergeEvents([...slow, ...entry.getEvents()]);
+    expect(merged.map(({ type }) => type)).to.deep.equal([
+      "task_sent",
+      "task_started",
+      "task_answered",
+    ]);
+    expect(merged[1]?.offsetMs).to.be.within(-60_100, -59_900);
+  });
+
+  it("orders events without a common cause by the member id", () => {
+    const events = ["b#1", "a#1"].map((memberId) => {
+      const timeline = new Timeline(memberId);
+      timeline.record("event");
+      return timeline.getEvents()[0]!;
+    });
+    const processes = mergeEvents(events).map(({ process }) => process);
+    expect(processes).to.deep.equal(["a#1", "b#1"]);
+  });
+});
