--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -5,6 +5,7 @@
   QuotaShares,
   TaskDispatcher,
 } from "../coordination/entry/mod.ts";
+import { SnapshotWriter } from "../coordination/follower/mod.ts";
 import { Announcer, SilenceWatcher } from "../coordination/membership/mod.ts";
 import { HomeFinder } from "../state/homes/mod.ts";
 import { MessageCounts } from "../state/metrics/mod.ts";
@@ -42,7 +43,9 @@
     const { follower, settings, metrics } = context;
     this.#options = options;
     this.memberId = createMemberId(settings.name);
-    this.timeline = new Timeline(this.memberId);
+    this.timeline = new Timeline(this.memberId, {
+      onRecord: (event) => context.events.record(event),
+    });
     const quotas = new QuotaShares(follower.view);
     const homes = new HomeFinder(follower.view);
     this.#pool = new AgentPool({
@@ -130,6 +133,13 @@
         })),
     });
     void watcher.run(signal);
+    const snapshots = new SnapshotWriter({
+      memberId: this.memberId,
+      follower,
+      log,
+      intervalMs: settings.snapshotIntervalMs,
+    });
+    void snapshots.run(signal);
   }
 
   /** Finishes the running submissions and leaves. */
