--- a/src/coordination/claims/takeover.ts
+++ b/src/coordination/claims/takeover.ts
@@ -43,6 +43,7 @@
   readonly #released = new Map<string, string>();
   #changes: HomeChange[] = [];
   #set: HomeSet;
+  #offset: number;
   #lastIncompleteEpoch = -1;
   #isRunning = false;
   #isStopped = false;
@@ -50,6 +51,7 @@
   constructor(options: TakeoverOptions) {
     this.#options = options;
     this.#set = options.homes.getSet();
+    this.#offset = options.follower.view.offset;
     this.#calls = new GatherCalls({
       ...options,
       onAnswer: (memberId) => this.#completeAlive(memberId),
@@ -103,6 +105,8 @@
     const { homes, follower } = this.#options;
     const after = homes.getSet();
     const now = follower.getTime();
+    const isJump = follower.getRecordsAfter(this.#offset, 1) === undefined;
+    this.#offset = follower.view.offset;
     this.#changes = this.#changes.filter((change) =>
       change.removeExpired(now) || change.isOpen
     );
@@ -116,6 +120,13 @@
       this.#lastIncompleteEpoch = epoch;
     }
     const change = new HomeChange({ ...this.#options, epoch, before, after });
+    if (isJump) {
+      // The view has jumped to a snapshot, so there may have been other homes in between.
+      const notBefore = now + VIEW_LIMITS.maxViewAgeMs;
+      change.getSources("alive").forEach((id) =>
+        change.setGone(id, { epoch, notBefore })
+      );
+    }
     if (change.isOpen) {
       this.#changes.push(change);
       this.#removeStale(change);
