--- a/src/coordination/claims/gather_calls.ts
+++ b/src/coordination/claims/gather_calls.ts
@@ -8,6 +8,12 @@
 /** Gather calls that may be open at one time. */
 const MAX_OPEN_CALLS = 32;
 
+/** Wait before a member that couldn't answer is asked again, in milliseconds; it doubles each time. */
+const RETRY_DELAY_MS = 100;
+
+/** Longest wait before a member is asked again, in milliseconds. */
+const MAX_RETRY_DELAY_MS = 1_000;
+
 export interface GatherCallsOptions {
   /** Member id of the home that asks. */
   memberId: string;
@@ -24,6 +30,7 @@
   readonly #queue = new PQueue({ concurrency: MAX_OPEN_CALLS });
   readonly #asked = new Set<string>();
   readonly #answers = new Map<string, GatherReply>();
+  readonly #retries = new Map<string, { delay: number; time: number }>();
 
   constructor(options: GatherCallsOptions) {
     this.#options = options;
@@ -49,8 +56,10 @@
    * @param members - Ids with the first change of homes that each is asked about.
    */
   start(members: ReadonlyMap<string, number>): void {
+    const now = performance.now();
     for (const [id, since] of members) {
-      if (!this.#asked.has(id)) {
+      const isDue = now >= (this.#retries.get(id)?.time ?? 0);
+      if (isDue && !this.#asked.has(id)) {
         this.#asked.add(id);
         void this.#queue.add(() => this.#ask(id, since));
       }
@@ -60,6 +69,7 @@
   /** Forgets all answers. */
   clear(): void {
     this.#answers.clear();
+    this.#retries.clear();
   }
 
   async #ask(id: string, since: number): Promise<void> {
@@ -73,7 +83,12 @@
     // A member that is ahead may have left out keys that this home would still grant under its own view.
     if (answer !== undefined && answer.epoch <= homes.epoch) {
       this.#answers.set(id, answer);
+      this.#retries.delete(id);
       onAnswer(id);
+    } else {
+      const { delay: last = RETRY_DELAY_MS / 2 } = this.#retries.get(id) ?? {};
+      const delay = Math.min(2 * last, MAX_RETRY_DELAY_MS);
+      this.#retries.set(id, { delay, time: performance.now() + delay });
     }
   }
 }
