Test that "run" and "not run" are true when deadlines and cancels race tasks

Ruled out: an abort between the send of a task and p-queue's report of it. The queue's race is decided for the send before the abort's listener can run; task_dispatcher_test keeps that.

The upstream stand-in can keep its starts in a file, so that those of a killed upstream still count, and can stop announcing itself.

--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -1,5 +1,5 @@
 import { type ChildProcess, spawn } from "node:child_process";
-import { mkdtempSync, writeFileSync } from "node:fs";
+import { existsSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -20,6 +20,8 @@
   speeds?: number[];
   /** Puts a relay before each process's peer server and between each process and the log. */
   hasRelays?: boolean;
+  /** Keeps the upstreams' starts in files, so that those of a killed upstream still count. */
+  keepsStarts?: boolean;
   /** Options of the log stand-in's command line. */
   logOptions?: string[];
   /** Settings that every process's settings file gets besides its own. */
@@ -145,6 +147,9 @@
       ...["--port", String(port), "--agent", agent.httpAddress],
       ...["--services", services.join(","), "--slots", String(slots)],
       ...["--speed", String(speeds[this.agents.length] ?? 1)],
+      ...(this.#options.keepsStarts
+        ? ["--starts", this.#getStartsPath(name)]
+        : []),
     ]];
     this.agents.push(agent);
     this.upstreams.push({
@@ -235,13 +240,27 @@
   /** Gets every task start that the upstreams have seen. */
   async getStarts(): Promise<(TaskStart & { upstream: string })[]> {
     const starts = await Promise.all(this.upstreams.map(async (upstream) => {
-      const response = await fetch(`http://${upstream.httpAddress}/v1/starts`);
-      const seen = await response.json() as TaskStart[];
+      const seen = await this.#readStarts(upstream);
       return seen.map((start) => ({ ...start, upstream: upstream.name }));
     }));
     return starts.flat();
   }
 
+  async #readStarts(upstream: ClusterProcess): Promise<TaskStart[]> {
+    if (!this.#options.keepsStarts) {
+      const response = await fetch(`http://${upstream.httpAddress}/v1/starts`);
+      return await response.json() as TaskStart[];
+    }
+    const path = this.#getStartsPath(upstream.name);
+    const text = existsSync(path) ? readFileSync(path, "utf8") : "";
+    return text.split("\n").filter((line) => line !== "")
+      .map((line) => JSON.parse(line) as TaskStart);
+  }
+
+  #getStartsPath(name: string): string {
+    return join(this.#folder, `${name}.starts`);
+  }
+
   async #startProcess(
     role: "entry" | "agent",
     settings: { name: string; zone: string; upstreamAddress?: string },
--- a/src/bin/upstream_stand_in.ts
+++ b/src/bin/upstream_stand_in.ts
@@ -9,6 +9,7 @@
   slots: number;
   speed: number;
   mode: string;
+  starts?: string;
 }
 
 sade("cranberrybank-upstream-stand-in", true)
@@ -19,12 +20,14 @@
   .option("--slots", "Tasks that run at one time", 8)
   .option("--speed", "Run times are divided by this", 1)
   .option("--mode", "normal, failing, resetting or hanging", "normal")
+  .option("--starts", "File that every task start is appended to")
   .action(async (options: Options) => {
     const standIn = new UpstreamStandIn({
       port: options.port,
       agentAddress: options.agent,
       services: options.services.split(","),
       slots: options.slots,
+      startsPath: options.starts,
       behavior: UpstreamBehavior.parse({
         speed: options.speed,
         mode: options.mode,
--- a/src/stand_in/upstream_behavior.ts
+++ b/src/stand_in/upstream_behavior.ts
@@ -6,6 +6,8 @@
   mode: z.enum(["normal", "failing", "resetting", "hanging"]).default("normal"),
   /** Run times are divided by this. */
   speed: z.number().min(0.01).max(100).default(1),
+  /** Announces the upstream to its agent again and again. */
+  isAnnounced: z.boolean().default(true),
 });
 
 export type UpstreamBehavior = z.infer<typeof UpstreamBehavior>;
--- a/src/stand_in/upstream_stand_in.ts
+++ b/src/stand_in/upstream_stand_in.ts
@@ -1,3 +1,4 @@
+import { appendFileSync } from "node:fs";
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
 import { z } from "zod";
@@ -21,6 +22,8 @@
   services: string[];
   slots?: number;
   behavior?: UpstreamBehavior;
+  /** File that every start is appended to as a line of JSON, so that it survives a kill. */
+  startsPath?: string | undefined;
 }
 
 /**
@@ -65,10 +68,12 @@
     const { agentAddress, services, slots = 8 } = this.#options;
     while (agentAddress !== undefined && !this.#isStopped) {
       try {
-        await fetch(`http://${agentAddress}/v1/upstream`, {
-          method: "PUT",
-          body: JSON.stringify({ services, slots }),
-        });
+        if (this.#behavior.isAnnounced) {
+          await fetch(`http://${agentAddress}/v1/upstream`, {
+            method: "PUT",
+            body: JSON.stringify({ services, slots }),
+          });
+        }
       } catch {
         // The agent isn't up yet.
       }
@@ -85,7 +90,7 @@
       await this.#serveControl(request, response);
       return;
     }
-    this.#starts.push({
+    this.#recordStart({
       key: decodeURIComponent(String(request.headers["x-task-key"])),
       index: Number(request.headers["x-task-index"]),
       attempt: Number(request.headers["x-task-attempt"]),
@@ -98,6 +103,13 @@
     }
   }
 
+  #recordStart(start: TaskStart): void {
+    this.#starts.push(start);
+    if (this.#options.startsPath !== undefined) {
+      appendFileSync(this.#options.startsPath, `${JSON.stringify(start)}\n`);
+    }
+  }
+
   async #runTask(body: Buffer, response: http.ServerResponse): Promise<void> {
     switch (this.#behavior.mode) {
       case "normal":
--- /dev/null
+++ b/tests/coordination/entry/task_dispatcher_test.ts
@@ -0,0 +1,44 @@
+import { expect } from "chai";
+import {
+  type AgentPool,
+  TaskDispatcher,
+} from "../../../src/coordination/entry/mod.ts";
+import { createError } from "../../../src/state/errors/mod.ts";
+import { Timeline } from "../../../src/state/timeline/mod.ts";
+
+describe("TaskDispatcher", () => {
+  describe("run", () => {
+    it("doesn't say not run when the abort comes right after the send", async () => {
+      // Guards against an abort in the microtasks between the send and the queue's report of it: the
+      // dispatch is on its way, so it has to be cancelled, and only its result says whether it ran.
+      const controller = new AbortController();
+      let cancels = 0;
+      const link = {
+        member: { id: "agent#1" },
+        dispatch: () => {
+          queueMicrotask(() =>
+            controller.abort(createError("cancelled", "another task failed"))
+          );
+          return { id: 1, result: new Promise(() => {}) };
+        },
+        cancel: () => cancels++,
+        forget: () => {},
+      };
+      const pool = { canPlace: () => true, select: () => link };
+      const dispatcher = new TaskDispatcher({
+        pool: pool as unknown as AgentPool,
+        timeline: new Timeline("entry#1"),
+      });
+      const task = {
+        index: 0,
+        body: new Uint8Array(),
+        repeatable: false,
+        ...{ key: "key", customer: "default", service: "echo", priority: 5 },
+        ...{ weight: 1, timeoutMs: 1_000, maxAttempts: 1, homeId: undefined },
+      };
+      const result = await dispatcher.run(task, controller.signal);
+      expect(result).to.have.property("outcome", "unknown");
+      expect(cancels).to.equal(1);
+    });
+  });
+});
