--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -152,10 +152,14 @@
     const costMs = this.runTimes.getMean(runKey) ?? DEFAULT_COST_MS;
     const { weight, teamWeight } = task;
     const place = { key, customer, team, service, runKey, priority, homeId };
+    let sent: Attempt | undefined;
     try {
       for (;;) {
         const placed = this.#queue.add(
-          () => Promise.resolve(this.#send(task, { number, avoidId })),
+          () => {
+            sent = this.#send(task, { number, avoidId });
+            return Promise.resolve(sent);
+          },
           { ...place, avoidId, weight, teamWeight, costMs, signal },
         );
         if (this.#waiting.waiting > 0) {
@@ -167,8 +171,9 @@
         }
       }
     } catch {
-      // The signal has aborted.
-      return undefined;
+      // The signal has aborted, perhaps between the send and the queue's report of it. Then the attempt is on
+      // its way, and only its result says whether it ran.
+      return sent;
     }
   }
 
