Refuse early what can't be done in time, and ramp returning agents up

Cause: quotas, deadlines and the queue's length were not checked, and an agent's credits neither ended when its zone went out nor returned slowly.

Ruled out: the rate of completed tasks as the measure of capacity (it tells the demand while nobody queues), and a ramp after a view that was too old for a moment (the back end isn't cold then).

Change: Admission refuses after the claim: unplaceable, no_capacity, quota_exceeded (this entry's share of maxQueued), queue_full (20,000) and deadline_unreachable (Little's law over the running tasks, with the customer's share of the capacity). CapacityControl withdraws the credits when a zone or upstream goes out, and opens 25% to 100% of the slots over 4 s when it returns. A task is held 5% of the slow run time before a slow worker may have it, since a new queue first brings faster slots.

--- a/src/coordination/agent/credit_ledger.ts
+++ b/src/coordination/agent/credit_ledger.ts
@@ -45,14 +45,18 @@
 
   /** Sets the number of slots. */
   setSlots(slots: number): void {
-    this.#slots = slots;
-    this.#balance();
+    if (slots !== this.#slots) {
+      this.#slots = slots;
+      this.#balance();
+    }
   }
 
   /** Starts or stops granting credits. Stopping asks all unused credits back. */
   setOpen(isOpen: boolean): void {
-    this.#isOpen = isOpen;
-    this.#balance();
+    if (isOpen !== this.#isOpen) {
+      this.#isOpen = isOpen;
+      this.#balance();
+    }
   }
 
   /**
--- a/src/coordination/agent/mod.ts
+++ b/src/coordination/agent/mod.ts
@@ -1,3 +1,4 @@
+export { CapacityControl } from "./capacity_control.ts";
 export { CreditLedger } from "./credit_ledger.ts";
 export { EntrySession } from "./entry_session.ts";
 export { SessionTable } from "./session_table.ts";
--- a/src/coordination/entry/agent_pool.ts
+++ b/src/coordination/entry/agent_pool.ts
@@ -20,6 +20,7 @@
   readonly index: ServiceIndex;
   /** The agents with unused credits. */
   readonly ready = new Set<AgentLink>();
+  readonly #offered = new Set<string>();
 
   constructor(options: AgentPoolOptions) {
     this.#options = options;
@@ -54,6 +55,20 @@
     }
   }
 
+  /** Gets the number of unused credits of all agents. */
+  getCredits(): number {
+    let credits = 0;
+    for (const link of this.ready) {
+      credits += link.credits;
+    }
+    return credits;
+  }
+
+  /** Has some agent that this entry knew offered the service, in service or not? */
+  wasOffered(service: string): boolean {
+    return this.#offered.has(service);
+  }
+
   /** Does some agent in service offer the service? */
   hasService(service: string): boolean {
     return this.index.getLinks(service).length > 0;
@@ -94,6 +109,7 @@
     if (member.role !== "agent" || this.#links.has(member.id)) {
       return;
     }
+    member.services.forEach((service) => this.#offered.add(service));
     const link = new AgentLink({
       ...this.#options,
       member,
--- a/src/coordination/entry/attempt.ts
+++ b/src/coordination/entry/attempt.ts
@@ -2,6 +2,7 @@
 import type { Result } from "../messages/mod.ts";
 import type { AgentLink } from "./agent_link.ts";
 import type { PlannedTask } from "./planned_task.ts";
+import type { SentAttempt } from "./sent_attempt.ts";
 
 /** Wait for the result of a cancelled dispatch before its task counts as unknown, in milliseconds. */
 const CANCEL_GRACE_MS = 1_000;
@@ -15,10 +16,9 @@
 }
 
 /** One attempt of a task, sent to one agent. */
-export class Attempt {
-  readonly link: AgentLink;
+export class Attempt implements SentAttempt {
   readonly number: number;
-  /** Resolves when the stream to the agent has been broken for a while. */
+  readonly agentId: string;
   readonly broken: Promise<void>;
   readonly #options: AttemptOptions;
   readonly #id: number;
@@ -27,7 +27,7 @@
   constructor(options: AttemptOptions) {
     const { task, link, number, onCredit } = options;
     const { key, index, service, body, timeoutMs, repeatable, customer } = task;
-    this.link = link;
+    this.agentId = link.member.id;
     this.number = number;
     this.#options = options;
     let setBroken: () => void = () => {};
@@ -59,14 +59,14 @@
     const result = await Promise.race([this.#result, gaveUp]);
     clearTimeout(timer);
     signal.removeEventListener("abort", onAbort);
-    this.link.forget(this.#id);
+    this.#options.link.forget(this.#id);
     return result;
   }
 
   /** Cancels the attempt at its agent. */
   cancel(): void {
-    const { key, index } = this.#options.task;
+    const { task: { key, index }, link } = this.#options;
     const attempt = this.number;
-    this.link.cancel({ dispatchId: this.#id, key, index, attempt });
+    link.cancel({ dispatchId: this.#id, key, index, attempt });
   }
 }
--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -10,8 +10,9 @@
 import type { Timeline } from "../../state/timeline/mod.ts";
 import type { ClusterView } from "../../state/view/mod.ts";
 import type { ClaimReply, StoredAnswer } from "../messages/mod.ts";
-import type { AgentPool } from "./agent_pool.ts";
+import type { Admission } from "./admission.ts";
 import type { ClaimClient } from "./claim_client.ts";
+import { getRunKey } from "./get_run_key.ts";
 import type { JobOutcome } from "./job_outcome.ts";
 import type { PlannedTask } from "./planned_task.ts";
 import type { Submission } from "./submission.ts";
@@ -22,9 +23,9 @@
 export interface JobCoordinatorOptions {
   view: ClusterView;
   homes: HomeFinder;
-  pool: AgentPool;
   claims: ClaimClient;
   dispatcher: TaskDispatcher;
+  admission: Admission;
   timeline: Timeline;
 }
 
@@ -84,7 +85,9 @@
       return this.#answerUngranted(submission, reply);
     }
     timeline.record("claim_granted", { key });
-    const refusal = this.#findRefusal(submission, rules);
+    const refusal = this.#isDraining
+      ? createError("draining", "the entry is stopping")
+      : this.#options.admission.findRefusal(submission, { rules, deadline });
     if (refusal !== undefined) {
       timeline.record("submission_refused", { key, detail: refusal.kind });
       await claims.complete(key, fingerprint);
@@ -166,54 +169,6 @@
     );
   }
 
-  #findRefusal(
-    submission: Submission,
-    rules: ResolvedRules,
-  ): DispatchError | undefined {
-    const { view, pool } = this.#options;
-    if (this.#isDraining) {
-      return createError("draining", "the entry is stopping");
-    }
-    if (view.settings.services?.[submission.service] === undefined) {
-      return createError(
-        "unknown_service",
-        `unknown service "${submission.service}"`,
-      );
-    }
-    const { customers } = view.settings;
-    if (
-      customers !== undefined && customers[submission.customer] === undefined
-    ) {
-      return createError(
-        "unknown_customer",
-        `unknown customer "${submission.customer}"`,
-      );
-    }
-    if (submission.tasks.length > rules.maxTasks) {
-      const message =
-        `a job of this service has at most ${rules.maxTasks} tasks`;
-      return createError("invalid_request", message, { path: "tasks" });
-    }
-    const large = submission.tasks.find((task) =>
-      task.body.length > rules.maxBodyBytes
-    );
-    if (large !== undefined) {
-      const path = `tasks.${large.index}.body`;
-      return createError(
-        "body_too_large",
-        `more than ${rules.maxBodyBytes} bytes`,
-        { path },
-      );
-    }
-    if (!pool.hasService(submission.service)) {
-      return createError(
-        "no_capacity",
-        `no upstream in service offers "${submission.service}"`,
-      );
-    }
-    return undefined;
-  }
-
   async #run(
     submission: Submission,
     options: { rules: ResolvedRules; deadline: number },
@@ -248,16 +203,13 @@
 
   #planTasks(submission: Submission, rules: ResolvedRules): PlannedTask[] {
     const { view, homes } = this.#options;
-    const { key, customer, team = "", service, job } = submission;
+    const { key, customer, team = "", service } = submission;
     const settings = view.settings.customers?.[customer];
-    const isKnownJob = job !== undefined &&
-      view.settings.services?.[service]?.jobs?.[job] !== undefined;
     const homeId = homes.find(key)?.id;
     return submission.tasks.map((task) => ({
       ...task,
       ...{ key, customer, team, service, homeId },
-      // Callers choose the names of jobs; only those of the settings are learned apart.
-      runKey: isKnownJob ? `${service}/${job}` : service,
+      runKey: getRunKey(view.settings, submission),
       priority: rules.priority,
       weight: settings?.weight ?? 1,
       teamWeight: settings?.teams?.[team]?.weight ?? 1,
--- a/src/coordination/entry/placement/placement_selector.ts
+++ b/src/coordination/entry/placement/placement_selector.ts
@@ -16,6 +16,8 @@
   getWaiting: (service: string) => number;
   /** Called when a task that was held back for a faster agent should look again. */
   onChange: () => void;
+  /** Monotonic clock in milliseconds. */
+  getTime?: () => number;
 }
 
 /** Selects the agent for a task. */
--- a/src/coordination/entry/placement/run_times.ts
+++ b/src/coordination/entry/placement/run_times.ts
@@ -51,6 +51,19 @@
     return this.#getFresh(this.#byKey.get(key))?.mean;
   }
 
+  /** Gets the mean run time at the fastest agent; undefined while too little is known. */
+  getShortest(key: string): number | undefined {
+    const learned = this.#getFresh(this.#byKey.get(key));
+    if (learned === undefined || learned.samples < MIN_SAMPLES) {
+      return undefined;
+    }
+    let shortest = learned.mean;
+    for (const agentId of this.#byAgent.keys()) {
+      shortest = Math.min(shortest, this.get(key, agentId) ?? Infinity);
+    }
+    return shortest;
+  }
+
   /** Gets the run time beyond which a task is a straggler; undefined while too little is known. */
   getStragglerMs(key: string): number | undefined {
     const learned = this.#getFresh(this.#byKey.get(key));
--- a/src/coordination/entry/placement/slow_worker_guard.ts
+++ b/src/coordination/entry/placement/slow_worker_guard.ts
@@ -5,8 +5,11 @@
 /** Time for which an estimate is used again, in milliseconds: it looks at all agents of the service. */
 const ESTIMATE_AGE_MS = 5;
 
-/** Shortest time before a held task looks again, in milliseconds. */
-const MIN_HOLD_MS = 5;
+/**
+ * Part of the slow run time for which a task is held back in any case. A new queue first brings credits of
+ * faster agents from other entries, which takes a few round trips.
+ */
+const MIN_HOLD_PART = 0.05;
 
 interface Estimate {
   readonly madeAt: number;
@@ -21,6 +24,8 @@
   runTimes: RunTimes;
   getWaiting: (service: string) => number;
   onChange: () => void;
+  /** Monotonic clock in milliseconds. */
+  getTime?: () => number;
 }
 
 /**
@@ -30,12 +35,14 @@
  */
 export class SlowWorkerGuard<T extends Candidate> {
   readonly #options: SlowWorkerGuardOptions;
+  readonly #getTime: () => number;
   readonly #estimates = new Map<string, Estimate>();
   readonly #heldSince = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: SlowWorkerGuardOptions) {
     this.#options = options;
+    this.#getTime = options.getTime ?? (() => performance.now());
   }
 
   /**
@@ -58,15 +65,16 @@
       return true;
     }
     const { rate, runMs } = this.#estimate(runKey, { slowMs, ...options });
-    const now = performance.now();
+    const now = this.#getTime();
     const heldSince = this.#heldSince.get(service) ?? now;
     const drainedMs = getWaiting(service) / rate + runMs;
-    if (rate === 0 || slowMs <= drainedMs || now - heldSince >= slowMs) {
-      this.#heldSince.delete(service);
+    const limit = slowMs <= drainedMs ? slowMs * MIN_HOLD_PART : slowMs;
+    if (rate === 0 || now - heldSince >= limit) {
       return true;
     }
     this.#heldSince.set(service, heldSince);
-    const hold = Math.max(MIN_HOLD_MS, heldSince + slowMs - now);
+    // The timer serves a queue that nothing else makes look again.
+    const hold = heldSince + limit - now + 1;
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined;
       this.#options.onChange();
@@ -83,7 +91,7 @@
     runKey: string,
     options: { slowMs: number; usable: Iterable<T>; slowFactor: number },
   ): Estimate {
-    const now = performance.now();
+    const now = this.#getTime();
     const { slowMs, usable, slowFactor } = options;
     const known = this.#estimates.get(runKey);
     if (
--- /dev/null
+++ b/src/coordination/entry/sent_attempt.ts
@@ -0,0 +1,12 @@
+import type { DispatchError } from "../../state/errors/mod.ts";
+import type { Result } from "../messages/mod.ts";
+
+/** An attempt that was sent to an agent. */
+export interface SentAttempt {
+  readonly number: number;
+  readonly agentId: string;
+  /** Resolves when the stream to the agent has been broken for a while. */
+  readonly broken: Promise<void>;
+  /** Waits for the result. An abort cancels the attempt. */
+  wait(signal: AbortSignal): Promise<Result | DispatchError>;
+}
--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -6,7 +6,6 @@
 import type { AgentPool } from "./agent_pool.ts";
 import { Attempt } from "./attempt.ts";
 import { Demand } from "./demand.ts";
-import { CompletionRate } from "./completion_rate.ts";
 import type { PlannedTask } from "./planned_task.ts";
 import {
   AgentHealth,
@@ -19,6 +18,7 @@
 import { isUpstreamFailure } from "./is_upstream_failure.ts";
 import { QuotaShares } from "./quota_shares.ts";
 import { RetryBudgets } from "./retry_budgets.ts";
+import type { SentAttempt } from "./sent_attempt.ts";
 import type { TaskAnswer } from "./task_answer.ts";
 import type { TaskFailure } from "./task_failure.ts";
 import { TaskRun } from "./task_run.ts";
@@ -37,13 +37,13 @@
 /** Places tasks on agents, and tries again where that is safe. */
 export class TaskDispatcher {
   readonly runTimes = new RunTimes();
-  readonly completions = new CompletionRate();
   readonly #options: TaskDispatcherOptions;
   readonly #budgets = new RetryBudgets();
   readonly #health: AgentHealth;
   readonly #selector: PlacementSelector<AgentLink>;
   readonly #demand: Demand;
   readonly #waiting: DispatchQueue;
+  readonly #runningByService = new Map<string, number>();
   readonly #queue: PQueue<DispatchQueue, DispatchQueueOptions>;
 
   constructor(options: TaskDispatcherOptions) {
@@ -87,6 +87,11 @@
     return this.#waiting;
   }
 
+  /** Gets the number of running tasks of a service. */
+  getRunning(service: string): number {
+    return this.#runningByService.get(service) ?? 0;
+  }
+
   /** Gets the number of waiting tasks that one agent is told. */
   getDemand(link: AgentLink): number {
     return this.#demand.getShare(link);
@@ -182,7 +187,7 @@
     if (link === undefined) {
       return undefined;
     }
-    const { key, index, customer, team } = task;
+    const { key, index, customer, team, service } = task;
     const detail = link.member.id;
     this.#options.timeline.record("task_sent", {
       key,
@@ -194,6 +199,7 @@
     const onCredit = type === "credits";
     const attempt = new Attempt({ task, link, number, onCredit });
     this.#waiting.addRunning(customer, team);
+    this.#addRunning(service, 1);
     this.#health.recordPlacement(detail);
     this.#budgets.recordStart(customer);
     this.#demand.recordDispatch();
@@ -202,27 +208,33 @@
 
   #handleResult(
     task: PlannedTask,
-    attempt: Attempt,
+    attempt: SentAttempt,
     result: Result | DispatchError,
   ): void {
-    const { id } = attempt.link.member;
+    const id = attempt.agentId;
     this.#release(task);
     if ("kind" in result) {
       this.#health.recordNeutral(id);
     } else if (isUpstreamFailure(result)) {
-      this.completions.record();
       this.#health.recordFailure(id);
     } else if (result.errorKind === "") {
-      this.completions.record();
       this.#health.recordSuccess(id);
       this.runTimes.record(task.runKey, id, result.runMs);
+      if (task.runKey !== task.service) {
+        this.runTimes.record(task.service, id, result.runMs);
+      }
     } else {
       this.#health.recordNeutral(id);
     }
     this.startPlaceable();
   }
 
-  #release({ customer, team }: PlannedTask): void {
+  #release({ customer, team, service }: PlannedTask): void {
     this.#waiting.releaseRunning(customer, team);
+    this.#addRunning(service, -1);
+  }
+
+  #addRunning(service: string, count: number): void {
+    this.#runningByService.set(service, this.getRunning(service) + count);
   }
 }
--- a/src/coordination/entry/task_run.ts
+++ b/src/coordination/entry/task_run.ts
@@ -5,10 +5,10 @@
 } from "../../state/errors/mod.ts";
 import type { Timeline } from "../../state/timeline/mod.ts";
 import type { Result } from "../messages/mod.ts";
-import type { Attempt } from "./attempt.ts";
 import type { PlannedTask } from "./planned_task.ts";
 import { readTaskAnswer } from "./read_task_answer.ts";
 import type { RetryBudgets } from "./retry_budgets.ts";
+import type { SentAttempt } from "./sent_attempt.ts";
 import type { TaskAnswer } from "./task_answer.ts";
 import type { TaskFailure } from "./task_failure.ts";
 import { waitDelay } from "./wait_delay.ts";
@@ -28,9 +28,9 @@
     number: number;
     avoidId: string | undefined;
     signal: AbortSignal;
-  }) => Promise<Attempt | undefined>;
+  }) => Promise<SentAttempt | undefined>;
   /** Called with the end of each attempt. */
-  onResult: (attempt: Attempt, result: Result | DispatchError) => void;
+  onResult: (attempt: SentAttempt, result: Result | DispatchError) => void;
   /** Gets the run time beyond which the task is a straggler. */
   getStragglerMs: () => number | undefined;
   budgets: RetryBudgets;
@@ -73,7 +73,7 @@
     }
   }
 
-  async #place(signal: AbortSignal): Promise<Attempt | undefined> {
+  async #place(signal: AbortSignal): Promise<SentAttempt | undefined> {
     const number = this.#number++;
     return await this.#options.place({
       number,
@@ -86,7 +86,7 @@
    * Waits for the answer of an attempt. A repeatable task gets a second attempt elsewhere while the first one
    * runs, when it proves a straggler or the stream to its agent is broken, as far as the retry budget allows.
    */
-  async #waitForAnswer(first: Attempt): Promise<TaskAnswer | TaskFailure> {
+  async #waitForAnswer(first: SentAttempt): Promise<TaskAnswer | TaskFailure> {
     const { task, signal, budgets } = this.#options;
     if (!task.repeatable || this.#number > task.maxAttempts) {
       return await this.#waitForResult(first, signal);
@@ -102,7 +102,7 @@
     if (!needsHedge || signal.aborted || !budgets.grant(task.customer)) {
       return await answer;
     }
-    this.#avoidId = first.link.member.id;
+    this.#avoidId = first.agentId;
     const { key, index } = task;
     this.#options.timeline.record("task_hedged", { key, index });
     const hedge = this.#place(any).then((second) =>
@@ -129,7 +129,7 @@
   }
 
   async #waitForResult(
-    attempt: Attempt,
+    attempt: SentAttempt,
     signal: AbortSignal,
   ): Promise<TaskAnswer | TaskFailure> {
     const { task, timeline, onResult } = this.#options;
@@ -143,7 +143,7 @@
       return answer;
     }
     timeline.record("attempt_failed", { ...event, detail: answer.error.kind });
-    this.#avoidId = attempt.link.member.id;
+    this.#avoidId = attempt.agentId;
     if (answer.outcome !== "not run") {
       this.#mayHaveRun = answer;
     } else if (this.#number === attempt.number + 1) {
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -1,5 +1,6 @@
 import { ClaimService } from "../coordination/claims/mod.ts";
 import {
+  CapacityControl,
   CreditLedger,
   EntrySession,
   SessionTable,
@@ -33,6 +34,8 @@
   httpAddress: string;
   /** Kept over incarnations: an attempt that started stays started. */
   records: StartRecords<TaskResult>;
+  /** Has the process had an incarnation before? */
+  isReturn: boolean;
 }
 
 /** One membership of an agent, from its announcement until it leaves or is removed. */
@@ -44,6 +47,7 @@
   readonly #gate: StartGate;
   readonly #executor: TaskExecutor;
   readonly #credits: CreditLedger;
+  readonly #capacity: CapacityControl;
   readonly #sessions = new SessionTable();
   readonly #claims: ClaimService;
   readonly #peerServer: PeerServer;
@@ -69,6 +73,14 @@
       slots: upstream.slots,
     });
     this.#credits = new CreditLedger(upstream.slots);
+    this.#capacity = new CapacityControl({
+      credits: this.#credits,
+      slots: upstream.slots,
+      getRefusal: () => this.#gate.getRefusal(),
+      hasCredits: () =>
+        (follower.view.settings.placement ?? "credits") === "credits",
+      isReturn: options.isReturn,
+    });
     const homes = new HomeFinder(follower.view);
     this.#claims = new ClaimService({
       follower,
@@ -86,6 +98,9 @@
         this.#sessions.closeEntry(event.member.id);
         this.#sessions.forgetEntry(event.member.id);
       }
+      if (this.#wasAnnounced) {
+        this.#capacity.apply();
+      }
     });
   }
 
@@ -123,7 +138,7 @@
     }, signal);
     await waitForView(context, () => this.isReady, { signal });
     this.#wasAnnounced = true;
-    this.#credits.setOpen(true);
+    void this.#capacity.run(signal);
     this.timeline.record("agent_started");
     const watcher = new SilenceWatcher({
       memberId: this.memberId,
@@ -139,7 +154,7 @@
     const { log, follower } = this.#options.context;
     const announcer = new Announcer({ log, view: follower.view });
     const timeout = AbortSignal.timeout(LEAVE_TIMEOUT_MS);
-    this.#credits.setOpen(false);
+    this.#capacity.stop();
     await announcer.leave(this.memberId, "leaving", timeout);
     this.#gate.startDraining();
     await this.#executor.waitForIdle();
--- a/src/processes/agent_process.ts
+++ b/src/processes/agent_process.ts
@@ -105,6 +105,7 @@
       upstreamAddress: this.#context.settings.upstreamAddress ?? "",
       httpAddress: this.#httpAddress,
       records: this.#records,
+      isReturn: this.#incarnation !== undefined,
     });
   }
 
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -1,4 +1,5 @@
 import {
+  Admission,
   AgentPool,
   ClaimClient,
   JobCoordinator,
@@ -68,9 +69,16 @@
     this.coordinator = new JobCoordinator({
       view: follower.view,
       homes,
-      pool: this.#pool,
       claims,
       dispatcher,
+      admission: new Admission({
+        view: follower.view,
+        pool: this.#pool,
+        quotas,
+        queue: dispatcher.queue,
+        runTimes: dispatcher.runTimes,
+        getRunning: (service) => dispatcher.getRunning(service),
+      }),
       timeline: this.timeline,
     });
     this.#peerServer = new PeerServer({
--- /dev/null
+++ b/tests/coordination/agent/capacity_control_test.ts
@@ -0,0 +1,63 @@
+import { expect } from "chai";
+import {
+  CapacityControl,
+  CreditLedger,
+} from "../../../src/coordination/agent/mod.ts";
+import { createError, type ErrorKind } from "../../../src/state/errors/mod.ts";
+
+function createControl(isReturn = false) {
+  const state: { time: number; refusal: ErrorKind | undefined } = {
+    time: 0,
+    refusal: undefined,
+  };
+  const credits = new CreditLedger(8);
+  let held = 0;
+  const account = credits.addEntry("entry", {
+    grant: (count) => held += count,
+    revoke: (count) => {
+      held -= count;
+      queueMicrotask(() => credits.returnCredits(account, count));
+    },
+  });
+  const control = new CapacityControl({
+    credits,
+    slots: 8,
+    isReturn,
+    hasCredits: () => true,
+    getRefusal: () =>
+      state.refusal === undefined ? undefined : createError(state.refusal, ""),
+    getTime: () => state.time,
+  });
+  const apply = async (time: number, refusal?: ErrorKind) => {
+    Object.assign(state, { time, refusal });
+    control.apply();
+    await Promise.resolve();
+    return held;
+  };
+  return { apply };
+}
+
+describe("CapacityControl", () => {
+  describe("apply", () => {
+    it("withdraws the credits when the zone goes out and ramps up when it returns", async () => {
+      // Guards against placements in a zone that is out, and a rush to cold back ends after its return.
+      const { apply } = createControl();
+      expect(await apply(0)).to.equal(8);
+      expect(await apply(10, "zone_out")).to.equal(0);
+      expect(await apply(1_000)).to.equal(2);
+      expect(await apply(3_000)).to.equal(5);
+      expect(await apply(5_000)).to.equal(8);
+    });
+
+    it("opens all slots at once after the view was too old", async () => {
+      // Guards against lost capacity after each pause of the process or the log.
+      const { apply } = createControl();
+      expect(await apply(0, "view_stale")).to.equal(0);
+      expect(await apply(100)).to.equal(8);
+    });
+
+    it("ramps an upstream up that was here before", async () => {
+      expect(await createControl(true).apply(0)).to.equal(2);
+    });
+  });
+});
--- /dev/null
+++ b/tests/coordination/entry/task_run_test.ts
@@ -0,0 +1,149 @@
+import { expect } from "chai";
+import type { PlannedTask } from "../../../src/coordination/entry/planned_task.ts";
+import { RetryBudgets } from "../../../src/coordination/entry/retry_budgets.ts";
+import { TaskRun } from "../../../src/coordination/entry/task_run.ts";
+import type { Result } from "../../../src/coordination/messages/mod.ts";
+import {
+  createError,
+  type DispatchError,
+} from "../../../src/state/errors/mod.ts";
+import { getDigest } from "../../../src/state/hashing/mod.ts";
+import { Timeline } from "../../../src/state/timeline/mod.ts";
+
+const TASK: PlannedTask = {
+  ...{ index: 0, body: new Uint8Array(), repeatable: true, key: "k" },
+  ...{ customer: "c", team: "", service: "s", runKey: "s", priority: 5 },
+  ...{ weight: 1, teamWeight: 1, timeoutMs: 1_000, maxAttempts: 3 },
+  ...{ hedging: false, homeId: undefined },
+};
+
+const body = new Uint8Array([1]);
+const ANSWER: Result = {
+  ...{ dispatchId: 1, errorKind: "", message: "", status: 200, body },
+  ...{ digest: getDigest(body), runMs: 1, credits: 0, clock: 0 },
+};
+
+type Step = Result | DispatchError | "hang" | "break";
+
+function createFailed(kind: string): Result {
+  return { ...ANSWER, errorKind: kind };
+}
+
+/** Runs a task whose attempts end as the steps say; a hanging one ends only by its cancellation. */
+function createRun(
+  steps: Step[],
+  options: { task?: Partial<PlannedTask>; signal?: AbortSignal } = {},
+) {
+  const placed: { number: number; avoidId: string | undefined }[] = [];
+  const cancelled: number[] = [];
+  const budgets = new RetryBudgets();
+  const run = new TaskRun({
+    task: { ...TASK, ...options.task },
+    signal: options.signal ?? new AbortController().signal,
+    budgets,
+    timeline: new Timeline("entry"),
+    getStragglerMs: () => 5,
+    onResult: () => {},
+    place: ({ number, avoidId }) => {
+      const step = steps[placed.length];
+      placed.push({ number, avoidId });
+      const wait = (signal: AbortSignal) =>
+        typeof step === "object"
+          ? Promise.resolve(step)
+          : new Promise<Result>((resolve) =>
+            signal.addEventListener("abort", () => {
+              cancelled.push(number);
+              resolve(createFailed("cancelled_running"));
+            })
+          );
+      const broken = step === "break"
+        ? Promise.resolve()
+        : new Promise<void>(() => {});
+      const agentId = `agent-${placed.length}`;
+      return Promise.resolve(
+        step === undefined ? undefined : { number, agentId, broken, wait },
+      );
+    },
+  });
+  return { run: () => run.run(), placed, cancelled, budgets };
+}
+
+describe("TaskRun", () => {
+  describe("run", () => {
+    it("places a task that wasn't run again under the same number, away from the agent", async () => {
+      // Guards against a second attempt of a task that isn't repeatable.
+      const { run, placed } = createRun(
+        [createFailed("busy"), createFailed("view_stale"), ANSWER],
+        { task: { repeatable: false } },
+      );
+      expect(await run()).to.include({ status: 200 });
+      expect(placed).to.deep.equal([
+        { number: 1, avoidId: undefined },
+        { number: 1, avoidId: "agent-1" },
+        { number: 1, avoidId: "agent-2" },
+      ]);
+    });
+
+    it("never repeats a task that isn't repeatable and may have run", async () => {
+      const { run, placed } = createRun(
+        [createFailed("upstream_reset"), ANSWER],
+        { task: { repeatable: false } },
+      );
+      expect(await run()).to.include({ outcome: "unknown" });
+      expect(placed).to.have.length(1);
+    });
+
+    it("repeats a repeatable task up to its attempts", async () => {
+      const steps = Array.from({ length: 9 }, () => createFailed("timeout"));
+      const { run, placed } = createRun(steps);
+      expect(await run()).to.include({ outcome: "unknown" });
+      expect(placed.map(({ number }) => number)).to.deep.equal([1, 2, 3]);
+    });
+
+    it("doesn't repeat beyond the retry budget", async () => {
+      // Guards against retries that multiply the load of a fault.
+      const { run, placed, budgets } = createRun(
+        [createFailed("timeout"), ANSWER],
+      );
+      while (budgets.grant("c"));
+      expect(await run()).to.include({ outcome: "unknown" });
+      expect(placed).to.have.length(1);
+    });
+
+    it('doesn\'t say "not run" when a retry is stopped after an attempt that may have run', async () => {
+      // Guards against a false "not run" after a deadline.
+      const controller = new AbortController();
+      controller.abort(createError("expired", "the deadline has passed"));
+      const { run } = createRun([createFailed("timeout")], {
+        signal: controller.signal,
+      });
+      expect(await run()).to.include({ outcome: "unknown" });
+    });
+
+    it("hedges a straggler and cancels the loser", async () => {
+      const { run, placed, cancelled } = createRun(["hang", ANSWER], {
+        task: { hedging: true },
+      });
+      expect(await run()).to.include({ status: 200 });
+      expect(placed[1]).to.deep.equal({ number: 2, avoidId: "agent-1" });
+      expect(cancelled).to.deep.equal([1]);
+    });
+
+    it("tries a repeatable task elsewhere while its agent's stream is broken, others not", async () => {
+      // Guards against waiting for the agent's removal, and against a second start.
+      const { run } = createRun(["break", ANSWER]);
+      expect(await run()).to.include({ status: 200 });
+      const controller = new AbortController();
+      const single = createRun(["break", ANSWER], {
+        task: { repeatable: false, hedging: true },
+        signal: controller.signal,
+      });
+      setTimeout(
+        () => controller.abort(createError("expired", "passed")),
+        30,
+      );
+      expect(await single.run()).to.include({ outcome: "unknown" });
+      expect(single.placed).to.have.length(1);
+    });
+  });
+});
