Add the capacity bench: slopes for each role against its drivers

Ruled out: processor time from /proc/<pid>/stat (steps of 10 ms); wall-clock times (the machine is shared). Change: scripts/bench_capacity.ts measures a real agent with the entries' links in the bench, a real entry with fake agents, the view, and the log stand-in, with processor time from schedstat and bytes counted at a relay. Before: none. Conclusion: none yet.

--- /dev/null
+++ b/scripts/lib/bench/entry_bench.ts
@@ -0,0 +1,134 @@
+import * as http from "node:http";
+import { LogFollower } from "../../../src/coordination/follower/mod.ts";
+import { ClusterView } from "../../../src/state/view/mod.ts";
+import { HttpLogService } from "../../../src/transport/log/mod.ts";
+import { Cluster } from "../cluster.ts";
+import { ByteCounter } from "./byte_counter.ts";
+import { FakeAgent } from "./fake_agent.ts";
+
+/** One real entry process, with the agents' side of its streams in this process. */
+export class EntryBench {
+  readonly #cluster = new Cluster({
+    entryZones: ["a"],
+    agentZones: [],
+    logOptions: ["--appends", "100000"],
+    processSettings: { logLevel: "error" },
+  });
+  readonly #agents: FakeAgent[] = [];
+  readonly #counters: ByteCounter[] = [];
+  readonly #abort = new AbortController();
+  readonly #http = new http.Agent({ keepAlive: true, maxSockets: 256 });
+  #log: HttpLogService | undefined;
+  #follower: LogFollower | undefined;
+  #jobs = 0;
+  answered = 0;
+  failed = 0;
+
+  /** Gets the process id of the entry. */
+  get pid(): number {
+    return this.#cluster.entries[0]?.child.pid ?? 0;
+  }
+
+  /** Gets the bytes that the entry has received and sent on its streams. */
+  get bytes(): { received: number; sent: number } {
+    return {
+      received: this.#counters.reduce((sum, c) => sum + c.receivedBytes, 0),
+      sent: this.#counters.reduce((sum, c) => sum + c.sentBytes, 0),
+    };
+  }
+
+  /** Starts the entry. */
+  async start(): Promise<void> {
+    await this.#cluster.start();
+    this.#log = new HttpLogService(this.#cluster.logAddress);
+    const view = new ClusterView();
+    const log = this.#log;
+    this.#follower = new LogFollower({ view, log, zone: "a" });
+    void this.#follower.run(this.#abort.signal);
+  }
+
+  /** Adds fake agents until there are so many, and waits until the entry has streams to all. */
+  async setAgents(count: number, credits: number): Promise<void> {
+    while (this.#agents.length < count) {
+      await this.#addAgent(`fake-${this.#agents.length + 1}`, credits);
+    }
+    const [entry] = this.#cluster.entries;
+    for (let tries = 0; tries < 600 && entry !== undefined; tries++) {
+      const { confirmed } = await this.#cluster.getView(entry);
+      const offsets = Object.values(confirmed);
+      if (offsets.length === count && offsets.every((offset) => offset >= 0)) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+  }
+
+  /** Sends a job without waiting for its answer. */
+  sendJob(tasks: number, options: { deadlineMs: number }): void {
+    const body = JSON.stringify({
+      service: "echo",
+      tasks: Array.from({ length: tasks }, () => ({ body: '{"runMs":5}' })),
+      ...options,
+    });
+    const request = http.request({
+      host: "127.0.0.1",
+      port: this.#cluster.entries[0]?.httpAddress.split(":")[1],
+      method: "POST",
+      path: "/v1/jobs",
+      agent: this.#http,
+      headers: {
+        "idempotency-key": `bench-${this.#jobs++}`,
+        "x-customer": "bench",
+        "content-length": Buffer.byteLength(body),
+      },
+    }, (response) => {
+      response.statusCode === 200 ? this.answered++ : this.failed++;
+      response.resume();
+    });
+    request.on("error", () => this.failed++);
+    request.end(body);
+  }
+
+  /** Waits until so many tasks wait at the entry. */
+  async waitForWaiting(tasks: number): Promise<void> {
+    const address = this.#cluster.entries[0]?.httpAddress;
+    for (let tries = 0; tries < 600; tries++) {
+      const response = await fetch(`http://${address}/metrics`);
+      const match = /cranberrybank_tasks_waiting (\d+)/.exec(
+        await response.text(),
+      );
+      if (Number(match?.[1]) >= tasks) {
+        return;
+      }
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    throw new Error(`the entry didn't queue ${tasks} tasks in time`);
+  }
+
+  /** Stops all processes. */
+  async stop(): Promise<void> {
+    this.#http.destroy();
+    await this.#cluster.stop();
+    this.#abort.abort();
+    this.#agents.forEach((agent) => agent.stop());
+    this.#counters.forEach((counter) => counter.stop());
+  }
+
+  async #addAgent(memberId: string, credits: number): Promise<void> {
+    const follower = this.#follower as LogFollower;
+    const agent = new FakeAgent({ memberId, follower, credits });
+    this.#agents.push(agent);
+    const counter = new ByteCounter(`127.0.0.1:${await agent.start()}`);
+    this.#counters.push(counter);
+    await this.#log?.append({
+      type: "announce",
+      member: {
+        ...{ id: memberId, name: memberId, role: "agent", zone: "a" },
+        peerAddress: await counter.start(),
+        httpAddress: "127.0.0.1:1",
+        services: ["echo"],
+        slots: 8,
+      },
+    });
+  }
+}
--- /dev/null
+++ b/scripts/lib/bench/run_entry_bench.ts
@@ -0,0 +1,138 @@
+import { writeTable } from "./bench_table.ts";
+import { EntryBench } from "./entry_bench.ts";
+import { getSlope } from "./get_slope.ts";
+import { readUsage } from "./process_usage.ts";
+import { runAtRate } from "./run_at_rate.ts";
+
+const JOB_TASKS = 20;
+
+/** Tasks of the largest job. */
+const JOB_MAX_TASKS = 150;
+
+type Row = {
+  readonly agents: number;
+  readonly "tasks/s": number;
+  readonly "tasks a job": number;
+  readonly "jobs answered": number;
+  readonly "jobs failed": number;
+  readonly "cpu ms/s": number;
+  readonly "resident MB": number;
+  readonly "received B/s": number;
+  readonly "sent B/s": number;
+};
+
+/** Runs the entry's measurements: streams, tasks and waiting tasks. */
+export async function runEntryBench(seconds: number): Promise<void> {
+  const idle: Row[] = [];
+  const busy: Row[] = [];
+  const bench = new EntryBench();
+  await bench.start();
+  try {
+    for (const agents of [10, 50, 100, 350]) {
+      await bench.setAgents(agents, 8);
+      await sleep(2_000);
+      idle.push(await measure(bench, { agents, seconds, rate: 0 }));
+      for (const rate of [200, 800]) {
+        busy.push(await measure(bench, { agents, seconds, rate }));
+      }
+      busy.push(
+        await measure(bench, { agents, seconds, rate: 100, jobTasks: 1 }),
+      );
+    }
+  } finally {
+    await bench.stop();
+  }
+  writeTable("entry: idle streams to agents", idle);
+  writeTable("entry: slopes for each agent's stream", [{
+    "cpu ms/s": getSlope(idle.map((r) => [r.agents, r["cpu ms/s"]])),
+    "resident MB": getSlope(idle.map((r) => [r.agents, r["resident MB"]])),
+    "received B/s": getSlope(idle.map((r) => [r.agents, r["received B/s"]])),
+    "sent B/s": getSlope(idle.map((r) => [r.agents, r["sent B/s"]])),
+  }]);
+  writeTable("entry: tasks", busy);
+  writeTable("entry: processor time for each task, idle cost taken off", [
+    ...busy.map((row) => {
+      const base = idle.find(({ agents }) => agents === row.agents);
+      const cpu = row["cpu ms/s"] - (base?.["cpu ms/s"] ?? 0);
+      const sent = row["sent B/s"] - (base?.["sent B/s"] ?? 0);
+      const received = row["received B/s"] - (base?.["received B/s"] ?? 0);
+      return {
+        agents: row.agents,
+        "tasks/s": row["tasks/s"],
+        "tasks a job": row["tasks a job"],
+        "cpu ms a task": cpu / row["tasks/s"],
+        "sent B a task": sent / row["tasks/s"],
+        "received B a task": received / row["tasks/s"],
+      };
+    }),
+  ]);
+  await runWaiting(seconds);
+}
+
+/** Measures tasks that wait because no agent grants a credit, while more of them arrive. */
+async function runWaiting(seconds: number): Promise<void> {
+  const rows: { [column: string]: number }[] = [];
+  const bench = new EntryBench();
+  await bench.start();
+  try {
+    await bench.setAgents(10, 0);
+    await sleep(2_000);
+    let waiting = 0;
+    for (const target of [0, 1_500, 6_000]) {
+      const startedAt = performance.now();
+      const filling = await readUsage(bench.pid, async () => {
+        for (let count = waiting; count < target; count += JOB_MAX_TASKS) {
+          bench.sendJob(JOB_MAX_TASKS, { deadlineMs: 600_000 });
+        }
+        await bench.waitForWaiting(target);
+      });
+      const fillSeconds = (performance.now() - startedAt) / 1_000;
+      await sleep(1_000);
+      const idle = await readUsage(bench.pid, () => sleep(seconds * 1_000));
+      rows.push({
+        "tasks waiting": target,
+        "cpu ms to queue a task": target === waiting
+          ? 0
+          : filling.cpuMsPerSecond * fillSeconds / (target - waiting),
+        "cpu ms/s while they wait": idle.cpuMsPerSecond,
+        "resident MB": idle.residentMb,
+      });
+      waiting = target;
+    }
+  } finally {
+    await bench.stop();
+  }
+  writeTable("entry: waiting tasks, 10 agents without credits", rows);
+}
+
+async function measure(
+  bench: EntryBench,
+  options: { agents: number; seconds: number; rate: number; jobTasks?: number },
+): Promise<Row> {
+  const { agents, seconds, rate, jobTasks = JOB_TASKS } = options;
+  const before = { ...bench.bytes, ok: bench.answered, bad: bench.failed };
+  const startedAt = performance.now();
+  const call = () => bench.sendJob(jobTasks, { deadlineMs: 10_000 });
+  const usage = await readUsage(
+    bench.pid,
+    () => runAtRate(rate / jobTasks, seconds, { call }),
+  );
+  const elapsed = (performance.now() - startedAt) / 1_000;
+  const { received, sent } = bench.bytes;
+  await sleep(500);
+  return {
+    agents,
+    "tasks/s": rate,
+    "tasks a job": jobTasks,
+    "jobs answered": bench.answered - before.ok,
+    "jobs failed": bench.failed - before.bad,
+    "cpu ms/s": usage.cpuMsPerSecond,
+    "resident MB": usage.residentMb,
+    "received B/s": (received - before.received) / elapsed,
+    "sent B/s": (sent - before.sent) / elapsed,
+  };
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- /dev/null
+++ b/scripts/lib/bench/run_view_bench.ts
@@ -0,0 +1,209 @@
+import { ClaimTable } from "../../../src/state/claims/mod.ts";
+import { HomeFinder } from "../../../src/state/homes/mod.ts";
+import { StartRecords } from "../../../src/state/starts/mod.ts";
+import {
+  ClusterView,
+  type LogRecord,
+  type Member,
+} from "../../../src/state/view/mod.ts";
+import { writeTable } from "./bench_table.ts";
+
+const TEAMS = 180;
+const SERVICES = 180;
+const JOBS_PER_SERVICE = 10;
+
+interface Size {
+  readonly agents: number;
+  readonly entries: number;
+  readonly teams: number;
+}
+
+/** Runs the measurements of the view, claims and start records inside this process. */
+export function runViewBench(): void {
+  const sizes = [
+    { agents: 10, entries: 3, teams: 2 },
+    { agents: 1_000, entries: 25, teams: TEAMS },
+    { agents: 8_800, entries: 200, teams: TEAMS },
+  ];
+  writeTable("view: state and cost for each record", sizes.map(measureView));
+  writeTable(
+    "kept claims and start records",
+    [1_000, 10_000, 50_000].map(
+      measureKept,
+    ),
+  );
+}
+
+function measureView(size: Size): { [column: string]: number } {
+  const before = readHeapBytes();
+  const view = new ClusterView();
+  let offset = 1;
+  const apply = (record: LogRecord) => view.apply(record, offset++);
+  apply(createTree(size.teams));
+  const members = [
+    ...createMembers("entry", size.entries),
+    ...createMembers("agent", size.agents),
+  ];
+  const announceMs = measureEach(
+    members,
+    (member) => apply({ type: "announce", member }),
+  );
+  const memoryMb = (readHeapBytes() - before) / 1e6;
+  const changeMs = measureEach(
+    Array.from({ length: 20 }),
+    (_, count) => apply(createChange(count)),
+  );
+  const suspectMs = measureSuspects(view, { size, apply });
+  const { snapshotMs, snapshotBytes, setMs } = measureSnapshot(view);
+  const homes = new HomeFinder(view);
+  const refreshMs = measureEach([0], () => homes.find("first"));
+  const findMs = measureEach(
+    Array.from({ length: 20_000 }, (_, i) => `key-${i}`),
+    (key) => homes.find(key),
+  );
+  return {
+    agents: size.agents,
+    entries: size.entries,
+    teams: size.teams,
+    "heap MB": memoryMb,
+    "announce ms": announceMs,
+    "change ms": changeMs,
+    "suspect ms": suspectMs,
+    "snapshot MB": snapshotBytes / 1e6,
+    "snapshot ms": snapshotMs,
+    "set snapshot ms": setMs,
+    "homes refresh ms": refreshMs,
+    "home find ms": findMs,
+  };
+}
+
+function createTree(teams: number): LogRecord {
+  const rules = { timeoutMs: 5_000, deadlineMs: 30_000, priority: 5 };
+  const jobs = Object.fromEntries(
+    Array.from({ length: JOBS_PER_SERVICE }, (_, i) => [`job-${i}`, { rules }]),
+  );
+  const services = Object.fromEntries(
+    Array.from({ length: teams }, (_, i) => [`service-${i}`, { rules, jobs }]),
+  );
+  const quota = { weight: 2, maxRunning: 1_000, maxQueued: 5_000 };
+  const names = Array.from({ length: teams }, (_, i) => `team-${i}`);
+  const all = Object.fromEntries(names.map((name) => [name, quota]));
+  const value = { rules, services, customers: { groupement: { teams: all } } };
+  const edits = Object.entries(value).map(([path, value]) => ({ path, value }));
+  return {
+    ...{ type: "change", id: "tree", baseRevision: 0, operator: "bench" },
+    edits,
+  };
+}
+
+function createChange(count: number): LogRecord {
+  const path = `services.service-${count % 2}.jobs.job-${
+    count % JOBS_PER_SERVICE
+  }.rules.priority`;
+  return {
+    ...{ type: "change", id: `change-${count}`, operator: "bench" },
+    baseRevision: Number.MAX_SAFE_INTEGER,
+    edits: [{ path, value: count % 10 }],
+  };
+}
+
+function createMembers(role: "entry" | "agent", count: number): Member[] {
+  return Array.from({ length: count }, (_, i) => ({
+    id: `${role}-${i}#0123456789abcdef`,
+    name: `${role}-${i}`,
+    role,
+    zone: `zone-${i % 11}`,
+    rack: `rack-${Math.floor(i / 3)}`,
+    peerAddress: `10.${i >> 16}.${(i >> 8) & 255}.${i & 255}:7001`,
+    httpAddress: `10.${i >> 16}.${(i >> 8) & 255}.${i & 255}:7000`,
+    services: role === "agent"
+      ? Array.from({ length: 4 }, (_, s) => `service-${(i + s) % SERVICES}`)
+      : [],
+    slots: role === "agent" ? 8 : 0,
+  }));
+}
+
+/** Measures the records that remove one rack of three agents: a record from each of its observers. */
+function measureSuspects(
+  view: ClusterView,
+  options: { size: Size; apply: (record: LogRecord) => void },
+): number {
+  const memberIds = view.getMembers("agent").slice(0, 3).map(({ id }) => id);
+  const observers = view.getMembers("entry").slice(0, options.size.entries);
+  return measureEach(
+    observers,
+    ({ id }) =>
+      options.apply({ type: "suspect", observerId: id, memberIds, timeMs: 0 }),
+  );
+}
+
+function measureSnapshot(view: ClusterView) {
+  let text = "";
+  const snapshotMs = measureEach(Array.from({ length: 5 }), () => {
+    text = JSON.stringify(view.createSnapshot());
+  });
+  const setMs = measureEach(Array.from({ length: 5 }), () => {
+    new ClusterView().setSnapshot(JSON.parse(text));
+  });
+  return { snapshotMs, snapshotBytes: text.length, setMs };
+}
+
+function measureKept(count: number): { [column: string]: number } {
+  const before = readHeapBytes();
+  const claims = new ClaimTable<{ body: Uint8Array }>();
+  for (let i = 0; i < count; i++) {
+    const key = `customer/${createKey(i)}`;
+    claims.claim(key, "0123456789abcdef", { coordinator: "entry-1#01234567" });
+    claims.complete(key, "0123456789abcdef", {
+      coordinator: "entry-1#01234567",
+      answer: { body: new Uint8Array(200) },
+    });
+  }
+  const claimBytes = (readHeapBytes() - before) / count;
+  const between = readHeapBytes();
+  const records = new StartRecords<{ body: Uint8Array }>();
+  for (let i = 0; i < count; i++) {
+    records.set(
+      { key: `customer/${createKey(i)}`, index: i % 20, attempt: 1 },
+      {
+        state: "started",
+        coordinator: "entry-1#01234567",
+        result: Promise.resolve({ body: new Uint8Array(20) }),
+      },
+    );
+  }
+  const recordBytes = (readHeapBytes() - between) / count;
+  return {
+    kept: count,
+    sizes: claims.size + records.size,
+    "B a claim (answer 200 B)": claimBytes,
+    "B a start record (result 20 B)": recordBytes,
+  };
+}
+
+function createKey(count: number): string {
+  return `0f8fad5b-d9cb-469f-a165-${String(count).padStart(12, "0")}`;
+}
+
+/** Measures the processor time of a call, in milliseconds, over all items. */
+function measureEach<T>(
+  items: readonly T[],
+  run: (item: T, index: number) => unknown,
+): number {
+  const before = process.cpuUsage();
+  items.forEach(run);
+  const { user, system } = process.cpuUsage(before);
+  return (user + system) / 1_000 / items.length;
+}
+
+/** Reads the memory that objects and buffers take after a garbage collection. */
+function readHeapBytes(): number {
+  const { gc } = globalThis as { gc?: () => void };
+  if (gc === undefined) {
+    throw new Error("the view bench needs node --expose-gc");
+  }
+  gc();
+  gc();
+  const { heapUsed, arrayBuffers } = process.memoryUsage();
+  return heapUsed + arrayBuffers;
+}
