--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -55,6 +55,20 @@
     return controller !== undefined;
   }
 
+  /**
+   * Ends all running submissions after this entry was removed. The homes have given their keys up as lost,
+   * so nothing else than "unknown" may be answered, also for tasks that never started.
+   */
+  close(): void {
+    const error = createError(
+      "coordinator_lost",
+      "the other processes removed this entry",
+    );
+    for (const controller of this.#running.values()) {
+      controller.abort(error);
+    }
+  }
+
   /**
    * Runs a submission, or joins it when it runs already, and gets its answer. Everything but malformed
    * requests is refused after the claim only, so that a resubmission is never told "not run" by mistake.
@@ -234,18 +248,22 @@
 
   #planTasks(submission: Submission, rules: ResolvedRules): PlannedTask[] {
     const { view, homes } = this.#options;
-    const weight = view.settings.customers?.[submission.customer]?.weight ?? 1;
-    const homeId = homes.find(submission.key)?.id;
+    const { key, customer, team = "", service, job } = submission;
+    const settings = view.settings.customers?.[customer];
+    const isKnownJob = job !== undefined &&
+      view.settings.services?.[service]?.jobs?.[job] !== undefined;
+    const homeId = homes.find(key)?.id;
     return submission.tasks.map((task) => ({
       ...task,
-      key: submission.key,
-      customer: submission.customer,
-      service: submission.service,
+      ...{ key, customer, team, service, homeId },
+      // Callers choose the names of jobs; only those of the settings are learned apart.
+      runKey: isKnownJob ? `${service}/${job}` : service,
       priority: rules.priority,
-      weight,
+      weight: settings?.weight ?? 1,
+      teamWeight: settings?.teams?.[team]?.weight ?? 1,
       timeoutMs: Math.min(task.timeoutMs ?? rules.timeoutMs, rules.timeoutMs),
       maxAttempts: rules.maxAttempts,
-      homeId,
+      hedging: rules.hedging,
     }));
   }
 }
