Adapt the capacity bench to the link's new options

Change: the bench passes the new options. Before: tsc failed with two errors. After: npm run check passes and mocha has 101 passing.

--- a/scripts/lib/bench/agent_bench.ts
+++ b/scripts/lib/bench/agent_bench.ts
@@ -1,5 +1,6 @@
 import { AgentLink } from "../../../src/coordination/entry/agent_link.ts";
 import { LogFollower } from "../../../src/coordination/follower/mod.ts";
+import { MessageCounts, Metrics } from "../../../src/state/metrics/mod.ts";
 import { Timeline } from "../../../src/state/timeline/mod.ts";
 import { ClusterView, type MemberState } from "../../../src/state/view/mod.ts";
 import { HttpLogService } from "../../../src/transport/log/mod.ts";
@@ -96,7 +97,9 @@
       ...{ memberId, zone: "a", follower, peers: new ConnectPeerCaller() },
       timeline: new Timeline(memberId),
       onChange: () => {},
-      getQueued: () => 0,
+      onCredits: () => {},
+      getDemand: () => 0,
+      messages: new MessageCounts(new Metrics()),
     });
     this.links.push(link);
     void link.run();
--- a/scripts/lib/bench/run_agent_bench.ts
+++ b/scripts/lib/bench/run_agent_bench.ts
@@ -100,7 +100,8 @@
     timeoutMs: 10_000,
     repeatable: true,
     customer: "bench",
-  });
+    onCredit: true,
+  }, { onBroken: () => {} });
 }
 
 async function measure(
