Take the credits of a silent entry back after its second missed heartbeat

Cause: with demand-driven credits a paused entry didn't answer revocations, so its idle credits stayed unused until its removal after about 4 s. Ruled out: the early refusals (none were seen) and the homes (agents keep them, none was paused). Change: CreditLedger.suspend and resume, driven by the heartbeats. Conclusion: a task that a resumed entry sends on a lost credit is refused as busy, which is a true "not run".

--- a/src/coordination/agent/credit_account.ts
+++ b/src/coordination/agent/credit_account.ts
@@ -7,6 +7,8 @@
   revoking: number;
   /** Tasks for which the entry wants slots here, as last reported. */
   queued: number;
+  /** True while the entry is silent: it gets no credits, and those it held were taken back. */
+  isSuspended: boolean;
   /** False once the stream has ended or a newer one has replaced it. */
   isOpen: boolean;
   readonly grant: (count: number) => void;
--- a/src/coordination/agent/credit_ledger.ts
+++ b/src/coordination/agent/credit_ledger.ts
@@ -75,6 +75,7 @@
       unused: 0,
       revoking: 0,
       queued: 0,
+      isSuspended: false,
       isOpen: true,
     };
     this.#accounts.set(entryId, account);
@@ -91,6 +92,28 @@
     }
   }
 
+  /**
+   * Takes the unused credits of a silent entry back without its consent: a paused entry would keep slots idle
+   * until it is removed. A task that it sends on such a credit later gets a slot only when one is free.
+   */
+  suspend(account: CreditAccount): void {
+    if (account.isOpen && !account.isSuspended) {
+      account.isSuspended = true;
+      account.unused = 0;
+      account.revoking = 0;
+      account.queued = 0;
+      this.#balance();
+    }
+  }
+
+  /** Grants credits to an entry again that was silent. */
+  resume(account: CreditAccount): void {
+    if (account.isSuspended) {
+      account.isSuspended = false;
+      this.#balance();
+    }
+  }
+
   /** Records the number of tasks that wait for slots of this agent at an entry. */
   setQueued(account: CreditAccount, queued: number): void {
     if (account.isOpen && account.queued !== queued) {
@@ -146,7 +169,8 @@
 
   /** Records the return of unused credits; each revocation is answered with one return, of 0 at least. */
   returnCredits(account: CreditAccount, count: number): void {
-    if (account.isOpen) {
+    // Without an open revocation the credits were taken back already, when the entry was silent.
+    if (account.isOpen && account.revoking > 0) {
       account.unused = Math.max(0, account.unused - count);
       account.revoking = 0;
       this.#balance();
@@ -214,6 +238,9 @@
     let best: CreditAccount | undefined;
     let bestRank: [number, number] = [2, 0];
     for (const account of this.#accounts.values()) {
+      if (account.isSuspended) {
+        continue;
+      }
       const held = account.unused + this.#getRunning(account.entryId);
       const rank: [number, number] = account.queued > account.unused
         ? [0, held]
--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -17,6 +17,9 @@
 import type { TaskExecutor } from "./task_executor.ts";
 import type { TaskResult } from "./task_result.ts";
 
+/** An entry that misses its second heartbeat keeps no credits, in milliseconds. */
+const MAX_SILENCE_MS = 1_200;
+
 export interface EntrySessionOptions {
   stream: PeerStream;
   memberId: string;
@@ -108,6 +111,11 @@
         case: "heartbeat",
         value: this.#heartbeats.create(credits.running, timeline.getClock()),
       });
+      if (
+        this.#account !== undefined && this.getSilenceMs() > MAX_SILENCE_MS
+      ) {
+        credits.suspend(this.#account);
+      }
       await new Promise((resolve) =>
         setTimeout(resolve, VIEW_LIMITS.heartbeatIntervalMs)
       );
@@ -126,6 +134,9 @@
       case "heartbeat":
         timeline.mergeClock(message.value.clock);
         this.#heartbeats.receive(message.value);
+        if (this.#account !== undefined) {
+          this.#options.credits.resume(this.#account);
+        }
         this.#setQueued(message.value.queued);
         return;
       case "dispatch":
--- a/tests/coordination/agent/credit_ledger_test.ts
+++ b/tests/coordination/agent/credit_ledger_test.ts
@@ -129,4 +129,27 @@
       expect(second.running).to.equal(4);
     });
   });
+
+  describe("suspend", () => {
+    it("gives a silent entry's credits to the others, and refuses nothing wrongly later", () => {
+      // Guards against slots that stay idle until a paused entry is removed.
+      const ledger = new CreditLedger(8);
+      const paused = new FakeEntry(ledger, "paused");
+      const busy = new FakeEntry(ledger, "busy");
+      ledger.setOpen(true);
+      paused.deliver(10);
+      busy.queue(100);
+      busy.deliver(100);
+      expect(busy.running).to.be.below(8);
+      ledger.suspend(paused.account);
+      busy.deliver(100);
+      expect(busy.running).to.equal(8);
+      expect(ledger.grantSlot(paused.account, { onCredit: true })).to.equal(
+        false,
+      );
+      ledger.resume(paused.account);
+      ledger.returnCredits(paused.account, 4);
+      expect(ledger.free).to.equal(0);
+    });
+  });
 });
--- a/tests/coordination/agent/fake_entry.ts
+++ b/tests/coordination/agent/fake_entry.ts
@@ -23,6 +23,11 @@
     return this.#tasks.length;
   }
 
+  /** Gets the open stream's account. */
+  get account(): CreditAccount {
+    return this.#account as CreditAccount;
+  }
+
   openStream(): void {
     if (this.#account !== undefined) {
       return;
