--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -34,6 +34,7 @@
   readonly coordinator: JobCoordinator;
   readonly #options: EntryIncarnationOptions;
   readonly #abort = new AbortController();
+  readonly #claims: ClaimClient;
   readonly #pool: AgentPool;
   readonly #dispatcher: TaskDispatcher;
   readonly #peerServer: PeerServer;
@@ -68,11 +69,16 @@
       quotas,
     });
     this.#dispatcher = dispatcher;
-    const claims = new ClaimClient({ homes, pool: this.#pool });
+    this.#claims = new ClaimClient({
+      memberId: this.memberId,
+      follower,
+      homes,
+      pool: this.#pool,
+    });
     this.coordinator = new JobCoordinator({
       view: follower.view,
       homes,
-      claims,
+      claims: this.#claims,
       dispatcher,
       admission: new Admission({
         view: follower.view,
@@ -88,7 +94,7 @@
       host: settings.host,
       port: settings.peerPort,
       serve: () => Promise.resolve(),
-      gather: () => ({ ready: false, claims: [] }),
+      gather: (request) => this.#claims.handleGather(request),
     });
     metrics.setGauge("tasks_waiting", () => dispatcher.queue.waiting);
     metrics.setGauge("submissions_running", () => this.coordinator.running);
@@ -170,6 +176,7 @@
   close(): void {
     this.#abort.abort();
     this.coordinator.close();
+    this.#claims.stop();
     this.#dispatcher.stop();
     this.#pool.close();
     this.#peerServer.stop();
