Use each agent from at most 8 entries, and open other streams for claims

Ruled out: choosing agents for each entry (an agent could then be used by none), and one rank over all entries (an agent's entries could share a zone).

Change: StreamSubset chooses an agent's entries (entriesPerAgent, default 8) by rendezvous hashing, from each zone in turn. The pool opens streams with credits to its subset and others, without credits and heartbeats, on demand for claims; a stream that changes its purpose is opened again, and running tasks keep their results. MemberTable counts only the members that watch the suspect. Claims of a link move to ClaimChannel.

Before: full mesh.

Conclusion: with up to 8 entries nothing changes. A service that no agent of an entry's subset offers gets no_capacity there.

--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -47,6 +47,11 @@
     return this.#hello?.memberId ?? "";
   }
 
+  /** Does the entry send heartbeats? A stream for claims only has none. */
+  get hasHeartbeats(): boolean {
+    return this.#hello?.wantsCredits ?? false;
+  }
+
   /** Gets the offset that the entry's view has confirmed; -1 before its first heartbeat. */
   get confirmedOffset(): number {
     return this.#heartbeats.peerOffset;
@@ -182,7 +187,7 @@
     const { stream, timeline } = this.#options;
     timeline.mergeClock(dispatch.clock);
     // A dispatch of a broken stream comes again on the next one. It must not use the new stream's credits.
-    if (this.#account === undefined || stream.isClosed) {
+    if (stream.isClosed) {
       return;
     }
     const { result, granted } = await this.#runDispatch(
@@ -199,14 +204,20 @@
 
   async #runDispatch(
     dispatch: Dispatch,
-    account: CreditAccount,
+    account: CreditAccount | undefined,
   ): Promise<{ result: TaskResult; granted: number }> {
     const { executor, credits } = this.#options;
     const { onCredit, queued } = dispatch;
     if (executor.hasRecord(dispatch)) {
-      const granted = onCredit ? credits.releaseCredit(account) : 0;
+      const granted = onCredit && account !== undefined
+        ? credits.releaseCredit(account)
+        : 0;
       return { result: await executor.run(dispatch, this.entryId), granted };
     }
+    if (account === undefined) {
+      const message = "the entry places no tasks here";
+      return { result: createFailedResult("busy", message), granted: 0 };
+    }
     const hasSlot = credits.grantSlot(account, { onCredit });
     credits.setQueued(account, queued);
     if (!hasSlot) {
--- a/src/coordination/agent/session_table.ts
+++ b/src/coordination/agent/session_table.ts
@@ -22,10 +22,10 @@
     if (this.#sessions.get(session.entryId) !== session) {
       return false;
     }
-    this.#lastHeard.set(
-      session.entryId,
-      performance.now() - session.getSilenceMs(),
-    );
+    if (session.hasHeartbeats) {
+      const heardAt = performance.now() - session.getSilenceMs();
+      this.#lastHeard.set(session.entryId, heardAt);
+    }
     return this.#sessions.delete(session.entryId);
   }
 
@@ -36,7 +36,9 @@
       !this.#sessions.has(id)
     );
     return [
-      ...this.getAll().map((session) => ({
+      ...this.getAll().filter((session) => session.hasHeartbeats).map((
+        session,
+      ) => ({
         memberId: session.entryId,
         silenceMs: session.getSilenceMs(),
       })),
--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -8,16 +8,9 @@
 import type { MessageCounts } from "../../state/metrics/mod.ts";
 import type { Timeline } from "../../state/timeline/mod.ts";
 import { Heartbeats, type LogFollower, VIEW_LIMITS } from "../follower/mod.ts";
+import { ClaimChannel } from "./claim_channel.ts";
 import type { PeerCaller, PeerStream } from "../links/mod.ts";
-import type {
-  Cancel,
-  ClaimReply,
-  Complete,
-  Dispatch,
-  PeerMessage,
-  Result,
-  StoredAnswer,
-} from "../messages/mod.ts";
+import type { Cancel, Dispatch, PeerMessage, Result } from "../messages/mod.ts";
 
 /** Wait before a broken stream is opened again, in milliseconds. */
 const RECONNECT_DELAY_MS = 100;
@@ -28,13 +21,12 @@
  */
 const BROKEN_AFTER_MS = 500;
 
-/** Wait for the home's confirmation of a stored answer, in milliseconds. */
-const COMPLETE_TIMEOUT_MS = 1_000;
-
 export interface AgentLinkOptions {
   member: MemberState;
   memberId: string;
   zone: string;
+  /** Does the entry place tasks on the agent? */
+  wantsCredits: boolean;
   peers: PeerCaller;
   follower: LogFollower;
   timeline: Timeline;
@@ -61,11 +53,12 @@
 export class AgentLink {
   readonly #options: AgentLinkOptions;
   readonly #abort = new AbortController();
+  /** The claims at this agent. */
+  readonly claims: ClaimChannel;
   readonly #dispatches = new Map<number, PendingDispatch>();
-  readonly #claims = new Map<number, (reply: ClaimReply | undefined) => void>();
-  readonly #completes = new Map<number, (stored: boolean) => void>();
   #stream: PeerStream | undefined;
   #heartbeats: Heartbeats;
+  #wantsCredits: boolean;
   #heardAt = performance.now();
   #credits = 0;
   #load = 0;
@@ -79,6 +72,20 @@
   constructor(options: AgentLinkOptions) {
     this.#options = options;
     this.#heartbeats = new Heartbeats(options.follower);
+    this.#wantsCredits = options.wantsCredits;
+    this.claims = new ClaimChannel({
+      isUp: () => this.#isUp,
+      send: (message) => this.#send(message),
+      getStamp: () => ({
+        viewOffset: options.follower.view.offset,
+        clock: options.timeline.getClock(),
+      }),
+    });
+  }
+
+  /** Does this entry place tasks on the agent, and watch it? Otherwise the stream carries only claims. */
+  get wantsCredits(): boolean {
+    return this.#wantsCredits;
   }
 
   /** Gets the agent. */
@@ -147,7 +154,7 @@
   #setDown(): void {
     this.#credits = 0;
     this.#toldQueued = 0;
-    this.#failClaims();
+    this.claims.close();
     if (this.#isUp) {
       this.#isUp = false;
       this.#brokenTimer ??= setTimeout(() => {
@@ -159,6 +166,15 @@
     }
   }
 
+  /** Changes what the stream is for, by opening it again; running tasks keep their results. */
+  setWantsCredits(wantsCredits: boolean): void {
+    if (wantsCredits !== this.#wantsCredits) {
+      this.#wantsCredits = wantsCredits;
+      this.#heardAt = performance.now();
+      this.#stream?.close();
+    }
+  }
+
   /** Closes the link after the agent was removed or has left. Open dispatches end as `agent_lost`. */
   close(): void {
     this.#abort.abort();
@@ -172,7 +188,7 @@
       resolve(error);
     }
     this.#dispatches.clear();
-    this.#failClaims();
+    this.claims.close();
   }
 
   /**
@@ -221,63 +237,16 @@
     this.#dispatches.delete(dispatchId);
   }
 
-  /**
-   * Claims a submission at this agent.
-   * @param key - Idempotency key with its scope.
-   * @param fingerprint - Digest of the request.
-   * @param options - Receives each reply; undefined when the link broke.
-   */
-  claim(
-    key: string,
-    fingerprint: string,
-    options: { receive: (reply: ClaimReply | undefined) => void },
-  ): void {
-    const claimId = this.#nextId++;
-    if (!this.#isUp) {
-      options.receive(undefined);
-      return;
-    }
-    this.#claims.set(claimId, options.receive);
-    const viewOffset = this.#options.follower.view.offset;
-    const clock = this.#options.timeline.getClock();
-    this.#send({
-      case: "claim",
-      value: { claimId, key, fingerprint, viewOffset, clock },
-    });
-  }
-
-  /** Stores the final answer of a submission here, or releases its claim. Gets false on failure. */
-  async complete(
-    key: string,
-    fingerprint: string,
-    answer?: StoredAnswer,
-  ): Promise<boolean> {
-    const claimId = this.#nextId++;
-    const value: Complete = { claimId, key, fingerprint, answer };
-    if (!this.#isUp) {
-      return false;
-    }
-    return await new Promise<boolean>((resolve) => {
-      const timer = setTimeout(
-        () => this.#receiveComplete(claimId, false),
-        COMPLETE_TIMEOUT_MS,
-      );
-      this.#completes.set(claimId, (stored) => {
-        clearTimeout(timer);
-        resolve(stored);
-      });
-      this.#send({ case: "complete", value });
-    });
-  }
-
   async #runStream(stream: PeerStream): Promise<void> {
     const { memberId, zone, follower } = this.#options;
     this.#heartbeats = new Heartbeats(follower);
     this.#send({
       case: "hello",
-      value: { memberId, zone, wantsCredits: true },
+      value: { memberId, zone, wantsCredits: this.#wantsCredits },
     });
-    void this.#sendHeartbeats(stream);
+    if (this.#wantsCredits) {
+      void this.#sendHeartbeats(stream);
+    }
     for await (const message of stream.received) {
       this.#handle(message);
     }
@@ -319,10 +288,11 @@
         this.#handleResult(message.value);
         return;
       case "claimReply":
-        this.#handleClaimReply(message.value);
+        this.#options.timeline.mergeClock(message.value.clock);
+        this.claims.handleReply(message.value);
         return;
       case "completeReply":
-        this.#receiveComplete(message.value.claimId, message.value.stored);
+        this.claims.handleComplete(message.value.claimId, message.value.stored);
         return;
       case "dispatch":
       case "cancel":
@@ -384,30 +354,6 @@
     }
   }
 
-  #handleClaimReply(reply: ClaimReply): void {
-    this.#options.timeline.mergeClock(reply.clock);
-    const receive = this.#claims.get(reply.claimId);
-    if (reply.outcome !== "running") {
-      this.#claims.delete(reply.claimId);
-    }
-    receive?.(reply);
-  }
-
-  #receiveComplete(claimId: number, stored: boolean): void {
-    this.#completes.get(claimId)?.(stored);
-    this.#completes.delete(claimId);
-  }
-
-  #failClaims(): void {
-    for (const receive of this.#claims.values()) {
-      receive(undefined);
-    }
-    this.#claims.clear();
-    for (const claimId of [...this.#completes.keys()]) {
-      this.#receiveComplete(claimId, false);
-    }
-  }
-
   #addCredits(count: number): void {
     if (count > 0) {
       this.#credits += count;
--- a/src/coordination/entry/agent_pool.ts
+++ b/src/coordination/entry/agent_pool.ts
@@ -4,7 +4,7 @@
 import { ServiceIndex } from "./service_index.ts";
 
 export interface AgentPoolOptions
-  extends Omit<AgentLinkOptions, "member" | "onCredits"> {
+  extends Omit<AgentLinkOptions, "member" | "onCredits" | "wantsCredits"> {
   follower: LogFollower;
   /** Called when an agent has a credit that it had not. */
   onCredits: () => void;
@@ -12,7 +12,10 @@
   onRemove: (memberId: string) => void;
 }
 
-/** The links of an entry to the agents that the view holds. */
+/**
+ * The links of an entry: to the agents of its subset, on which it places tasks, and to other agents that are
+ * homes of its keys. Those are opened on demand and carry only claims.
+ */
 export class AgentPool {
   readonly #options: AgentPoolOptions;
   readonly #links = new Map<string, AgentLink>();
@@ -21,35 +24,40 @@
   /** The agents with unused credits. */
   readonly ready = new Set<AgentLink>();
   readonly #offered = new Set<string>();
+  #isOpen = false;
 
   constructor(options: AgentPoolOptions) {
     this.#options = options;
     this.index = new ServiceIndex({
       view: options.follower.view,
-      getLinks: () => this.#links.values(),
+      getLinks: () => this.getAll(),
     });
     options.follower.addListener((event) => this.#handleViewEvent(event));
   }
 
-  /** Gets the link to an agent. */
+  /** Gets the link to an agent, for claims. It is opened when there is none. */
   get(memberId: string): AgentLink | undefined {
+    const member = this.#options.follower.view.getMember(memberId);
+    if (this.#isOpen && member?.role === "agent") {
+      this.#add(member);
+    }
     return this.#links.get(memberId);
   }
 
-  /** Gets all links. */
+  /** Gets the links to the agents of the subset; this entry watches them. */
   getAll(): AgentLink[] {
-    return [...this.#links.values()];
+    return [...this.#links.values()].filter((link) => link.wantsCredits);
   }
 
-  /** Opens links to all agents of the view; later ones follow by its events. */
+  /** Opens links to the agents of the subset; later ones follow by the events of the view. */
   start(): void {
-    for (const member of this.#options.follower.view.getMembers("agent")) {
-      this.#add(member);
-    }
+    this.#isOpen = true;
+    this.#applySubset();
   }
 
   /** Closes all links. */
   close(): void {
+    this.#isOpen = false;
     for (const id of [...this.#links.keys()]) {
       this.#remove(id);
     }
@@ -89,30 +97,53 @@
   #handleViewEvent(event: ViewEvent): void {
     switch (event.type) {
       case "joined":
-        this.#add(event.member);
-        return;
+        event.member.services.forEach((name) => this.#offered.add(name));
+        break;
       case "left":
       case "removed":
         this.#remove(event.member.id);
-        this.#options.onChange();
-        return;
+        break;
       case "leaving":
       case "change":
-        this.#options.onChange();
-        return;
+        break;
       default:
         return event satisfies never;
     }
+    if (this.#isOpen) {
+      this.#applySubset();
+      this.#options.onChange();
+    }
+  }
+
+  /** Opens streams to agents that are new in the subset, and withdraws from those that have left it. */
+  #applySubset(): void {
+    const { view } = this.#options.follower;
+    for (const member of view.getMembers("agent")) {
+      const link = this.#links.get(member.id);
+      const wantsCredits = this.#isInSubset(member);
+      if (link === undefined && wantsCredits) {
+        this.#add(member);
+      } else if (link !== undefined && link.wantsCredits !== wantsCredits) {
+        link.setWantsCredits(wantsCredits);
+        this.index.removeAll();
+      }
+    }
+  }
+
+  #isInSubset(member: MemberState): boolean {
+    const { memberId, follower } = this.#options;
+    return follower.view.getEntriesOf(member.id).has(memberId);
   }
 
   #add(member: MemberState): void {
-    if (member.role !== "agent" || this.#links.has(member.id)) {
+    if (this.#links.has(member.id)) {
       return;
     }
     member.services.forEach((service) => this.#offered.add(service));
     const link = new AgentLink({
       ...this.#options,
       member,
+      wantsCredits: this.#isInSubset(member),
       onCredits: (changed, change) => this.#handleCredits(changed, change),
     });
     this.#links.set(member.id, link);
--- a/src/coordination/entry/claim_client.ts
+++ b/src/coordination/entry/claim_client.ts
@@ -53,7 +53,7 @@
   ): Promise<boolean> {
     for (let tries = 0; tries < MAX_COMPLETE_TRIES; tries++) {
       const link = this.#getHomeLink(key);
-      if (await link?.complete(key, fingerprint, answer)) {
+      if (await link?.claims.complete(key, fingerprint, answer)) {
         return true;
       }
       await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
@@ -75,7 +75,7 @@
         () => resolve(undefined),
         options.deadline - performance.now(),
       );
-      link.claim(key, fingerprint, {
+      link.claims.claim(key, fingerprint, {
         receive: (reply) => {
           if (reply?.outcome !== "running") {
             clearTimeout(timer);
--- a/src/state/view/cluster_view.ts
+++ b/src/state/view/cluster_view.ts
@@ -14,7 +14,9 @@
 export class ClusterView {
   #offset = 0;
   readonly #settings = new SettingsStore();
-  readonly #members = new MemberTable();
+  readonly #members = new MemberTable({
+    getEntriesPerAgent: () => this.#settings.tree.entriesPerAgent,
+  });
 
   /** Gets the offset of the last applied record; 0 before the first. */
   get offset(): number {
@@ -46,6 +48,11 @@
     return this.#members.getAll().filter((member) => member.role === role);
   }
 
+  /** Gets the entries that place tasks on an agent, and watch it. */
+  getEntriesOf(agentId: string): ReadonlySet<string> {
+    return this.#members.getEntriesOf(agentId);
+  }
+
   /** Gets what became of a recent change. */
   getChangeOutcome(changeId: string): ChangeOutcome | undefined {
     return this.#settings.getOutcome(changeId);
--- a/src/state/view/member_table.ts
+++ b/src/state/view/member_table.ts
@@ -1,11 +1,20 @@
 import type { Member } from "./member.ts";
 import type { MemberState } from "./member_state.ts";
 import type { MembersSnapshot } from "./members_snapshot.ts";
+import { StreamSubset } from "./stream_subset.ts";
 import type { ViewEvent } from "./view_event.ts";
 
 /** Suspicions of several observers count together when they are at most this far apart, in milliseconds. */
 const SUSPICION_WINDOW_MS = 10_000;
 
+/** Entries that use one agent where the settings don't say otherwise. */
+const DEFAULT_ENTRIES_PER_AGENT = 8;
+
+export interface MemberTableOptions {
+  /** Gets the number of entries that use one agent. */
+  getEntriesPerAgent?: () => number | undefined;
+}
+
 /**
  * The members of the cluster. A member is removed when a majority of the processes that watch it suspect
  * it. A smaller number would let one rack, or the smaller side of a network partition, remove members that
@@ -15,6 +24,15 @@
   #members = new Map<string, MemberState>();
   #suspicions = new Map<string, Map<string, number>>();
   #epoch = 0;
+  readonly #subset: StreamSubset;
+
+  constructor(options: MemberTableOptions = {}) {
+    this.#subset = new StreamSubset({
+      getEntries: () => this.getAll().filter(({ role }) => role === "entry"),
+      getLimit: () =>
+        options.getEntriesPerAgent?.() ?? DEFAULT_ENTRIES_PER_AGENT,
+    });
+  }
 
   /** Gets the offset of the last change of membership. */
   get epoch(): number {
@@ -31,6 +49,11 @@
     return [...this.#members.values()];
   }
 
+  /** Gets the entries that place tasks on an agent, and watch it. */
+  getEntriesOf(agentId: string): ReadonlySet<string> {
+    return this.#subset.get(agentId);
+  }
+
   /** Adds a member. An older incarnation with the same name is removed, since its process was replaced. */
   announce(member: Member, offset: number): ViewEvent[] {
     const events: ViewEvent[] = [];
@@ -47,6 +70,9 @@
       announcedAt,
     };
     this.#members.set(member.id, state);
+    if (member.role === "entry") {
+      this.#subset.removeAll();
+    }
     this.#epoch = offset;
     events.push({ type: "joined", member: state });
     return [...events, ...this.#removeSuspected()];
@@ -114,6 +140,7 @@
     this.#members = new Map(
       snapshot.members.map((member) => [member.id, member]),
     );
+    this.#subset.removeAll();
     this.#epoch = snapshot.epoch;
     this.#suspicions = new Map(
       snapshot.suspicions.map(([id, observers]) => [id, new Map(observers)]),
@@ -140,6 +167,9 @@
   #remove(member: MemberState, type: "left" | "removed"): ViewEvent {
     this.#members.delete(member.id);
     this.#suspicions.delete(member.id);
+    if (member.role === "entry") {
+      this.#subset.removeAll();
+    }
     return { type, member };
   }
 
@@ -164,16 +194,24 @@
     const observers = this.#suspicions.get(member.id) ??
       new Map<string, number>();
     const newest = Math.max(...observers.values());
+    const watching = this.#getWatching(member);
     let count = 0;
     for (const [observerId, timeMs] of observers) {
-      if (
-        this.#members.has(observerId) && newest - timeMs <= SUSPICION_WINDOW_MS
-      ) {
+      if (watching.has(observerId) && newest - timeMs <= SUSPICION_WINDOW_MS) {
         count++;
       }
     }
-    const watching =
-      this.getAll().filter((other) => other.role !== member.role).length;
-    return count * 2 > watching;
+    return count * 2 > watching.size;
+  }
+
+  /** Gets the members that have a stream with heartbeats to a member. */
+  #getWatching(member: MemberState): ReadonlySet<string> {
+    if (member.role === "agent") {
+      return this.#subset.get(member.id);
+    }
+    const agents = this.getAll().filter(({ role, id }) =>
+      role === "agent" && this.#subset.get(id).has(member.id)
+    );
+    return new Set(agents.map(({ id }) => id));
   }
 }
