--- a/src/coordination/entry/claim_client.ts
+++ b/src/coordination/entry/claim_client.ts
@@ -133,7 +133,7 @@
         resolve(undefined);
       };
       const timer = setTimeout(abandon, options.deadline - performance.now());
-      link.claim(key, fingerprint, {
+      link.claims.claim(key, fingerprint, {
         receive: (reply) => {
           if (isAbandoned) {
             if (reply === undefined || reply.outcome === "granted") {
@@ -218,7 +218,9 @@
       !this.#isStopped &&
       (answer === undefined || this.#table.get(key) !== undefined);
     for (let delay = RETRY_DELAY_MS; isNeeded(); delay *= 2) {
-      if (await this.#getHomeLink(key)?.complete(key, fingerprint, answer)) {
+      if (
+        await this.#getHomeLink(key)?.claims.complete(key, fingerprint, answer)
+      ) {
         return true;
       }
       const wait = Math.min(delay, MAX_RETRY_DELAY_MS);
