Refuse bad input early, with a kind and a true "not run"

Cause: a path with invalid percent-encoding was answered "internal" (500, unknown). A body over the limit was received to its end before the refusal. Keys had no length limit, and a customer named "a/b" shared the key scope of customer "a". A process whose log could not be reached wrote its first line about it after 5 s.

Ruled out: closing the connection together with the 413; a client that is still sending then loses the answer to a reset.

Every error answer carries X-Error-Kind. The first line about a log that can't be reached is written after 1 s.

Before: no tests of refusals over HTTP.

Conclusion: malformed requests are refused before any claim; an accepted submission is not touched by them.

--- a/src/processes/entry_process.ts
+++ b/src/processes/entry_process.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import type { Submission } from "../coordination/entry/mod.ts";
 import {
+  parseContext,
   parseJob,
   parseRequest,
   type RequestContext,
@@ -18,6 +19,8 @@
 import type { ProcessContext } from "./process_context.ts";
 import { waitForView } from "./wait_for_view.ts";
 
+const SUBMIT_ROUTES = ["POST /v1/jobs", "POST /v1/requests"];
+
 /** Interval at which the process looks whether its member still stands, in milliseconds. */
 const CHECK_INTERVAL_MS = 200;
 
@@ -42,6 +45,11 @@
     });
   }
 
+  /** Gets the `host:port` of the HTTP server; empty before the start. */
+  get httpAddress(): string {
+    return this.#httpAddress;
+  }
+
   /** Starts the HTTP server and the log follower; the rest follows once the log was read. */
   async start(): Promise<void> {
     const { settings, follower, logger } = this.#context;
@@ -112,12 +120,10 @@
     request: HttpRequest,
     incarnation: EntryIncarnation | undefined,
   ): Promise<HttpAnswer> {
-    const context = readContext(request);
     const [version, collection, name] = request.path;
     const route = `${request.method} /${version}/${collection}`;
-    const isKnown = ["POST /v1/jobs", "POST /v1/requests", "DELETE /v1/jobs"]
-      .includes(route);
-    if (!isKnown) {
+    const isCancel = route === "DELETE /v1/jobs";
+    if (!isCancel && !SUBMIT_ROUTES.includes(route)) {
       return createErrorAnswer(createError("not_found", "no such resource"));
     }
     if (incarnation === undefined || !incarnation.isReady) {
@@ -125,22 +131,23 @@
         createError("not_ready", "the entry isn't ready"),
       );
     }
-    if (route === "DELETE /v1/jobs") {
-      const key = `${context.customer}/${name ?? ""}`;
-      return incarnation.coordinator.cancel(key)
-        ? createJsonAnswer(202, { status: "cancelling" })
-        : createErrorAnswer(
-          createError("not_found", "this entry runs no such submission"),
-        );
+    const options = isCancel ? { key: name ?? "" } : {};
+    const context = parseContext(request.headers, options);
+    if (context.isErr()) {
+      return this.#refuse(context.error);
     }
-    if (context.idempotencyKey === "") {
-      const message = "the header Idempotency-Key is missing";
-      const path = "Idempotency-Key";
-      return this.#refuse(
-        createError("missing_idempotency_key", message, { path }),
-      );
+    const { customer, idempotencyKey } = context.value;
+    if (!isCancel) {
+      return await this.#submit(request, {
+        incarnation,
+        context: context.value,
+      });
     }
-    return await this.#submit(request, { incarnation, context });
+    return incarnation.coordinator.cancel(`${customer}/${idempotencyKey}`)
+      ? createJsonAnswer(202, { status: "cancelling" })
+      : createErrorAnswer(
+        createError("not_found", "this entry runs no such submission"),
+      );
   }
 
   async #submit(
@@ -193,16 +200,6 @@
   }
 }
 
-function readContext(request: HttpRequest): RequestContext {
-  const { headers } = request;
-  const team = headers["x-team"];
-  return {
-    idempotencyKey: String(headers["idempotency-key"] ?? ""),
-    customer: String(headers["x-customer"] ?? "default"),
-    ...(team === undefined ? {} : { team: String(team) }),
-  };
-}
-
 function parseSingleRequest(
   request: HttpRequest,
   context: RequestContext,
--- a/src/processes/event_recorder.ts
+++ b/src/processes/event_recorder.ts
@@ -61,6 +61,7 @@
         return;
       case "task_refused":
         this.#recordRefusal("task", event);
+        this.#warn("task refused", event);
         return;
       case "claim_answered":
         this.#metrics.add("claims", 1, {
@@ -82,7 +83,6 @@
     this.#metrics.add("refusals", 1, {
       labels: { of, kind: event.detail ?? "" },
     });
-    this.#warn(`${of} refused`, event);
   }
 
   #add(name: string, event: TimelineEvent): void {
@@ -91,7 +91,8 @@
 
   #warn(message: string, event: TimelineEvent): void {
     const { key, index, attempt, detail } = event;
-    this.#limiter.write("warn", message, { key, index, attempt, kind: detail });
+    const fields = { key, index, attempt, kind: detail };
+    this.#limiter.write("warn", message, fields);
   }
 
   #start(name: string): void {
--- a/src/processes/log_limiter.ts
+++ b/src/processes/log_limiter.ts
@@ -50,11 +50,12 @@
       return;
     }
     window.lines++;
-    const { suppressed } = window;
+    const all = { ...fields, suppressed: window.suppressed || undefined };
     window.suppressed = 0;
-    this.#logger[level](
-      message,
-      suppressed === 0 ? fields : { ...fields, suppressed },
+    // The logger would print a field without a value as text.
+    const known = Object.entries(all).filter(([, value]) =>
+      value !== undefined
     );
+    this.#logger[level](message, Object.fromEntries(known));
   }
 }
--- a/src/processes/wait_for_view.ts
+++ b/src/processes/wait_for_view.ts
@@ -3,6 +3,9 @@
 /** Interval of the check, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
 
+/** Time until the first log line about a log that can't be reached, in milliseconds. */
+const FIRST_WARN_MS = 1_000;
+
 /** Time between two log lines about a log that can't be reached, in milliseconds. */
 const WARN_INTERVAL_MS = 5_000;
 
@@ -17,11 +20,11 @@
   isReached: () => boolean,
   options: { signal: AbortSignal },
 ): Promise<void> {
-  let warnedAt = performance.now();
+  let warnAt = performance.now() + FIRST_WARN_MS;
   while (!options.signal.aborted && !isReached()) {
     await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
-    if (performance.now() - warnedAt > WARN_INTERVAL_MS) {
-      warnedAt = performance.now();
+    if (performance.now() > warnAt) {
+      warnAt = performance.now() + WARN_INTERVAL_MS;
       const { settings, logger } = context;
       logger.warn("waiting for the log service", {
         logAddress: settings.logAddress,
--- a/src/state/metrics/metrics.ts
+++ b/src/state/metrics/metrics.ts
@@ -1,7 +1,13 @@
 import { build, type Histogram } from "hdr-histogram-js";
 
-/** Percentiles that are reported for each histogram. */
-const PERCENTILES = [50, 90, 99, 99.9, 100];
+/** Quantiles that are reported for each histogram, with the percentiles that the library takes. */
+const QUANTILES = [
+  ["0.5", 50],
+  ["0.9", 90],
+  ["0.99", 99],
+  ["0.999", 99.9],
+  ["1", 100],
+] as const;
 
 const PREFIX = "cranberrybank_";
 
@@ -70,9 +76,9 @@
 
 function formatHistogram(name: string, histogram: Histogram): string[] {
   const count = histogram.totalCount;
-  const quantiles = PERCENTILES.map((percentile) => {
+  const quantiles = QUANTILES.map(([quantile, percentile]) => {
     const seconds = histogram.getValueAtPercentile(percentile) / 1e6;
-    return `${name}{quantile="${percentile / 100}"} ${seconds}`;
+    return `${name}{quantile="${quantile}"} ${seconds}`;
   });
   return [
     `# TYPE ${name} summary`,
--- a/src/transport/http/create_error_answer.ts
+++ b/src/transport/http/create_error_answer.ts
@@ -5,8 +5,9 @@
 /** Creates the answer of an error, by the table of error kinds. */
 export function createErrorAnswer(error: DispatchError): HttpAnswer {
   const { status, outcome } = ERROR_ANSWERS[error.kind];
-  return createJsonAnswer(status, {
+  const answer = createJsonAnswer(status, {
     status: "failed",
     error: { ...error, outcome },
   });
+  return { ...answer, headers: { "x-error-kind": error.kind } };
 }
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -8,6 +8,9 @@
 /** Largest body of a request, in bytes: a job of 150 tasks of the largest size allowed by default. */
 const MAX_BODY_BYTES = 33_554_432;
 
+/** Time for a client to read the refusal of a body that is too large, in milliseconds. */
+const REFUSED_BODY_MS = 2_000;
+
 export interface HttpServerOptions {
   host: string;
   /** 0 takes a free port. */
@@ -48,6 +51,21 @@
     });
   }
 
+  async #handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    body: Buffer,
+  ): Promise<HttpAnswer> {
+    const parsed = createRequest(request, response, body);
+    return parsed === undefined
+      ? createErrorAnswer(
+        createError("invalid_request", "the path is not validly encoded", {
+          path: "path",
+        }),
+      )
+      : await this.#options.handle(parsed);
+  }
+
   async #serve(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -59,10 +77,8 @@
         this.#options.maxBodyBytes ?? MAX_BODY_BYTES,
       );
       answer = body === undefined
-        ? createErrorAnswer(
-          createError("body_too_large", "the request body is too large"),
-        )
-        : await this.#options.handle(createRequest(request, response, body));
+        ? refuseBody(request)
+        : await this.#handle(request, response, body);
     } catch (error) {
       answer = createErrorAnswer(
         createError("internal", (error as Error).message),
@@ -79,41 +95,74 @@
   }
 }
 
+/** Reads the body; undefined as soon as it is known to be too large. */
 async function readBody(
   request: http.IncomingMessage,
   maxBytes: number,
 ): Promise<Buffer | undefined> {
+  if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
+    return undefined;
+  }
   const chunks: Buffer[] = [];
   let size = 0;
-  for await (const chunk of request) {
+  // Destroying the request would close the connection before the client has read the refusal.
+  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
     size += chunk.length;
-    if (size <= maxBytes) {
-      chunks.push(chunk);
+    if (size > maxBytes) {
+      return undefined;
     }
+    chunks.push(chunk);
   }
-  return size > maxBytes ? undefined : Buffer.concat(chunks);
+  return Buffer.concat(chunks);
 }
 
+/** Refuses a body that is too large. The rest is read and dropped for a limited time. */
+function refuseBody(request: http.IncomingMessage): HttpAnswer {
+  request.resume();
+  const timer = setTimeout(() => {
+    if (!request.complete) {
+      request.socket.destroy();
+    }
+  }, REFUSED_BODY_MS);
+  timer.unref();
+  return createErrorAnswer(
+    createError("body_too_large", "the request body is too large"),
+  );
+}
+
+/** Creates the request for the handler; undefined when its path isn't validly encoded. */
 function createRequest(
   request: http.IncomingMessage,
   response: http.ServerResponse,
   body: Buffer,
-): HttpRequest {
+): HttpRequest | undefined {
+  const target = parseTarget(request.url ?? "/");
+  if (target === undefined) {
+    return undefined;
+  }
   const abort = new AbortController();
   response.on("close", () => {
     if (!response.writableFinished) {
       abort.abort();
     }
   });
-  const url = new URL(request.url ?? "/", "http://localhost");
   return {
     method: request.method ?? "GET",
-    path: url.pathname.split("/").filter((segment) => segment !== "").map(
-      decodeURIComponent,
-    ),
-    query: url.searchParams,
+    ...target,
     headers: request.headers,
     body,
     signal: abort.signal,
   };
 }
+
+function parseTarget(
+  target: string,
+): Pick<HttpRequest, "path" | "query"> | undefined {
+  try {
+    const url = new URL(target, "http://localhost");
+    const segments = url.pathname.split("/").filter((part) => part !== "");
+    return { path: segments.map(decodeURIComponent), query: url.searchParams };
+  } catch {
+    return undefined;
+  }
+}
--- a/tests/cluster/operators_test.ts
+++ b/tests/cluster/operators_test.ts
@@ -101,6 +101,22 @@
     expect(order[0]).to.equal(0);
   });
 
+  it("refuses an unknown service, and metrics count it", async () => {
+    // Guards against a refusal without its status, or one that operators can't see.
+    const address = cluster.entries[0]!.httpAddress;
+    const response = await fetch(`http://${address}/v1/requests/nothing`, {
+      method: "POST",
+      headers: { "idempotency-key": "unknown-service" },
+      body: "x",
+    });
+    expect(response.status).to.equal(404);
+    expect(response.headers.get("x-error-kind")).to.equal("unknown_service");
+    const metrics = await fetch(`http://${address}/metrics`);
+    expect(await metrics.text()).to.include(
+      'cranberrybank_submissions_total{result="unknown_service"} 1',
+    );
+  });
+
   it("answers misuse with an exit code for each cause", async () => {
     const runs = await Promise.all([
       runCtl(cluster, "settings", "set", "rules.timeout", "5"),
--- /dev/null
+++ b/tests/transport/http/http_server_test.ts
@@ -0,0 +1,81 @@
+import { expect } from "chai";
+import * as http from "node:http";
+import {
+  createJsonAnswer,
+  type HttpRequest,
+  HttpServer,
+} from "../../../src/transport/http/mod.ts";
+
+const MAX_BODY_BYTES = 1_000_000;
+
+describe("HttpServer", () => {
+  const received: HttpRequest[] = [];
+  const server = new HttpServer({
+    host: "127.0.0.1",
+    port: 0,
+    maxBodyBytes: MAX_BODY_BYTES,
+    handle: (request) => {
+      received.push(request);
+      return createJsonAnswer(200, { size: request.body.length });
+    },
+  });
+  let port: number;
+
+  before(async () => port = await server.start());
+  after(() => server.stop());
+  beforeEach(() => received.length = 0);
+
+  /** Sends the head and some bytes of a request that never ends, and gets the answer. */
+  function sendOpenEnded(
+    headers: http.OutgoingHttpHeaders,
+    bytes: number,
+  ): Promise<{ status?: number | undefined; text: string }> {
+    return new Promise((resolve, reject) => {
+      const request = http.request({ port, method: "POST", headers });
+      request.on("error", reject);
+      request.on("response", async (response) => {
+        let text = "";
+        for await (const chunk of response) {
+          text += chunk;
+        }
+        resolve({ status: response.statusCode, text });
+        request.on("error", () => {});
+        request.destroy();
+      });
+      request.write(Buffer.alloc(bytes));
+    });
+  }
+
+  it("refuses a body by its stated length before it arrives", async () => {
+    // Guards against a process that runs out of memory by one request.
+    const headers = { "content-length": 50_000_000_000 };
+    const { status, text } = await sendOpenEnded(headers, 10);
+    expect(status).to.equal(413);
+    expect(text).to.include("body_too_large").and.include("not run");
+    expect(received).to.have.length(0);
+  });
+
+  it("refuses a body without a stated length once it is too large", async () => {
+    const { status } = await sendOpenEnded({}, MAX_BODY_BYTES + 1);
+    expect(status).to.equal(413);
+  });
+
+  it("serves the largest allowed body, and goes on after a refusal", async () => {
+    const body = Buffer.alloc(MAX_BODY_BYTES);
+    const url = `http://127.0.0.1:${port}/`;
+    const large = await fetch(url, {
+      method: "POST",
+      body: Buffer.alloc(MAX_BODY_BYTES + 1),
+    });
+    expect(large.status).to.equal(413);
+    const fits = await fetch(url, { method: "POST", body });
+    expect(await fits.json()).to.deep.equal({ size: MAX_BODY_BYTES });
+  });
+
+  it("refuses a path that isn't validly encoded", async () => {
+    // Guards against "internal" (unknown) for a request that never ran.
+    const response = await fetch(`http://127.0.0.1:${port}/v1/jobs/%E0%A4`);
+    expect(response.status).to.equal(400);
+    expect(response.headers.get("x-error-kind")).to.equal("invalid_request");
+  });
+});
