End a process that can't listen, and take test ports out of the ephemeral range

Cause: in one full run under load (5 lanes on 10 cores) the start of the retention cluster timed out; three runs of it alone and the next two full runs passed. A process whose port was in use stayed up, logged an unhandled rejection and never became ready, which is what the timeout looked like. That the port was taken in between is likely but not proven: the output of the failed run was not kept.

Hedges are counted.

Before: 113 passing, and one failed start. After: 114 passing (npx mocha).

Conclusion: the peer port, which an incarnation opens later, still ends in an unhandled rejection when it is in use.

--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -321,14 +321,15 @@
   throw new Error("the cluster didn't reach the awaited state in time");
 }
 
+/**
+ * Finds a port that nothing listens on. It lies below the range from which the kernel takes the ports of
+ * outgoing connections, so that none of these takes it before the process listens.
+ */
 function findFreePort(): Promise<number> {
+  const port = 10_000 + Math.floor(Math.random() * 20_000);
   return new Promise((resolve) => {
     const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      server.close(() =>
-        resolve(typeof address === "object" ? address?.port ?? 0 : 0)
-      );
-    });
+    server.once("error", () => resolve(findFreePort()));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(port)));
   });
 }
--- a/src/processes/event_recorder.ts
+++ b/src/processes/event_recorder.ts
@@ -48,6 +48,9 @@
         this.#add("attempts_failed", event);
         this.#warn("attempt failed", event);
         return;
+      case "task_hedged":
+        this.#metrics.add("hedges");
+        return;
       case "task_started":
         this.#metrics.add("task_starts");
         this.#start(getTaskName(event));
--- a/src/processes/run_process.ts
+++ b/src/processes/run_process.ts
@@ -2,6 +2,9 @@
 import type { ProcessContext } from "./process_context.ts";
 import { readProcessSettings } from "./read_process_settings.ts";
 
+/** Exit code for a process that can't start, such as for a port in use. */
+const EXIT_START_FAILED = 1;
+
 /** Exit code for a settings file that is missing or invalid. */
 const EXIT_INVALID_SETTINGS = 2;
 
@@ -41,5 +44,12 @@
   process.on("unhandledRejection", (reason) => {
     context.logger.error("unhandled rejection", { reason: String(reason) });
   });
-  await running.start();
+  try {
+    await running.start();
+  } catch (error) {
+    console.error(
+      `${settings.value.name} can't start: ${(error as Error).message}`,
+    );
+    process.exit(EXIT_START_FAILED);
+  }
 }
--- a/tests/processes/entry_process_test.ts
+++ b/tests/processes/entry_process_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { spawn, spawnSync } from "node:child_process";
+import { once } from "node:events";
 import { mkdtempSync, writeFileSync } from "node:fs";
 import { type AddressInfo, createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -84,6 +85,26 @@
   });
 });
 
+describe("a port in use", () => {
+  it("ends the process with code 1 and a message", async () => {
+    // Guards against a process that stays up and never becomes ready.
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const path = join(mkdtempSync(join(tmpdir(), "cranberrybank-")), "a.json");
+    const settings = {
+      ...{ name: "a", zone: "a", host: "127.0.0.1", peerPort: 0 },
+      httpPort: (server.address() as AddressInfo).port,
+      logAddress: "127.0.0.1:1",
+    };
+    writeFileSync(path, JSON.stringify(settings));
+    const binary = new URL("../../src/bin/entry.js", import.meta.url).pathname;
+    const run = spawnSync(process.execPath, [binary, path]);
+    server.close();
+    expect(run.status).to.equal(1);
+    expect(String(run.stderr)).to.include("EADDRINUSE");
+  });
+});
+
 describe("a log that can't be reached at the start", () => {
   it("leaves the process healthy and not ready, and it says what it waits for", async () => {
     // Guards against a process that exits or is restarted in a loop during an outage of the log.
