Add the operators' page with examples, and distrust a log that lost records

Cause: nothing told operators how to run and drain processes or what a refusal means. While writing what happens to a log that is emptied, it showed that a head below the view's offset counted as a proof of freshness, although other records would take the same offsets.

Change: docs/operators.md and docs/examples, checked by a test against the table of error kinds and the parsers. A read whose head is below an offset that was read before counts as unreachable.

Conclusion: after a loss of log records the processes go on under the last view by outage mode, and accept nothing from the log until a restart.

--- a/src/coordination/follower/log_follower.ts
+++ b/src/coordination/follower/log_follower.ts
@@ -139,13 +139,14 @@
     try {
       for (;;) {
         const sentAt = this.#getTime();
-        const page = await this.#log.read(this.view.offset + 1, READ_LIMIT);
-        if (page.isErr()) {
+        const offset = this.view.offset;
+        const page = await this.#log.read(offset + 1, READ_LIMIT);
+        // A head below records that were read before means that the log has lost records.
+        if (page.isErr() || page.value.head < offset) {
           this.#outages.addOwnReport(this.#getTime());
           return false;
         }
         this.#outages.removeOwnReport();
-        const offset = this.view.offset;
         if (this.#isSnapshotNeeded(page.value)) {
           await this.#applySnapshot(page.value);
         }
--- a/tests/coordination/follower/log_follower_test.ts
+++ b/tests/coordination/follower/log_follower_test.ts
@@ -50,6 +50,19 @@
     expect(late.view.revision).to.equal(0);
   });
 
+  it("takes a log that has lost records for unreachable", async () => {
+    // Guards against a fresh view whose log gives the same offsets to other records.
+    const log = new MemoryLog();
+    const follower = createFollower(log);
+    await log.change(1);
+    await log.change(2);
+    await follower.readOnce();
+    log.records.length = 0;
+    await log.change(3);
+    expect(await follower.readOnce()).to.equal(false);
+    expect(follower.view.settings.rules?.priority).to.equal(2);
+  });
+
   it("tells a process that lagged behind retention which members are gone", async () => {
     // Guards against links and claims that outlive their member when its records were never read.
     const log = new MemoryLog();
--- /dev/null
+++ b/tests/docs/operators_page_test.ts
@@ -0,0 +1,41 @@
+import { expect } from "chai";
+import { readFileSync } from "node:fs";
+import { CtlSettings } from "../../src/ctl/ctl_settings.ts";
+import { parseJob } from "../../src/protocol/http/mod.ts";
+import { ERROR_ANSWERS } from "../../src/state/errors/mod.ts";
+import { parseProcessSettings } from "../../src/state/process_settings/mod.ts";
+import { checkSettings } from "../../src/state/settings/mod.ts";
+import { applyEdits } from "../../src/state/view/mod.ts";
+
+function readDoc(name: string): string {
+  return readFileSync(
+    new URL(`../../../docs/${name}`, import.meta.url),
+    "utf8",
+  );
+}
+
+describe("the operators' page", () => {
+  it("lists every error kind with its status and outcome", () => {
+    // Guards against a refusal that an operator can't look up, or finds described wrongly.
+    const page = readDoc("operators.md");
+    for (const [kind, { status, outcome }] of Object.entries(ERROR_ANSWERS)) {
+      const row = new RegExp(
+        `\\| \`${kind}\` +\\| ${status} +\\| ${outcome} +\\|`,
+      );
+      expect(page, kind).to.match(row);
+    }
+  });
+
+  it("has examples that are accepted", () => {
+    // Guards against an example that the programs refuse.
+    for (const name of ["entry", "agent"]) {
+      parseProcessSettings(readDoc(`examples/${name}.json`))._unsafeUnwrap();
+    }
+    CtlSettings.parse(JSON.parse(readDoc("examples/ctl.json")));
+    const { edits } = JSON.parse(readDoc("examples/edits.json"));
+    checkSettings(applyEdits({}, edits))._unsafeUnwrap();
+    const context = { idempotencyKey: "k", customer: "press" };
+    parseJob(Buffer.from(readDoc("examples/job.json")), context)
+      ._unsafeUnwrap();
+  });
+});
