Let ctl read members from a process while the log is down

Cause: ctl finds processes through the log, so status and timeline failed during an outage of the log, when they are needed most.

Publishing has no such option, because what decides between operators is not in it.

Before: exit code 4.

--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -70,8 +70,9 @@
     );
 }
 
-program.command("status", "Prints members, zones and revisions in force")
-  .action((flags: CtlFlags) => runCommand(flags, readStatus));
+addProcessOption(
+  program.command("status", "Prints members, zones and revisions in force"),
+).action((flags: CtlFlags) => runCommand(flags, readStatus));
 
 addSubmitOptions(program.command("submit [file]", "Submits a job or a request"))
   .option("--service", "Service of a single request", "")
@@ -99,8 +100,13 @@
     .option("--change-id", "Id of a change whose outcome is unknown", "");
 }
 
+function addProcessOption(command: sade.Sade): sade.Sade {
+  const text = "host:port of a process to ask for members instead of the log";
+  return command.option("--process", text, "");
+}
+
 function addSubmitOptions(command: sade.Sade): sade.Sade {
-  return command
+  return addProcessOption(command)
     .option("--key", "Idempotency key", "")
     .option("--customer", "Customer of the submission", "default")
     .option("--team", "Team of the customer", "");
--- a/src/ctl/ctl_flags.ts
+++ b/src/ctl/ctl_flags.ts
@@ -7,6 +7,8 @@
   operator: string;
   /** Whether the output is one JSON object. */
   json: boolean;
+  /** `host:port` of a process whose view is used in place of the log; only for commands that read. */
+  process?: string;
   /** Seconds until a command gives up on the log. */
   timeout: string;
 }
--- a/src/ctl/run_command.ts
+++ b/src/ctl/run_command.ts
@@ -5,6 +5,7 @@
 import type { CtlContext } from "./ctl_context.ts";
 import type { CtlFlags } from "./ctl_flags.ts";
 import { readView } from "./read_view.ts";
+import { readViewFromProcess } from "./read_view_from_process.ts";
 
 /**
  * Runs a command on a view of the log, prints its answer and ends the process.
@@ -37,7 +38,10 @@
   if (context.isErr()) {
     return createFailure(context.error);
   }
-  const read = await readView(context.value);
+  const address = flags.process ?? "";
+  const read = address === ""
+    ? await readView(context.value)
+    : await readViewFromProcess(context.value, address);
   if (read.isErr()) {
     return createFailure(read.error);
   }
--- a/tests/cluster/operators_test.ts
+++ b/tests/cluster/operators_test.ts
@@ -176,6 +176,11 @@
     expect(await getStatus(httpAddress, "/readyz")).to.equal(503);
     const { code } = await runCtl(cluster, "status", "--timeout", "1");
     expect(code).to.equal(4);
+    // Guards against operators who see nothing during an outage.
+    const { httpAddress: running } = cluster.entries[0]!;
+    const status = await runCtl(cluster, "status", "--process", running);
+    expect(status.code).to.equal(0);
+    expect(status.value["members"]).to.have.length(5);
     await cluster.setLogFaults({});
     await cluster.waitUntilReady();
     expect(await getStatus(httpAddress, "/readyz")).to.equal(200);
