--- a/src/coordination/follower/log_follower.ts
+++ b/src/coordination/follower/log_follower.ts
@@ -17,8 +17,10 @@
 /** A process that starts skips to the newest snapshot when it would have to read more records than this. */
 const MAX_START_RECORDS = 2_000;
 
-/** Reads that may be open at one time, so that a slow log doesn't delay the next proof. */
-const MAX_OPEN_READS = 8;
+/** Reads that may be open at one time: one for each read interval until a read is given up. */
+const MAX_OPEN_READS = Math.ceil(
+  VIEW_LIMITS.logReadGiveUpMs / VIEW_LIMITS.readIntervalMs,
+);
 
 export interface LogFollowerOptions {
   view: ClusterView;
@@ -46,6 +48,7 @@
   #recent: RawLogRecord[] = [];
   #proofTime = -Infinity;
   #openReads = 0;
+  #readAt = -Infinity;
   #snapshot: KnownSnapshot | undefined;
 
   constructor(options: LogFollowerOptions) {
@@ -120,11 +123,7 @@
       ? VIEW_LIMITS.agentReadAfterMs
       : 0;
     while (!signal.aborted) {
-      // Overlapping reads of a process that starts would all fetch the same records.
-      const maxOpen = this.#proofTime === -Infinity ? 1 : MAX_OPEN_READS;
-      if (
-        this.getViewAgeMs() >= readAfterMs && this.#openReads < maxOpen
-      ) {
+      if (this.getViewAgeMs() >= readAfterMs && this.#canRead()) {
         void this.readOnce();
       }
       await new Promise((resolve) =>
@@ -133,20 +132,44 @@
     }
   }
 
-  /** Reads the log up to its head. Returns false when the log can't be reached, or has a gap. */
+  /** Overlapping reads of a process that starts would all fetch the same records. */
+  #canRead(): boolean {
+    const isStart = this.#proofTime === -Infinity && this.#openReads > 0;
+    const minWaitMs = isStart ? VIEW_LIMITS.logReadTimeoutMs : 0;
+    return this.#openReads < MAX_OPEN_READS &&
+      this.#getTime() - this.#readAt >= minWaitMs;
+  }
+
+  /**
+   * Reads the log up to its head. Returns false when the log can't be reached, or has a gap. A read without
+   * a reply in time counts as unreachable, but its reply is used all the same when it comes: a slow log
+   * still accepts changes.
+   */
   async readOnce(): Promise<boolean> {
     this.#openReads++;
     try {
       for (;;) {
         const sentAt = this.#getTime();
+        this.#readAt = sentAt;
         const offset = this.view.offset;
+        const timer = setTimeout(
+          () => this.#outages.addOwnReport(this.#getTime()),
+          VIEW_LIMITS.logReadTimeoutMs,
+        );
         const page = await this.#log.read(offset + 1, READ_LIMIT);
+        clearTimeout(timer);
+        const isInTime = this.#getTime() - sentAt <=
+          VIEW_LIMITS.logReadTimeoutMs;
         // A head below records that were read before means that the log has lost records.
         if (page.isErr() || page.value.head < offset) {
-          this.#outages.addOwnReport(this.#getTime());
+          if (isInTime) {
+            this.#outages.addOwnReport(this.#getTime());
+          }
           return false;
         }
-        this.#outages.removeOwnReport();
+        if (isInTime) {
+          this.#outages.removeOwnReport();
+        }
         if (this.#isSnapshotNeeded(page.value)) {
           await this.#applySnapshot(page.value);
         }
