--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -82,6 +82,8 @@
     timeline.record("submission_received", { key, detail: submission.service });
     const reply = await claims.claim(key, fingerprint, { deadline });
     if (reply?.outcome !== "granted") {
+      const detail = reply?.outcome ?? "home_unreachable";
+      timeline.record("claim_not_granted", { key, detail });
       return this.#answerUngranted(submission, reply);
     }
     timeline.record("claim_granted", { key });
--- a/src/processes/event_recorder.ts
+++ b/src/processes/event_recorder.ts
@@ -34,6 +34,9 @@
         this.#recordTime("claim", `claim/${event.key}`);
         this.#start(`queue/${event.key}`);
         return;
+      case "claim_not_granted":
+        this.#openSince.delete(`claim/${event.key}`);
+        return;
       case "submission_refused":
         this.#recordRefusal("submission", event);
         this.#end(event);
