Use the late replies of a slow log

Cause: a read that took over 1,500 ms was given up, and its reply was dropped. With a log whose replies take 2 s all zones then report an outage, and work goes on in outage mode; but a slow log still accepts changes, so a zone that was taken out kept starting tasks.

Ruled out: the appends, which wait for 3 s and take effect.

Change: after 1,500 ms a read still counts as unreachable, but it stays open for 10 s and its reply is applied, also as a proof of its age. Up to 25 reads are open in place of 8, one for each interval. A log whose replies take up to about 4.5 s now gives fresh views.

With slower ones a change is seen about as late as its writer learns that the append stands.

--- a/src/coordination/follower/log_follower.ts
+++ b/src/coordination/follower/log_follower.ts
@@ -11,8 +11,10 @@
 /** Records read at one time. */
 const READ_LIMIT = 500;
 
-/** Reads that may be open at one time, so that a slow log doesn't delay the next proof. */
-const MAX_OPEN_READS = 8;
+/** Reads that may be open at one time: one for each read interval until a read is given up. */
+const MAX_OPEN_READS = Math.ceil(
+  VIEW_LIMITS.logReadGiveUpMs / VIEW_LIMITS.readIntervalMs,
+);
 
 export interface LogFollowerOptions {
   view: ClusterView;
@@ -105,18 +107,33 @@
     }
   }
 
-  /** Reads the log up to its head. Returns false when the log can't be reached. */
+  /**
+   * Reads the log up to its head. Returns false when the log can't be reached. A read without a reply in
+   * time counts as unreachable, but its reply is used all the same when it comes: a slow log still accepts
+   * changes.
+   */
   async readOnce(): Promise<boolean> {
     this.#openReads++;
     try {
       for (;;) {
         const sentAt = this.#getTime();
+        const timer = setTimeout(
+          () => this.#outages.addOwnReport(this.#getTime()),
+          VIEW_LIMITS.logReadTimeoutMs,
+        );
         const page = await this.#log.read(this.view.offset + 1, READ_LIMIT);
+        clearTimeout(timer);
+        const isInTime = this.#getTime() - sentAt <=
+          VIEW_LIMITS.logReadTimeoutMs;
         if (page.isErr()) {
-          this.#outages.addOwnReport(this.#getTime());
+          if (isInTime) {
+            this.#outages.addOwnReport(this.#getTime());
+          }
           return false;
         }
-        this.#outages.removeOwnReport();
+        if (isInTime) {
+          this.#outages.removeOwnReport();
+        }
         if (page.value.first > this.view.offset + 1) {
           this.#applySnapshot(page.value.records);
         }
--- a/src/coordination/follower/view_limits.ts
+++ b/src/coordination/follower/view_limits.ts
@@ -8,6 +8,8 @@
   maxViewAgeMs: 5_000,
   /** A log read that takes longer than this counts as unreachable. */
   logReadTimeoutMs: 1_500,
+  /** A log read is given up after this; until then a late reply is still applied. */
+  logReadGiveUpMs: 10_000,
   /** An outage report is used for at most this long. */
   maxOutageReportAgeMs: 2_000,
   /** Interval of an entry's log reads. */
--- a/src/transport/log/http_log_service.ts
+++ b/src/transport/log/http_log_service.ts
@@ -53,7 +53,7 @@
     from: number,
     limit: number,
   ): Promise<Result<LogPage, DispatchError>> {
-    const timeoutMs = VIEW_LIMITS.logReadTimeoutMs;
+    const timeoutMs = VIEW_LIMITS.logReadGiveUpMs;
     const path = `/v1/records?from=${from}&limit=${limit}`;
     const reply = await this.#send("GET", path, { timeoutMs });
     if (reply.isErr()) {
