--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -2,10 +2,13 @@
   AgentPool,
   ClaimClient,
   JobCoordinator,
+  QuotaShares,
   TaskDispatcher,
 } from "../coordination/entry/mod.ts";
+import { SnapshotWriter } from "../coordination/follower/mod.ts";
 import { Announcer, SilenceWatcher } from "../coordination/membership/mod.ts";
 import { HomeFinder } from "../state/homes/mod.ts";
+import { MessageCounts } from "../state/metrics/mod.ts";
 import { Timeline } from "../state/timeline/mod.ts";
 import { ConnectPeerCaller, PeerServer } from "../transport/peer/mod.ts";
 import { createMemberId } from "./create_member_id.ts";
@@ -31,6 +34,7 @@
   readonly #options: EntryIncarnationOptions;
   readonly #abort = new AbortController();
   readonly #pool: AgentPool;
+  readonly #dispatcher: TaskDispatcher;
   readonly #peerServer: PeerServer;
   #wasAnnounced = false;
 
@@ -39,7 +43,10 @@
     const { follower, settings, metrics } = context;
     this.#options = options;
     this.memberId = createMemberId(settings.name);
-    this.timeline = new Timeline(this.memberId);
+    this.timeline = new Timeline(this.memberId, {
+      onRecord: (event) => context.events.record(event),
+    });
+    const quotas = new QuotaShares(follower.view);
     const homes = new HomeFinder(follower.view);
     this.#pool = new AgentPool({
       memberId: this.memberId,
@@ -47,13 +54,19 @@
       peers: new ConnectPeerCaller(),
       follower,
       timeline: this.timeline,
-      onChange: () => dispatcher.startPlaceable(),
-      getQueued: () => dispatcher.waiting,
+      onChange: () => dispatcher.handleChange(),
+      onCredits: () => dispatcher.startPlaceable(),
+      onRemove: (id) => dispatcher.removeAgent(id),
+      getDemand: (link) => dispatcher.getDemand(link),
+      messages: new MessageCounts(metrics),
     });
     const dispatcher = new TaskDispatcher({
       pool: this.#pool,
       timeline: this.timeline,
+      getPlacementType: () => follower.view.settings.placement,
+      quotas,
     });
+    this.#dispatcher = dispatcher;
     const claims = new ClaimClient({ homes, pool: this.#pool });
     this.coordinator = new JobCoordinator({
       view: follower.view,
@@ -69,7 +82,7 @@
       serve: () => Promise.resolve(),
       gather: () => ({ ready: false, claims: [] }),
     });
-    metrics.setGauge("tasks_waiting", () => dispatcher.waiting);
+    metrics.setGauge("tasks_waiting", () => dispatcher.queue.waiting);
     metrics.setGauge("submissions_running", () => this.coordinator.running);
   }
 
@@ -120,6 +133,13 @@
         })),
     });
     void watcher.run(signal);
+    const snapshots = new SnapshotWriter({
+      memberId: this.memberId,
+      follower,
+      log,
+      intervalMs: settings.snapshotIntervalMs,
+    });
+    void snapshots.run(signal);
   }
 
   /** Finishes the running submissions and leaves. */
@@ -142,6 +162,7 @@
   close(): void {
     this.#abort.abort();
     this.coordinator.close();
+    this.#dispatcher.stop();
     this.#pool.close();
     this.#peerServer.stop();
   }
--- a/tests/coordination/entry/task_dispatcher_test.ts
+++ b/tests/coordination/entry/task_dispatcher_test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import {
   type AgentPool,
+  type QuotaShares,
   TaskDispatcher,
 } from "../../../src/coordination/entry/mod.ts";
 import { createError } from "../../../src/state/errors/mod.ts";
@@ -14,7 +15,8 @@
       const controller = new AbortController();
       let cancels = 0;
       const link = {
-        member: { id: "agent#1" },
+        member: { id: "agent#1", services: ["echo"], slots: 8 },
+        ...{ isUp: true, credits: 8, inFlight: 0 },
         dispatch: () => {
           queueMicrotask(() =>
             controller.abort(createError("cancelled", "another task failed"))
@@ -24,16 +26,27 @@
         cancel: () => cancels++,
         forget: () => {},
       };
-      const pool = { canPlace: () => true, select: () => link };
+      const pool = {
+        index: {
+          getPeers: () => [],
+          getLinks: () => [link],
+          getPosition: () => 0,
+          getServices: () => [],
+        },
+        ready: new Set([link]),
+      };
       const dispatcher = new TaskDispatcher({
         pool: pool as unknown as AgentPool,
         timeline: new Timeline("entry#1"),
+        getPlacementType: () => "credits",
+        quotas: { get: () => Infinity } as unknown as QuotaShares,
       });
       const task = {
         index: 0,
         body: new Uint8Array(),
         repeatable: false,
         ...{ key: "key", customer: "default", service: "echo", priority: 5 },
+        ...{ team: "", runKey: "echo", teamWeight: 1, hedging: false },
         ...{ weight: 1, timeoutMs: 1_000, maxAttempts: 1, homeId: undefined },
       };
       const result = await dispatcher.run(task, controller.signal);
