--- a/tests/coordination/entry/task_dispatcher_test.ts
+++ b/tests/coordination/entry/task_dispatcher_test.ts
@@ -1,11 +1,10 @@
 import { expect } from "chai";
 import {
   type AgentPool,
-  QuotaShares,
+  type QuotaShares,
   TaskDispatcher,
 } from "../../../src/coordination/entry/mod.ts";
 import { createError } from "../../../src/state/errors/mod.ts";
-import { ClusterView } from "../../../src/state/view/mod.ts";
 import { Timeline } from "../../../src/state/timeline/mod.ts";
 
 describe("TaskDispatcher", () => {
@@ -16,7 +15,8 @@
       const controller = new AbortController();
       let cancels = 0;
       const link = {
-        ...{ member: { id: "agent#1" }, isUp: true, credits: 1 },
+        member: { id: "agent#1", services: ["echo"], slots: 8 },
+        ...{ isUp: true, credits: 8, inFlight: 0 },
         dispatch: () => {
           queueMicrotask(() =>
             controller.abort(createError("cancelled", "another task failed"))
@@ -26,21 +26,28 @@
         cancel: () => cancels++,
         forget: () => {},
       };
-      const index = { getLinks: () => [link], getPeers: () => [link] };
-      const pool = { index, ready: new Set([link]) };
+      const pool = {
+        index: {
+          getPeers: () => [],
+          getLinks: () => [link],
+          getPosition: () => 0,
+          getServices: () => [],
+        },
+        ready: new Set([link]),
+      };
       const dispatcher = new TaskDispatcher({
         pool: pool as unknown as AgentPool,
         timeline: new Timeline("entry#1"),
         getPlacementType: () => "credits",
-        quotas: new QuotaShares(new ClusterView()),
+        quotas: { get: () => Infinity } as unknown as QuotaShares,
       });
       const task = {
         index: 0,
         body: new Uint8Array(),
         repeatable: false,
         ...{ key: "key", customer: "default", service: "echo", priority: 5 },
-        ...{ weight: 1, timeoutMs: 1_000, maxAttempts: 1, homeId: undefined },
         ...{ team: "", runKey: "echo", teamWeight: 1, hedging: false },
+        ...{ weight: 1, timeoutMs: 1_000, maxAttempts: 1, homeId: undefined },
       };
       const result = await dispatcher.run(task, controller.signal);
       expect(result).to.have.property("outcome", "unknown");
