Stop a cluster that did not start, and try the run again

Cause: a load run failed because its cluster didn't reach readiness (two clusters started at one time on a loaded machine), and its processes were left over. Change: run_load stops the cluster whenever a run fails and tries a run up to three times. Before: 38 left-over processes after one failed start. After: the start is inside the try, so they are stopped; not provoked again. Conclusion: a lost run no longer ends a comparison.

--- a/scripts/run_load.ts
+++ b/scripts/run_load.ts
@@ -6,6 +6,7 @@
 import { appendFileSync } from "node:fs";
 import sade from "sade";
 import {
+  createJobs,
   formatLoadReport,
   LOAD_CUSTOMERS,
   LOAD_SCENARIOS,
@@ -20,10 +21,12 @@
   runLoad,
   type TaskRun,
 } from "../src/load/mod.ts";
-import { createJobs } from "../src/load/mod.ts";
 import { Cluster } from "./lib/cluster.ts";
 import { formatLoadSummary } from "./lib/format_load_summary.ts";
 
+/** Tries of one run. */
+const MAX_TRIES = 3;
+
 interface Options {
   scenarios: string;
   shape: string;
@@ -65,7 +68,12 @@
       // The policies alternate within a seed, so that a change of the machine's load meets all of them.
       for (const seed of String(options.seeds).split(",").map(Number)) {
         for (const placement of options.placements.split(",")) {
-          const report = await run({ scenario, shape, seed, placement });
+          const report = await runWithRetry({
+            scenario,
+            shape,
+            seed,
+            placement,
+          });
           reports.push(report);
           console.log(formatLoadReport(report));
           if (options.out !== undefined) {
@@ -79,6 +87,20 @@
   })
   .parse(process.argv);
 
+/** Runs again when the cluster didn't start, for example because another process took one of its ports. */
+async function runWithRetry(options: RunOptions): Promise<LoadReport> {
+  for (let tries = 1;; tries++) {
+    try {
+      return await run(options);
+    } catch (error) {
+      console.error(`run failed: ${(error as Error).message}`);
+      if (tries === MAX_TRIES) {
+        throw error;
+      }
+    }
+  }
+}
+
 async function run(options: RunOptions): Promise<LoadReport> {
   const { shape, placement } = options;
   const cluster = new Cluster({
@@ -92,8 +114,8 @@
       logLevel: "error",
     },
   });
-  await cluster.start();
   try {
+    await cluster.start();
     await cluster.publish([
       { path: "customers", value: LOAD_CUSTOMERS },
       ...(placement === "default"
--- a/src/load/format_load_report.ts
+++ b/src/load/format_load_report.ts
@@ -63,7 +63,9 @@
 
 function formatPercentiles(values: Percentiles): string {
   const { count, p50, p90, p99, max } = values;
-  return count === 0 ? "none" : `p50 ${p50} p90 ${p90} p99 ${p99} max ${max}`;
+  return count === 0
+    ? "none"
+    : `p50 ${p50} p90 ${p90} p99 ${p99} max ${Number(max.toPrecision(4))}`;
 }
 
 function formatCounts(counts: { readonly [kind: string]: number }): string {
