--- a/src/state/homes/home_finder.ts
+++ b/src/state/homes/home_finder.ts
@@ -55,15 +55,13 @@
     for (const member of agents) {
       if (member.phase === "live") {
         const candidates = zones.get(member.zone) ?? [];
-        candidates.push({ hash: this.#getHash(member.id), value: member });
+        const hash = this.#getHash(member.id);
+        addHighest(candidates, { hash, value: member }, limit);
         zones.set(member.zone, candidates);
       }
     }
     return new HomeSet(
-      [...zones].map(([zone, candidates]) => ({
-        hash: hasher.h32(zone),
-        value: candidates.sort((a, b) => b.hash - a.hash).slice(0, limit),
-      })),
+      [...zones].map(([zone, value]) => ({ hash: hasher.h32(zone), value })),
     );
   }
 
@@ -77,3 +75,21 @@
     return hash;
   }
 }
+
+/** Adds a candidate to those with the highest hashes, which are sorted; most of many are dropped at once. */
+function addHighest(
+  candidates: HomeCandidate<MemberState>[],
+  candidate: HomeCandidate<MemberState>,
+  limit: number,
+): void {
+  const lowest = candidates.at(-1);
+  const isFull = candidates.length >= limit;
+  if (isFull && lowest !== undefined && candidate.hash <= lowest.hash) {
+    return;
+  }
+  const index = candidates.findIndex(({ hash }) => hash < candidate.hash);
+  candidates.splice(index < 0 ? candidates.length : index, 0, candidate);
+  if (isFull) {
+    candidates.pop();
+  }
+}
--- a/tests/coordination/entry/claim_client_test.ts
+++ b/tests/coordination/entry/claim_client_test.ts
@@ -13,21 +13,22 @@
 
 /** The link to one home, whose replies the test gives. */
 class FakeLink {
-  readonly claims: Receive[] = [];
+  readonly receivers: Receive[] = [];
   readonly completes: (StoredAnswer | undefined)[] = [];
   isStoring = true;
 
-  claim(_key: string, _print: string, options: { receive: Receive }): void {
-    this.claims.push(options.receive);
-  }
-
-  complete(_key: string, _print: string, answer?: StoredAnswer) {
-    this.completes.push(answer);
-    return Promise.resolve(this.isStoring);
-  }
+  readonly claims = {
+    claim: (_key: string, _print: string, options: { receive: Receive }) => {
+      this.receivers.push(options.receive);
+    },
+    complete: (_key: string, _print: string, answer?: StoredAnswer) => {
+      this.completes.push(answer);
+      return Promise.resolve(this.isStoring);
+    },
+  };
 
   reply(outcome: string, coordinator = ""): void {
-    this.claims.at(-1)?.({ claimId: 1, outcome, coordinator, clock: 0 });
+    this.receivers.at(-1)?.({ claimId: 1, outcome, coordinator, clock: 0 });
   }
 }
 
@@ -88,7 +89,7 @@
     it("takes a grant up whose reply was lost, once only", async () => {
       // Guards against an entry that waits for itself, and against two runs in one entry.
       const first = claim();
-      link.claims[0]?.(undefined);
+      link.receivers[0]?.(undefined);
       await sleep(80);
       link.reply("running", "e1");
       expect((await first)?.outcome).to.equal("granted");
