--- a/tests/lib/caller.ts
+++ b/tests/lib/caller.ts
@@ -53,6 +53,8 @@
       submission.answer = CallerAnswer.parse(JSON.parse(text));
       submission.answeredAt = Date.now();
     } catch (error) {
+      submission.isRefused =
+        (error as NodeJS.ErrnoException).code === "ECONNREFUSED";
       if (error instanceof SyntaxError || !("code" in (error as Error))) {
         throw error;
       }
--- a/tests/lib/cutting_upstream.ts
+++ b/tests/lib/cutting_upstream.ts
@@ -26,6 +26,7 @@
   framing: Framing = "length";
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #idle = new Set<Socket>();
 
   constructor() {
     this.#server = createServer((socket) => void this.#serve(socket));
@@ -50,6 +51,11 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Closes the connections on which no exchange is open, as a server with a short keep-alive time does. */
+  closeIdleConnections(): void {
+    this.#idle.forEach((socket) => socket.destroy());
+  }
+
   /** Gets the bytes of the answer to a body. */
   createAnswer(body: string): Buffer {
     switch (this.framing) {
@@ -78,6 +84,7 @@
         this.#close(socket);
       }
       for await (const chunk of socket) {
+        this.#idle.delete(socket);
         read += String(chunk);
         if (this.#isCutIn("request", read.length)) {
           this.#recordStart(read);
@@ -95,6 +102,7 @@
       // The agent closed the connection.
     }
     this.#sockets.delete(socket);
+    this.#idle.delete(socket);
   }
 
   #answer(socket: Socket, body: string): void {
@@ -107,6 +115,7 @@
       return;
     }
     socket.write(answer);
+    this.#idle.add(socket);
     if (this.framing === "close") {
       socket.end();
     }
--- a/tests/lib/oracle.ts
+++ b/tests/lib/oracle.ts
@@ -18,6 +18,8 @@
   /** What the caller got; undefined when it gave up or its connection broke. */
   answer?: CallerAnswer;
   answeredAt?: number;
+  /** Was the connection refused? Then nothing was submitted. */
+  isRefused?: boolean;
 }
 
 /** Knows what callers sent and got, and checks it against the task starts that the upstreams counted. */
