Report where the time of complete jobs went

Cause: a response of twice the ideal doesn't say whether tasks waited, ran on slow workers, or were answered late. Change: the report divides the time of each job's last task into its wait, the run time beyond that on the fastest worker, and the way to the client. Before: one ratio. After: three more lines; unit test of the arithmetic.

--- a/src/load/create_load_report.ts
+++ b/src/load/create_load_report.ts
@@ -1,6 +1,7 @@
 import { createReferenceSchedule } from "./create_reference_schedule.ts";
 import { getAllowedWork } from "./get_allowed_work.ts";
 import { getCapacity } from "./get_capacity.ts";
+import { getDelayParts } from "./get_delay_parts.ts";
 import { getFairShares } from "./get_fair_shares.ts";
 import { getLowerBoundMs } from "./get_lower_bound_ms.ts";
 import { getMessageFigures } from "./get_message_figures.ts";
@@ -57,7 +58,10 @@
     goodput: getGoodput(options),
     fairness: createFairness(options),
     messages: getMessageFigures({ results, runs, counters }),
-    ...(runs === undefined ? {} : { work: createWork(options, runs) }),
+    ...(runs === undefined ? {} : {
+      work: createWork(options, runs),
+      delays: getDelayParts(results, runs, shape),
+    }),
     ...createFailingWorker(options),
   };
 }
--- a/src/load/format_load_report.ts
+++ b/src/load/format_load_report.ts
@@ -3,7 +3,7 @@
 
 /** Formats the report of a run as text. */
 export function formatLoadReport(report: LoadReport): string {
-  const { response, messages, work, failingWorker } = report;
+  const { response, messages, work, failingWorker, delays } = report;
   const lines = [
     `${report.scenario} on ${report.shape}, seed ${report.seed}, placement ${report.placement}, ` +
     `load ${
@@ -36,6 +36,15 @@
       formatNumber(messages.perTask)
     }; extra starts a task ${formatNumber(messages.extraStartsPerTask)}`,
   ];
+  if (delays !== undefined) {
+    lines.push(
+      `  last task waited, ms     ${formatPercentiles(delays.waitMs)}`,
+      `  ran longer, ms           ${
+        formatPercentiles(delays.slowMs)
+      } than on the fastest worker`,
+      `  result to answer, ms     ${formatPercentiles(delays.returnMs)}`,
+    );
+  }
   if (work?.zoneChangeShare !== undefined) {
     lines.push(
       `  work in the zone change  ${
--- a/src/load/load_report.ts
+++ b/src/load/load_report.ts
@@ -24,6 +24,15 @@
     /** What the reference schedule itself reaches against the lower bound. */
     readonly referenceOverIdeal: Percentiles;
   };
+  /** Where the time of complete jobs went, by the task of each that ended last, in milliseconds. */
+  readonly delays?: {
+    /** From the intended send to the start of the task at its worker. */
+    readonly waitMs: Percentiles;
+    /** Run time beyond that on the fastest worker. */
+    readonly slowMs: Percentiles;
+    /** From the end of the task to the answer at the client. */
+    readonly returnMs: Percentiles;
+  };
   /** Jobs by kind of answer. */
   readonly answers: { readonly [kind: string]: number };
   readonly taskFailures: { readonly [kind: string]: number };
--- a/src/load/mod.ts
+++ b/src/load/mod.ts
@@ -4,6 +4,7 @@
 export { formatLoadReport } from "./format_load_report.ts";
 export { getAllowedWork } from "./get_allowed_work.ts";
 export { getCapacity } from "./get_capacity.ts";
+export { getDelayParts } from "./get_delay_parts.ts";
 export { getFairShares } from "./get_fair_shares.ts";
 export { getLowerBoundMs } from "./get_lower_bound_ms.ts";
 export { getMessageFigures } from "./get_message_figures.ts";
--- a/tests/load/report_arithmetic_test.ts
+++ b/tests/load/report_arithmetic_test.ts
@@ -2,6 +2,7 @@
 import {
   createLoadReport,
   getAllowedWork,
+  getDelayParts,
   getFairShares,
   getMessageFigures,
   getPercentiles,
@@ -108,6 +109,18 @@
   });
 });
 
+describe("getDelayParts", () => {
+  it("divides the time of the task that ended last", () => {
+    // Guards against blaming the queue for a slow worker, or the worker for a slow answer.
+    const run = { key: "k", index: 0, worker: 0, startMs: 100, endMs: 300 };
+    const runs = [run, { ...run, worker: 1, startMs: 200, endMs: 600 }];
+    const results = [createResult({ answeredMs: 650 })];
+    const parts = getDelayParts(results, runs, { speeds: [2, 1] });
+    expect([parts?.waitMs.max, parts?.slowMs.max, parts?.returnMs.max])
+      .to.deep.equal([200, 200, 50]);
+  });
+});
+
 describe("getPercentiles", () => {
   it("gets values to three digits", () => {
     // Guards against ratios that are rounded to whole numbers by the histogram.
