--- a/scripts/lib/bench/agent_bench.ts
+++ b/scripts/lib/bench/agent_bench.ts
@@ -96,6 +96,7 @@
       member: { ...agent, peerAddress },
       ...{ memberId, zone: "a", follower, peers: new ConnectPeerCaller() },
       timeline: new Timeline(memberId),
+      wantsCredits: true,
       onChange: () => {},
       onCredits: () => {},
       getDemand: () => 0,
--- a/src/processes/create_process_context.ts
+++ b/src/processes/create_process_context.ts
@@ -1,3 +1,4 @@
+import { Departures } from "../coordination/claims/mod.ts";
 import { LogFollower } from "../coordination/follower/mod.ts";
 import { Metrics } from "../state/metrics/mod.ts";
 import type { ProcessSettings } from "../state/process_settings/mod.ts";
@@ -30,6 +31,7 @@
     zone: settings.zone,
     role,
   });
+  const departures = new Departures({ follower });
   const monitor = new ViewMonitor({ follower, metrics, limiter });
   metrics.setGauge("view_offset", () => view.offset);
   metrics.setGauge("view_revision", () => view.revision);
@@ -41,6 +43,7 @@
     settings,
     log,
     follower,
+    departures,
     metrics,
     logger,
     limiter,
