--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -340,12 +340,19 @@
   throw new Error("the cluster didn't reach the awaited state in time");
 }
 
+/** Ports that were handed out; a process may not listen on its port yet. */
+const usedPorts = new Set<number>();
+
 /**
  * Finds a port that nothing listens on. It lies below the range from which the kernel takes the ports of
  * outgoing connections, so that none of these takes it before the process listens.
  */
 function findFreePort(): Promise<number> {
   const port = 10_000 + Math.floor(Math.random() * 20_000);
+  if (usedPorts.has(port)) {
+    return findFreePort();
+  }
+  usedPorts.add(port);
   return new Promise((resolve) => {
     const server = createServer();
     server.once("error", () => resolve(findFreePort()));
