Decide moved keys without the view age wait when no entry was removed

Ruled out: a shorter view age limit, which would stop work sooner when the log is slow; a second copy of each claim, which is a replicated store. Change: a removed agent with an old view can only do harm for an entry that still has a stream to it. Live entries have closed theirs before they answer the gather, so the wait is kept only when an entry was removed within twice the view age limit, or this process can't know. Before: the unit test for the case waited 5 s. After: it is granted as soon as all members have answered; with a removed entry it still waits. Conclusion: the stall of an agent's keys is detection plus one gather.

--- a/src/coordination/claims/departures.ts
+++ b/src/coordination/claims/departures.ts
@@ -5,6 +5,7 @@
 
 interface Departure {
   readonly role: "entry" | "agent";
+  readonly type: "left" | "removed";
   readonly time: number;
 }
 
@@ -32,7 +33,8 @@
     this.#follower.addListener((event) => {
       if (event.type === "removed" || event.type === "left") {
         const { id, role } = event.member;
-        this.#departures.set(id, { role, time: this.#follower.getTime() });
+        const time = this.#follower.getTime();
+        this.#departures.set(id, { role, type: event.type, time });
         this.#removeExpired();
       }
     });
@@ -48,6 +50,16 @@
     return this.#getLastTime("agent");
   }
 
+  /** May an entry have been removed after a time? True as well when this process can't know. */
+  canHaveRemovedEntry(since: number): boolean {
+    if (this.#startedAt > since) {
+      return true;
+    }
+    return [...this.#departures.values()].some(({ role, type, time }) =>
+      role === "entry" && type === "removed" && time >= since
+    );
+  }
+
   /**
    * Gets the time until which the unknown keys of a home can't be told from fresh ones: an entry, the home
    * and a further agent went away, so all three places that knew a claim may be lost. Undefined when the
--- a/src/coordination/claims/home_change.ts
+++ b/src/coordination/claims/home_change.ts
@@ -24,6 +24,8 @@
   everybodyEpoch = 0;
   /** Time before which a removed member may still have granted claims or started tasks. */
   notBefore = -Infinity;
+  /** True when this process missed how the homes changed, so it has to wait in any case. */
+  isBlind = false;
 
   constructor(options: HomeChangeOptions) {
     this.#options = options;
--- a/src/coordination/claims/takeover.ts
+++ b/src/coordination/claims/takeover.ts
@@ -30,8 +30,8 @@
 
 /**
  * Takes over the keys that this home gains when the homes change. A former home that is alive is asked
- * alone. When it is gone, every member is asked, and the answers are used once the view age limit has
- * passed since its removal. The same happens when the former home hadn't completed its own takeover.
+ * alone. When it is gone, every member is asked, and the answers are used at once, or, when an entry was
+ * removed as well, once the view age limit has passed since the removal. The same happens when the former home hadn't completed its own takeover.
  *
  * Each change of the homes is tracked on its own, but a member's answer counts for all changes up to the
  * epoch of the answer, so that many changes together cost one call for each member.
@@ -123,6 +123,7 @@
     if (isJump) {
       // The view has jumped to a snapshot, so there may have been other homes in between.
       const notBefore = now + VIEW_LIMITS.maxViewAgeMs;
+      change.isBlind = true;
       change.getSources("alive").forEach((id) =>
         change.setGone(id, { epoch, notBefore })
       );
@@ -269,8 +270,7 @@
     const members = this.#getMembers();
     for (const change of this.#changes) {
       const gone = change.getSources("gone");
-      const isComplete = gone.length > 0 &&
-        follower.getTime() >= change.notBefore &&
+      const isComplete = gone.length > 0 && this.#isFenced(change) &&
         members.every((member) => !this.#isMissing(member, change));
       if (isComplete) {
         this.#mergeAnswers(change, new Set(gone));
@@ -283,6 +283,22 @@
     }
   }
 
+  /**
+   * Can no removed member grant a claim or start a task any more that would count? A removed agent with an
+   * old view can do so until the view age limit, but only for an entry that still has a stream to it: the live
+   * entries have closed theirs before they answered the gather. So the wait is needed only when an entry was
+   * removed as well, so lately that the agent's view may not hold it.
+   */
+  #isFenced(change: HomeChange): boolean {
+    const { follower, departures } = this.#options;
+    const now = follower.getTime();
+    if (now >= change.notBefore) {
+      return true;
+    }
+    const since = change.notBefore - 2 * VIEW_LIMITS.maxViewAgeMs;
+    return !change.isBlind && !departures.canHaveRemovedEntry(since);
+  }
+
   #mergeAnswers(change: HomeChange, gone: Set<string>): void {
     const { homes, memberId, follower, gatherHandler } = this.#options;
     const { epoch } = homes;
