Suspect an agent at once whose address refuses every stream

Cause: a killed agent was suspected after 3 s without heartbeats, although its address refused each new stream within milliseconds. Ruled out: a shorter silence limit, which would remove paused or overloaded processes. Change: streams refused for more than 1 s count as silence; the removal still needs a majority of the observers. Conclusion: pauses and held links still take the silence limit.

--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -21,6 +21,9 @@
  */
 const BROKEN_AFTER_MS = 500;
 
+/** Refused streams count as silence after this time, in milliseconds. A process that only restarts is back. */
+const MAX_REFUSED_MS = 1_000;
+
 export interface AgentLinkOptions {
   member: MemberState;
   memberId: string;
@@ -57,6 +60,8 @@
   readonly claims: ClaimChannel;
   readonly #dispatches = new Map<number, PendingDispatch>();
   #stream: PeerStream | undefined;
+  /** Time since which every stream has ended before the agent's first message. */
+  #refusedSince: number | undefined;
   #heartbeats: Heartbeats;
   #wantsCredits: boolean;
   #heardAt = performance.now();
@@ -128,9 +133,14 @@
     return this.#heartbeats.peerOffset;
   }
 
-  /** Gets the time since the agent's last heartbeat, in milliseconds. */
+  /**
+   * Gets the time since the agent's last heartbeat, in milliseconds. An address that has refused every new
+   * stream for a while has no process any more, so it counts as silent at once.
+   */
   getSilenceMs(): number {
-    return performance.now() - this.#heardAt;
+    const now = performance.now();
+    const isRefused = now - (this.#refusedSince ?? now) > MAX_REFUSED_MS;
+    return isRefused ? Infinity : now - this.#heardAt;
   }
 
   /** Keeps a stream to the agent until the link is closed. */
@@ -144,6 +154,9 @@
         // The stream broke. The agent is suspected by its silence, not by one broken stream.
       }
       stream.close();
+      if (!this.#isUp) {
+        this.#refusedSince ??= performance.now();
+      }
       this.#setDown();
       if (!this.#abort.signal.aborted) {
         await new Promise((resolve) => setTimeout(resolve, RECONNECT_DELAY_MS));
@@ -312,6 +325,7 @@
       this.#stream?.close();
       return;
     }
+    this.#refusedSince = undefined;
     this.#isUp = true;
     clearTimeout(this.#brokenTimer);
     this.#brokenTimer = undefined;
