Let small jobs pass large ones, and time holds for slow workers rightly

Cause: tasks left a team's queue in order of arrival, so a request of 50 ms waited for all tasks of a job of 150 that came before it. The hold before a slow worker is used began anew with each start on a faster agent, so in a busy queue slow slots could stay empty.

Ruled out: shortest job first without a bound (large jobs would starve).

Change: a job's order is its arrival plus three times the time in which the slots of the entry's agents could run all of it. The 5% hold counts from when the service's queue began; the longer one, for the tail, from the last start on a faster agent. New run times weigh 0.05, not 0.1.

--- a/src/coordination/entry/agent_pool.ts
+++ b/src/coordination/entry/agent_pool.ts
@@ -73,6 +73,15 @@
     return credits;
   }
 
+  /** Gets the number of slots of all agents of the subset. */
+  getSlots(): number {
+    let slots = 0;
+    for (const { member, wantsCredits } of this.#links.values()) {
+      slots += wantsCredits ? member.slots : 0;
+    }
+    return slots;
+  }
+
   /** Has some agent that this entry knew offered the service, in service or not? */
   wasOffered(service: string): boolean {
     return this.#offered.has(service);
--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -202,14 +202,17 @@
   }
 
   #planTasks(submission: Submission, rules: ResolvedRules): PlannedTask[] {
-    const { view, homes } = this.#options;
+    const { view, homes, dispatcher } = this.#options;
     const { key, customer, team = "", service } = submission;
     const settings = view.settings.customers?.[customer];
     const homeId = homes.find(key)?.id;
+    const runKey = getRunKey(view.settings, submission);
+    const order = dispatcher.getOrder(runKey, submission.tasks.length);
     return submission.tasks.map((task) => ({
       ...task,
       ...{ key, customer, team, service, homeId },
-      runKey: getRunKey(view.settings, submission),
+      runKey,
+      order,
       priority: rules.priority,
       weight: settings?.weight ?? 1,
       teamWeight: settings?.teams?.[team]?.weight ?? 1,
--- a/src/coordination/entry/placement/run_times.ts
+++ b/src/coordination/entry/placement/run_times.ts
@@ -1,5 +1,8 @@
-/** Weight of a new run time after the first ones, which are averaged. */
-const WEIGHT = 0.1;
+/**
+ * Weight of a new run time after the first ones, which are averaged. The tasks of a service differ by a factor of
+ * ten; with this weight the mean still scatters by less than the factor between equal and slow workers.
+ */
+const WEIGHT = 0.05;
 
 /** A run time counts as at most this many times, or this part of, the learned one: one outlier moves it little. */
 const OUTLIER_FACTOR = 4;
--- a/src/coordination/entry/placement/slow_worker_guard.ts
+++ b/src/coordination/entry/placement/slow_worker_guard.ts
@@ -37,6 +37,9 @@
   readonly #options: SlowWorkerGuardOptions;
   readonly #getTime: () => number;
   readonly #estimates = new Map<string, Estimate>();
+  /** Since when tasks of a service wait. */
+  readonly #queuedSince = new Map<string, number>();
+  /** Since when tasks of a service are held back, without one that started on a faster agent. */
   readonly #heldSince = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
 
@@ -60,28 +63,40 @@
     const { service, runKey } = request;
     const slowMs = runTimes.get(runKey, best.member.id);
     const mean = runTimes.getMean(runKey);
+    const waiting = getWaiting(service);
+    const now = this.#getTime();
+    const queuedSince = this.#queuedSince.get(service) ?? now;
+    this.#queuedSince.set(service, queuedSince);
     if (slowMs === undefined || mean === undefined || slowMs <= mean) {
-      this.#heldSince.delete(service);
+      this.#release(service, waiting);
       return true;
     }
     const { rate, runMs } = this.#estimate(runKey, { slowMs, ...options });
-    const now = this.#getTime();
+    const isQueueLong = slowMs <= waiting / rate + runMs;
     const heldSince = this.#heldSince.get(service) ?? now;
-    const drainedMs = getWaiting(service) / rate + runMs;
-    const limit = slowMs <= drainedMs ? slowMs * MIN_HOLD_PART : slowMs;
-    if (rate === 0 || now - heldSince >= limit) {
+    const end = isQueueLong
+      ? queuedSince + slowMs * MIN_HOLD_PART
+      : heldSince + slowMs;
+    if (rate === 0 || now >= end) {
+      this.#release(service, waiting);
       return true;
     }
     this.#heldSince.set(service, heldSince);
     // The timer serves a queue that nothing else makes look again.
-    const hold = heldSince + limit - now + 1;
     this.#timer ??= setTimeout(() => {
       this.#timer = undefined;
       this.#options.onChange();
-    }, hold);
+    }, end - now + 1);
     return false;
   }
 
+  #release(service: string, waiting: number): void {
+    this.#heldSince.delete(service);
+    if (waiting <= 1) {
+      this.#queuedSince.delete(service);
+    }
+  }
+
   /** Stops the timer. */
   stop(): void {
     clearTimeout(this.#timer);
--- a/src/coordination/entry/queue/dispatch_queue.ts
+++ b/src/coordination/entry/queue/dispatch_queue.ts
@@ -23,7 +23,6 @@
   readonly #waitingByService = new Map<string, number>();
   /** Virtual time of the customer that was served last. */
   #servedTime = 0;
-  #sequence = 0;
   /** What `size` has found for the `dequeue` that follows it. */
   #next: WaitingTask | undefined;
 
@@ -63,7 +62,6 @@
     const task: WaitingTask = {
       run,
       options: options as DispatchQueueOptions,
-      sequence: this.#sequence++,
       isRemoved: false,
     };
     const { customer, team, id = "" } = task.options;
--- a/src/coordination/entry/queue/dispatch_queue_options.ts
+++ b/src/coordination/entry/queue/dispatch_queue_options.ts
@@ -7,6 +7,8 @@
   readonly service: string;
   /** Tasks with a higher priority leave first, within one team. */
   readonly priority: number;
+  /** Among tasks of equal priority the one with the lower order leaves first. */
+  readonly order: number;
   /** Share of the capacity relative to other customers. */
   readonly weight: number;
   /** Share of the customer's capacity relative to its other teams. */
--- a/src/coordination/entry/queue/task_lane.ts
+++ b/src/coordination/entry/queue/task_lane.ts
@@ -10,23 +10,24 @@
  */
 const TRIED_GROUPS = 16;
 
-/**
- * The waiting tasks of one team and one service: by priority, then by submission in order of arrival. Tasks
- * that were refused once go first in their priority, since they have waited already.
- */
+/** The waiting tasks of one team and one service: by priority, then by the order of their submissions. */
 export class TaskLane {
-  readonly #levels: Map<string, TaskGroup>[] = Array.from(
-    { length: 2 * PRIORITIES },
-    () => new Map<string, TaskGroup>(),
+  readonly #levels: TaskGroup[][] = Array.from(
+    { length: PRIORITIES },
+    () => [],
   );
+  readonly #groups = new Map<string, TaskGroup>();
   waiting = 0;
 
-  /** Adds a task. Its submission keeps the place of its first task. */
+  /** Adds a task. */
   add(task: WaitingTask): void {
-    const level = this.#getLevel(task);
     const id = getGroupId(task);
-    const group = level.get(id) ?? new TaskGroup(task.options);
-    level.set(id, group);
+    let group = this.#groups.get(id);
+    if (group === undefined) {
+      group = new TaskGroup(task.options);
+      this.#groups.set(id, group);
+      addByOrder(this.#getLevel(task), group);
+    }
     group.add(task);
     this.waiting++;
   }
@@ -39,14 +40,13 @@
       return undefined;
     }
     for (const level of this.#levels) {
-      let tried = 0;
-      for (const [id, { first }] of level) {
+      for (let n = 0; n < Math.min(level.length, TRIED_GROUPS); n++) {
+        const { first, options } = level[n] as TaskGroup;
         if (first === undefined) {
-          level.delete(id);
+          this.#groups.delete(getGroupId({ options }));
+          level.splice(n--, 1);
         } else if (canPlace(first)) {
           return first;
-        } else if (++tried >= TRIED_GROUPS) {
-          break;
         }
       }
     }
@@ -55,20 +55,34 @@
 
   /** Removes a task that `findFirst` has found. */
   removeFirst(task: WaitingTask): void {
-    this.#getLevel(task).get(getGroupId(task))?.removeFirst();
+    this.#groups.get(getGroupId(task))?.removeFirst();
     this.waiting--;
   }
 
-  /** Gets the level of a task; the first level goes first. */
-  #getLevel({ options }: WaitingTask): Map<string, TaskGroup> {
+  /** Gets the groups of a task's priority; the highest priority is the first level. */
+  #getLevel({ options }: WaitingTask): TaskGroup[] {
     const highest = PRIORITIES - 1;
     const priority = Math.min(highest, Math.max(0, options.priority));
-    const isFirstTry = options.avoidId === undefined;
-    const index = 2 * (highest - Math.floor(priority)) + (isFirstTry ? 1 : 0);
-    return this.#levels[index] as Map<string, TaskGroup>;
+    return this.#levels[highest - Math.floor(priority)] as TaskGroup[];
   }
 }
 
-function getGroupId({ options }: WaitingTask): string {
-  return `${options.avoidId ?? ""} ${options.key}`;
+function getGroupId({ options }: Pick<WaitingTask, "options">): string {
+  const { priority, avoidId = "", key } = options;
+  return `${priority} ${avoidId} ${key}`;
+}
+
+/** Adds a group behind those of a lower or the same order. */
+function addByOrder(level: TaskGroup[], group: TaskGroup): void {
+  let low = 0;
+  let high = level.length;
+  while (low < high) {
+    const middle = (low + high) >>> 1;
+    if ((level[middle] as TaskGroup).options.order <= group.options.order) {
+      low = middle + 1;
+    } else {
+      high = middle;
+    }
+  }
+  level.splice(low, 0, group);
 }
--- a/src/coordination/entry/queue/team_queue.ts
+++ b/src/coordination/entry/queue/team_queue.ts
@@ -19,7 +19,7 @@
   }
 
   /**
-   * Finds the task to start: of the highest priority, then the oldest.
+   * Finds the task to start: of the highest priority, then of the lowest order.
    * @param isReady - Can tasks of a service be placed at all?
    * @param canPlace - Can this task be placed?
    */
@@ -59,5 +59,5 @@
 function isBefore(task: WaitingTask, other: WaitingTask): boolean {
   const difference = task.options.priority - other.options.priority;
   return difference > 0 ||
-    (difference === 0 && task.sequence < other.sequence);
+    (difference === 0 && task.options.order < other.options.order);
 }
--- a/src/coordination/entry/queue/waiting_task.ts
+++ b/src/coordination/entry/queue/waiting_task.ts
@@ -4,7 +4,5 @@
 export interface WaitingTask {
   readonly run: () => Promise<unknown>;
   readonly options: DispatchQueueOptions;
-  /** Order of arrival. */
-  readonly sequence: number;
   isRemoved: boolean;
 }
--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -26,6 +26,12 @@
 /** Expected run time of a task while none is known, in milliseconds. It only weighs customers. */
 const DEFAULT_COST_MS = 100;
 
+/**
+ * Weight of a job's size in its order. With one entry of several, a job gets a part of the slots only, so it
+ * would take longer than its share of all slots says.
+ */
+const ORDER_FACTOR = 3;
+
 export interface TaskDispatcherOptions {
   pool: AgentPool;
   timeline: Timeline;
@@ -87,6 +93,17 @@
     return this.#waiting;
   }
 
+  /**
+   * Gets the order of a job in the queue: the time now, plus the time in which the slots of this entry's
+   * agents could run the whole job. So a small job passes a large one that came shortly before, which keeps
+   * response times in proportion to the work, and no job is passed for ever.
+   */
+  getOrder(runKey: string, tasks: number): number {
+    const costMs = this.runTimes.getMean(runKey) ?? DEFAULT_COST_MS;
+    const slots = Math.max(1, this.#options.pool.getSlots());
+    return performance.now() + ORDER_FACTOR * tasks * costMs / slots;
+  }
+
   /** Gets the number of running tasks of a service. */
   getRunning(service: string): number {
     return this.#runningByService.get(service) ?? 0;
@@ -153,10 +170,10 @@
     if (signal.aborted) {
       return undefined;
     }
-    const { key, customer, team, service, runKey, priority, homeId } = task;
+    const { key, customer, team, service, runKey, homeId } = task;
     const costMs = this.runTimes.getMean(runKey) ?? DEFAULT_COST_MS;
-    const { weight, teamWeight } = task;
-    const place = { key, customer, team, service, runKey, priority, homeId };
+    const { priority, order, weight, teamWeight } = task;
+    const place = { key, customer, team, service, runKey, homeId };
     let sent: Attempt | undefined;
     try {
       for (;;) {
@@ -165,7 +182,16 @@
             sent = this.#send(task, { number, avoidId });
             return Promise.resolve(sent);
           },
-          { ...place, avoidId, weight, teamWeight, costMs, signal },
+          {
+            ...place,
+            avoidId,
+            priority,
+            order,
+            weight,
+            teamWeight,
+            costMs,
+            signal,
+          },
         );
         if (this.#waiting.waiting > 0) {
           this.#demand.start();
--- a/tests/coordination/entry/admission_test.ts
+++ b/tests/coordination/entry/admission_test.ts
@@ -54,7 +54,7 @@
     for (let n = 0; n < count; n++) {
       queue.enqueue(() => Promise.resolve(), {
         ...{ customer, team, service: "s", runKey: "s", key: "k", costMs: 1 },
-        ...{ priority: 5, weight: 1, teamWeight: 1 },
+        ...{ priority: 5, order: 0, weight: 1, teamWeight: 1 },
         id: `${customer}${team}${n}`,
       });
     }
--- a/tests/coordination/entry/dispatch_queue_test.ts
+++ b/tests/coordination/entry/dispatch_queue_test.ts
@@ -26,7 +26,7 @@
   const add = (task: Partial<DispatchQueueOptions>) => {
     const all: DispatchQueueOptions = {
       ...{ key: "job", customer: "c", team: "", service: "s", runKey: "s" },
-      ...{ priority: 5, weight: 1, teamWeight: 1, costMs: 100 },
+      ...{ priority: 5, order: 0, weight: 1, teamWeight: 1, costMs: 100 },
       ...task,
       id: task.id ?? `task-${nextId++}`,
     };
@@ -87,14 +87,17 @@
         .to.be.within(49, 51);
     });
 
-    it("starts the higher priority first, and else the older submission", () => {
+    it("starts the higher priority first, and else the lower order", () => {
       const { add, start } = createQueue();
-      add({ key: "old" });
-      add({ key: "new" });
-      add({ key: "urgent", priority: 9 });
-      add({ key: "again", avoidId: "agent" });
-      expect(start(4).map(({ key }) => key))
-        .to.deep.equal(["urgent", "again", "old", "new"]);
+      add({ key: "new", order: 3 });
+      add({ key: "old", order: 2 });
+      add({ key: "newer", order: 3 });
+      add({ key: "urgent", order: 4, priority: 9 });
+      add({ key: "again", order: 1, avoidId: "agent" });
+      add({ key: "other", order: 2.5, service: "t" });
+      expect(start(6).map(({ key }) => key)).to.deep.equal(
+        ["urgent", "again", "old", "other", "new", "newer"],
+      );
     });
 
     it("lets tasks pass others that no agent can take now", () => {
--- a/tests/coordination/entry/task_dispatcher_test.ts
+++ b/tests/coordination/entry/task_dispatcher_test.ts
@@ -38,7 +38,13 @@
         index: 0,
         body: new Uint8Array(),
         repeatable: false,
-        ...{ key: "key", customer: "default", service: "echo", priority: 5 },
+        ...{
+          key: "key",
+          customer: "default",
+          service: "echo",
+          order: 0,
+          priority: 5,
+        },
         ...{ weight: 1, timeoutMs: 1_000, maxAttempts: 1, homeId: undefined },
         ...{ team: "", runKey: "echo", teamWeight: 1, hedging: false },
       };
--- a/tests/coordination/entry/task_run_test.ts
+++ b/tests/coordination/entry/task_run_test.ts
@@ -12,7 +12,14 @@
 
 const TASK: PlannedTask = {
   ...{ index: 0, body: new Uint8Array(), repeatable: true, key: "k" },
-  ...{ customer: "c", team: "", service: "s", runKey: "s", priority: 5 },
+  ...{
+    customer: "c",
+    team: "",
+    service: "s",
+    runKey: "s",
+    priority: 5,
+    order: 0,
+  },
   ...{ weight: 1, teamWeight: 1, timeoutMs: 1_000, maxAttempts: 3 },
   ...{ hedging: false, homeId: undefined },
 };
