Count a credit message as wasted only when none of its credits was used

Cause: each return counted as one wasted credit message, also when the credits had come with results. Wants went on at a fixed interval to agents that had nothing to give.

Change: the ledger remembers its grants; credits are used from the oldest and returned from the newest, and a grant message counts as wasted when all its credits come back unused. A want that brings no credit doubles the time to the next one to that agent, up to 1.6 s; 5 wants a second are earned without dispatches, not 10.

--- a/src/coordination/agent/credit_account.ts
+++ b/src/coordination/agent/credit_account.ts
@@ -1,3 +1,11 @@
+/** Credits that were granted together. */
+interface Grant {
+  /** Did they have a message of their own? Otherwise they came with a result. */
+  readonly hasMessage: boolean;
+  left: number;
+  wasUsed: boolean;
+}
+
 /** The credits of one stream of one entry. */
 export interface CreditAccount {
   readonly entryId: string;
@@ -11,6 +19,8 @@
   isSuspended: boolean;
   /** False once the stream has ended or a newer one has replaced it. */
   isOpen: boolean;
+  /** The grants whose credits are unused, the oldest first. Credits are used from the oldest. */
+  readonly grants: Grant[];
   readonly grant: (count: number) => void;
   readonly revoke: (count: number) => void;
 }
--- a/src/coordination/agent/credit_ledger.ts
+++ b/src/coordination/agent/credit_ledger.ts
@@ -77,6 +77,7 @@
       queued: 0,
       isSuspended: false,
       isOpen: true,
+      grants: [],
     };
     this.#accounts.set(entryId, account);
     this.#balance();
@@ -131,6 +132,7 @@
   grantSlot(account: CreditAccount, options: { onCredit: boolean }): boolean {
     if (options.onCredit && account.isOpen && account.unused > 0) {
       account.unused--;
+      useOldest(account);
     } else if (this.free <= 0) {
       return false;
     }
@@ -164,17 +166,23 @@
       return 0;
     }
     account.unused--;
+    useOldest(account);
     return this.#grantFreeTo(account);
   }
 
-  /** Records the return of unused credits; each revocation is answered with one return, of 0 at least. */
-  returnCredits(account: CreditAccount, count: number): void {
-    // Without an open revocation the credits were taken back already, when the entry was silent.
-    if (account.isOpen && account.revoking > 0) {
-      account.unused = Math.max(0, account.unused - count);
-      account.revoking = 0;
-      this.#balance();
+  /**
+   * Records the return of unused credits; each revocation is answered with one return, of 0 at least.
+   * Gets the number of grant messages of which no credit was used.
+   */
+  returnCredits(account: CreditAccount, count: number): number {
+    if (!account.isOpen) {
+      return 0;
     }
+    account.unused = Math.max(0, account.unused - count);
+    account.revoking = 0;
+    const wasted = removeNewest(account, count);
+    this.#balance();
+    return wasted;
   }
 
   /** Grants a free slot with a result when its entry is the one to get it: that costs no message. */
@@ -183,7 +191,10 @@
       ? this.#findReceiver(account)
       : undefined;
     const granted = receiver === account && account.isOpen ? 1 : 0;
-    account.unused += granted;
+    if (granted > 0) {
+      account.unused++;
+      account.grants.push({ hasMessage: false, left: 1, wasUsed: false });
+    }
     this.#balance();
     return granted;
   }
@@ -200,6 +211,7 @@
       grants.set(receiver, (grants.get(receiver) ?? 0) + 1);
     }
     for (const [account, count] of grants) {
+      account.grants.push({ hasMessage: true, left: count, wasUsed: false });
       account.grant(count);
     }
     this.#revokeIdle();
@@ -258,3 +270,33 @@
     return this.#running.get(entryId) ?? 0;
   }
 }
+
+function useOldest({ grants }: CreditAccount): void {
+  const [oldest] = grants;
+  if (oldest !== undefined) {
+    oldest.left--;
+    oldest.wasUsed = true;
+    if (oldest.left === 0) {
+      grants.shift();
+    }
+  }
+}
+
+/** Removes returned credits, and gets the number of grant messages that proved useless. */
+function removeNewest({ grants }: CreditAccount, count: number): number {
+  let wasted = 0;
+  for (let rest = count; rest > 0;) {
+    const newest = grants.at(-1);
+    if (newest === undefined) {
+      return wasted;
+    }
+    const removed = Math.min(rest, newest.left);
+    newest.left -= removed;
+    rest -= removed;
+    if (newest.left === 0) {
+      grants.pop();
+      wasted += newest.hasMessage && !newest.wasUsed ? 1 : 0;
+    }
+  }
+  return wasted;
+}
--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -187,11 +187,11 @@
     if (count === 0) {
       messages.recordWasted("creditRevoke");
       messages.recordWasted("creditReturn");
-    } else {
-      // An upper bound: a credit that came with a result cost no message of its own.
+    }
+    const wasted = credits.returnCredits(this.#account, count);
+    for (let n = 0; n < wasted; n++) {
       messages.recordWasted("credit");
     }
-    credits.returnCredits(this.#account, count);
   }
 
   async #handleDispatch(dispatch: Dispatch): Promise<void> {
--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -15,6 +15,9 @@
 /** Wait before a broken stream is opened again, in milliseconds. */
 const RECONNECT_DELAY_MS = 100;
 
+/** Shortest time between two wants, in milliseconds; heartbeats tell the queue every 500 ms. */
+const WANT_INTERVAL_MS = 200;
+
 /**
  * Time for which a stream may be broken before its repeatable tasks may be tried elsewhere, in milliseconds: a
  * few reconnections, and well before the agent can be removed.
@@ -65,6 +68,7 @@
   #toldQueued = 0;
   #wantedAt = -Infinity;
   #isWantOpen = false;
+  #wastedWants = 0;
   #isUp = false;
   #brokenTimer: NodeJS.Timeout | undefined;
   #nextId = 1;
@@ -108,9 +112,10 @@
     return this.#toldQueued;
   }
 
-  /** Gets the time of the last want, of `performance.now()`. */
-  get wantedAt(): number {
-    return this.#wantedAt;
+  /** May a want be sent now? One that brings no credit doubles the time to the next. */
+  canWant(): boolean {
+    const interval = WANT_INTERVAL_MS * 2 ** Math.min(this.#wastedWants, 3);
+    return this.#isUp && performance.now() - this.#wantedAt >= interval;
   }
 
   /** Has the agent answered on the current stream? */
@@ -279,6 +284,7 @@
         return;
       case "credit":
         this.#isWantOpen = false;
+        this.#wastedWants = 0;
         this.#addCredits(message.value.count);
         return;
       case "creditRevoke":
@@ -350,6 +356,7 @@
   #closeWant(): void {
     if (this.#isWantOpen) {
       this.#isWantOpen = false;
+      this.#wastedWants++;
       this.#options.messages.recordWasted("want");
     }
   }
--- a/src/coordination/entry/demand.ts
+++ b/src/coordination/entry/demand.ts
@@ -4,14 +4,11 @@
 /** Shortest time between two looks for agents to ask, in milliseconds. Dispatches tell the queue meanwhile. */
 const INTERVAL_MS = 10;
 
-/** Shortest time between two wants to one agent, in milliseconds; heartbeats tell the queue every 500 ms. */
-const REPEAT_MS = 200;
-
 /** Wants that each dispatch earns: keeps them below half of the allowed 0.1 wasted messages a task. */
 const WANTS_PER_DISPATCH = 0.04;
 
 /** Wants that are earned a second without a dispatch, so that a queue that gets no credit can still ask. */
-const WANTS_PER_SECOND = 10;
+const WANTS_PER_SECOND = 5;
 
 export interface DemandOptions {
   index: ServiceIndex;
@@ -88,10 +85,7 @@
     for (const link of links) {
       const share = this.getShare(link);
       const isNews = share >= 2 * link.toldQueued && share > link.credits;
-      if (
-        this.#budget >= 1 && isNews && link.isUp &&
-        now - link.wantedAt >= REPEAT_MS
-      ) {
+      if (this.#budget >= 1 && isNews && link.canWant()) {
         this.#budget--;
         link.want(share);
       }
