--- a/scripts/lib/bench/agent_bench.ts
+++ b/scripts/lib/bench/agent_bench.ts
@@ -96,9 +96,9 @@
       member: { ...agent, peerAddress },
       ...{ memberId, zone: "a", follower, peers: new ConnectPeerCaller() },
       timeline: new Timeline(memberId),
+      wantsCredits: true,
       onChange: () => {},
       onCredits: () => {},
-      wantsCredits: true,
       getDemand: () => 0,
       messages: new MessageCounts(new Metrics()),
     });
--- a/scripts/lib/bench/fake_agent.ts
+++ b/scripts/lib/bench/fake_agent.ts
@@ -28,7 +28,13 @@
     host: "127.0.0.1",
     port: 0,
     serve: (stream) => this.#serve(stream),
-    gather: () => ({ ready: true, claims: [] }),
+    gather: ({ epoch }) => ({
+      ready: true,
+      claims: [],
+      epoch,
+      isComplete: true,
+      next: 0,
+    }),
   });
 
   constructor(options: FakeAgentOptions) {
--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -340,23 +340,22 @@
   throw new Error("the cluster didn't reach the awaited state in time");
 }
 
-/** Ports that were handed out: the system may name a port again before its process listens on it. */
+/** Ports that were handed out; a process may not listen on its port yet. */
 const usedPorts = new Set<number>();
 
-async function findFreePort(): Promise<number> {
-  for (;;) {
-    const port = await new Promise<number>((resolve) => {
-      const server = createServer();
-      server.listen(0, "127.0.0.1", () => {
-        const address = server.address();
-        server.close(() =>
-          resolve(typeof address === "object" ? address?.port ?? 0 : 0)
-        );
-      });
-    });
-    if (!usedPorts.has(port)) {
-      usedPorts.add(port);
-      return port;
-    }
+/**
+ * Finds a port that nothing listens on. It lies below the range from which the kernel takes the ports of
+ * outgoing connections, so that none of these takes it before the process listens.
+ */
+function findFreePort(): Promise<number> {
+  const port = 10_000 + Math.floor(Math.random() * 20_000);
+  if (usedPorts.has(port)) {
+    return findFreePort();
   }
+  usedPorts.add(port);
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(findFreePort()));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(port)));
+  });
 }
