Announce again after a removal that came before the own announcement was seen

Cause: an entry or agent that was removed before it had read its own announcement waited for its membership for ever: "was removed" was only known after the announcement had been seen. A stall of 3 s at the start is enough.

Ruled out: a time limit for the wait; a slow log would trip it.

Change: the incarnation keeps the offset of its announcement; a view at or after it without the member means removed. A removed incarnation no longer opens its links after the wait.

Before: the new test times out after 15 s.

Conclusion: a member is either seen, or known as removed.

--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -100,7 +100,7 @@
       await waitForHttp(`http://${httpAddress}/readyz`);
     }
     for (const entry of this.entries) {
-      await waitFor(async () => {
+      await waitFor(`the streams of ${entry.name}`, async () => {
         const { confirmed } = await this.getView(entry);
         const offsets = Object.values(confirmed);
         return offsets.length >= this.agents.length &&
@@ -322,7 +322,7 @@
 }
 
 async function waitForHttp(url: string): Promise<void> {
-  await waitFor(async () => {
+  await waitFor(url, async () => {
     const response = await fetch(url);
     await response.arrayBuffer();
     return response.ok;
@@ -330,14 +330,17 @@
 }
 
 /** Waits until a check passes; an error counts as not yet. */
-async function waitFor(check: () => Promise<boolean>): Promise<void> {
+async function waitFor(
+  name: string,
+  check: () => Promise<boolean>,
+): Promise<void> {
   for (let tries = 0; tries < 600; tries++) {
     if (await check().catch(() => false)) {
       return;
     }
     await new Promise((resolve) => setTimeout(resolve, 50));
   }
-  throw new Error("the cluster didn't reach the awaited state in time");
+  throw new Error(`the cluster isn't ready in time; waiting for ${name}`);
 }
 
 /**
--- a/src/coordination/membership/announcer.ts
+++ b/src/coordination/membership/announcer.ts
@@ -22,15 +22,19 @@
     this.#view = options.view;
   }
 
-  /** Announces a member until the record stands or the signal aborts. */
-  async announce(member: Member, signal: AbortSignal): Promise<void> {
+  /** Announces a member until the record stands, and gets its offset; undefined when the signal aborts. */
+  async announce(
+    member: Member,
+    signal: AbortSignal,
+  ): Promise<number | undefined> {
     while (!signal.aborted) {
       const appended = await this.#log.append({ type: "announce", member });
       if (appended.isOk()) {
-        return;
+        return appended.value;
       }
       await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
     }
+    return undefined;
   }
 
   /** Writes that a member is leaving or has left. Gives up when the signal aborts. */
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -55,6 +55,7 @@
   readonly #claims: ClaimService;
   readonly #peerServer: PeerServer;
   readonly #messages: MessageCounts;
+  #announcedAt = Infinity;
   #wasAnnounced = false;
 
   constructor(options: AgentIncarnationOptions) {
@@ -121,9 +122,9 @@
 
   /** Was the agent announced and then removed by the others? */
   get wasRemoved(): boolean {
-    return this.#wasAnnounced && !this.#abort.signal.aborted &&
-      this.#options.context.follower.view.getMember(this.memberId) ===
-        undefined;
+    const { view } = this.#options.context.follower;
+    return view.offset >= this.#announcedAt && !this.#abort.signal.aborted &&
+      view.getMember(this.memberId) === undefined;
   }
 
   /** Announces the agent and starts to serve. */
@@ -133,7 +134,7 @@
     const { signal } = this.#abort;
     const peerPort = await this.#peerServer.start();
     const announcer = new Announcer({ log, view: follower.view });
-    await announcer.announce({
+    const offset = await announcer.announce({
       id: this.memberId,
       name: settings.name,
       role: "agent",
@@ -145,7 +146,11 @@
       services: upstream.services,
       slots: upstream.slots,
     }, signal);
+    this.#announcedAt = offset ?? Infinity;
     await waitForView(context, () => this.isReady, { signal });
+    if (signal.aborted) {
+      return;
+    }
     this.#wasAnnounced = true;
     void this.#capacity.run(signal);
     this.timeline.record("agent_started");
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -38,6 +38,7 @@
   readonly #pool: AgentPool;
   readonly #dispatcher: TaskDispatcher;
   readonly #peerServer: PeerServer;
+  #announcedAt = Infinity;
   #wasAnnounced = false;
 
   constructor(options: EntryIncarnationOptions) {
@@ -107,9 +108,9 @@
 
   /** Was the entry announced and then removed by the others? */
   get wasRemoved(): boolean {
-    return this.#wasAnnounced && !this.#abort.signal.aborted &&
-      this.#options.context.follower.view.getMember(this.memberId) ===
-        undefined;
+    const { view } = this.#options.context.follower;
+    return view.offset >= this.#announcedAt && !this.#abort.signal.aborted &&
+      view.getMember(this.memberId) === undefined;
   }
 
   /** Announces the entry and opens its links. */
@@ -119,7 +120,7 @@
     const { signal } = this.#abort;
     const peerPort = await this.#peerServer.start();
     const announcer = new Announcer({ log, view: follower.view });
-    await announcer.announce({
+    const offset = await announcer.announce({
       id: this.memberId,
       name: settings.name,
       role: "entry",
@@ -131,8 +132,12 @@
       services: [],
       slots: 0,
     }, signal);
+    this.#announcedAt = offset ?? Infinity;
     const isMember = () => follower.view.getMember(this.memberId) !== undefined;
     await waitForView(context, isMember, { signal });
+    if (signal.aborted) {
+      return;
+    }
     this.#wasAnnounced = true;
     this.#pool.start();
     this.timeline.record("entry_started");
--- a/src/processes/event_recorder.ts
+++ b/src/processes/event_recorder.ts
@@ -26,6 +26,11 @@
 
   /** Takes an event into account. */
   record(event: TimelineEvent): void {
+    this.#recordSubmission(event);
+    this.#recordAttempt(event);
+  }
+
+  #recordSubmission(event: TimelineEvent): void {
     switch (event.type) {
       case "submission_received":
         this.#start(`claim/${event.key}`);
@@ -34,16 +39,24 @@
         this.#recordTime("claim", `claim/${event.key}`);
         this.#start(`queue/${event.key}`);
         return;
-      case "claim_not_granted":
-        this.#openSince.delete(`claim/${event.key}`);
+      case "claim_answered":
+        this.#metrics.add("claims", 1, {
+          labels: { outcome: event.detail ?? "" },
+        });
         return;
       case "submission_refused":
         this.#recordRefusal("submission", event);
         this.#end(event);
         return;
+      case "claim_not_granted":
       case "submission_answered":
         this.#end(event);
         return;
+    }
+  }
+
+  #recordAttempt(event: TimelineEvent): void {
+    switch (event.type) {
       case "task_sent":
         this.#recordQueueTime(event);
         return;
@@ -69,11 +82,6 @@
         this.#recordRefusal("task", event);
         this.#warn("task refused", event);
         return;
-      case "claim_answered":
-        this.#metrics.add("claims", 1, {
-          labels: { outcome: event.detail ?? "" },
-        });
-        return;
     }
   }
 
--- a/tests/processes/entry_process_test.ts
+++ b/tests/processes/entry_process_test.ts
@@ -8,6 +8,7 @@
 import { createProcessContext } from "../../src/processes/create_process_context.ts";
 import { EntryProcess } from "../../src/processes/entry_process.ts";
 import { LogStandIn } from "../../src/stand_in/mod.ts";
+import { HttpLogService } from "../../src/transport/log/mod.ts";
 import { ProcessSettings } from "../../src/state/process_settings/mod.ts";
 
 describe("EntryProcess", () => {
@@ -70,6 +71,35 @@
   }
 });
 
+describe("an entry that is removed before it has seen its own announcement", () => {
+  it("announces itself again", async () => {
+    // Guards against a process that stalled at its start and then waits for its membership for ever.
+    const standIn = new LogStandIn();
+    const logAddress = `127.0.0.1:${await standIn.start()}`;
+    const settings = ProcessSettings.parse({
+      ...{ name: "entry", zone: "a", host: "127.0.0.1", peerPort: 0 },
+      ...{ httpPort: 0, logAddress, logLevel: "error" },
+    });
+    const entry = new EntryProcess(createProcessContext(settings, "entry"));
+    await entry.start();
+    const log = new HttpLogService(logAddress);
+    let memberId: string | undefined;
+    while (memberId === undefined) {
+      const page = (await log.read(1, 10))._unsafeUnwrap();
+      const records = page.records.map(({ json }) => JSON.parse(json));
+      memberId = records.find(({ type }) => type === "announce")?.member.id;
+    }
+    await log.append({ type: "leave", memberId, phase: "left" });
+    while (
+      (await fetch(`http://${entry.httpAddress}/readyz`)).status !== 200
+    ) {
+      await new Promise((resolve) => setTimeout(resolve, 50));
+    }
+    await entry.stop();
+    standIn.stop();
+  });
+});
+
 describe("an invalid settings file", () => {
   it("ends the process with code 2 and a message that names the path", () => {
     // Guards against a process that starts with defaults in place of a misspelt setting.
