--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -15,12 +15,18 @@
 /** Wait before a broken stream is opened again, in milliseconds. */
 const RECONNECT_DELAY_MS = 100;
 
+/** Shortest time between two wants, in milliseconds; heartbeats tell the queue every 500 ms. */
+const WANT_INTERVAL_MS = 200;
+
 /**
  * Time for which a stream may be broken before its repeatable tasks may be tried elsewhere, in milliseconds: a
  * few reconnections, and well before the agent can be removed.
  */
 const BROKEN_AFTER_MS = 500;
 
+/** Refused streams count as silence after this time, in milliseconds. A process that only restarts is back. */
+const MAX_REFUSED_MS = 1_000;
+
 export interface AgentLinkOptions {
   member: MemberState;
   memberId: string;
@@ -57,6 +63,8 @@
   readonly claims: ClaimChannel;
   readonly #dispatches = new Map<number, PendingDispatch>();
   #stream: PeerStream | undefined;
+  /** Time since which every stream has ended before the agent's first message. */
+  #refusedSince: number | undefined;
   #heartbeats: Heartbeats;
   #wantsCredits: boolean;
   #heardAt = performance.now();
@@ -65,6 +73,7 @@
   #toldQueued = 0;
   #wantedAt = -Infinity;
   #isWantOpen = false;
+  #wastedWants = 0;
   #isUp = false;
   #brokenTimer: NodeJS.Timeout | undefined;
   #nextId = 1;
@@ -108,9 +117,10 @@
     return this.#toldQueued;
   }
 
-  /** Gets the time of the last want, of `performance.now()`. */
-  get wantedAt(): number {
-    return this.#wantedAt;
+  /** May a want be sent now? One that brings no credit doubles the time to the next. */
+  canWant(): boolean {
+    const interval = WANT_INTERVAL_MS * 2 ** Math.min(this.#wastedWants, 3);
+    return this.#isUp && performance.now() - this.#wantedAt >= interval;
   }
 
   /** Has the agent answered on the current stream? */
@@ -128,9 +138,14 @@
     return this.#heartbeats.peerOffset;
   }
 
-  /** Gets the time since the agent's last heartbeat, in milliseconds. */
+  /**
+   * Gets the time since the agent's last heartbeat, in milliseconds. An address that has refused every new
+   * stream for a while has no process any more, so it counts as silent at once.
+   */
   getSilenceMs(): number {
-    return performance.now() - this.#heardAt;
+    const now = performance.now();
+    const isRefused = now - (this.#refusedSince ?? now) > MAX_REFUSED_MS;
+    return isRefused ? Infinity : now - this.#heardAt;
   }
 
   /** Keeps a stream to the agent until the link is closed. */
@@ -144,6 +159,9 @@
         // The stream broke. The agent is suspected by its silence, not by one broken stream.
       }
       stream.close();
+      if (!this.#isUp) {
+        this.#refusedSince ??= performance.now();
+      }
       this.#setDown();
       if (!this.#abort.signal.aborted) {
         await new Promise((resolve) => setTimeout(resolve, RECONNECT_DELAY_MS));
@@ -279,6 +297,7 @@
         return;
       case "credit":
         this.#isWantOpen = false;
+        this.#wastedWants = 0;
         this.#addCredits(message.value.count);
         return;
       case "creditRevoke":
@@ -312,6 +331,7 @@
       this.#stream?.close();
       return;
     }
+    this.#refusedSince = undefined;
     this.#isUp = true;
     clearTimeout(this.#brokenTimer);
     this.#brokenTimer = undefined;
@@ -350,6 +370,7 @@
   #closeWant(): void {
     if (this.#isWantOpen) {
       this.#isWantOpen = false;
+      this.#wastedWants++;
       this.#options.messages.recordWasted("want");
     }
   }
