Leave only when nothing is on its way to or from a stopping process

Cause: a stopping entry counted only submissions whose claim was granted. One that was still claiming its key, or storing its answer, was cut off when the links closed, and its caller got home_unreachable. A stopping agent left 100 ms after its last task: dispatches that were sent before the entry knew, and results on slow links, ended as agent_lost.

Ruled out: the credits. They are withdrawn, but that takes as long as the link does.

Change: an entry counts submissions from their claim to their answer and stops listening before it leaves. An agent waits until the entries have confirmed the offset of its leaving, and after its last task until they have echoed a heartbeat that was sent after the results; entries that are silent are not waited for, and each wait ends after 5 s.

--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -57,6 +57,26 @@
     return this.#heartbeats.getSilenceMs();
   }
 
+  /**
+   * Creates a check whether the entry has received everything that was sent so far. True also for an entry
+   * that is silent or sends no heartbeats: waiting for it is of no use.
+   */
+  createDeliveryCheck(): () => boolean {
+    const { sequence } = this.#heartbeats;
+    return () => this.#isUnreachable() || this.#heartbeats.peerEcho > sequence;
+  }
+
+  /** Has the entry's view reached an offset? True also for an entry that is silent. */
+  hasConfirmed(offset: number): boolean {
+    return this.#isUnreachable() || this.confirmedOffset >= offset;
+  }
+
+  #isUnreachable(): boolean {
+    return this.#options.stream.isClosed ||
+      this.#hello?.wantsCredits !== true ||
+      this.getSilenceMs() > VIEW_LIMITS.suspectAfterMs;
+  }
+
   /** Closes the stream. */
   close(): void {
     this.#options.stream.close();
--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -33,6 +33,7 @@
   readonly #options: JobCoordinatorOptions;
   readonly #running = new Map<string, AbortController>();
   #isDraining = false;
+  #open = 0;
 
   constructor(options: JobCoordinatorOptions) {
     this.#options = options;
@@ -43,6 +44,11 @@
     return this.#running.size;
   }
 
+  /** Gets the number of submissions without an answer, from their claim on. */
+  get open(): number {
+    return this.#open;
+  }
+
   /** Refuses new submissions from now on. */
   startDraining(): void {
     this.#isDraining = true;
@@ -74,6 +80,15 @@
    * requests is refused after the claim only, so that a resubmission is never told "not run" by mistake.
    */
   async submit(submission: Submission): Promise<StoredAnswer> {
+    this.#open++;
+    try {
+      return await this.#submit(submission);
+    } finally {
+      this.#open--;
+    }
+  }
+
+  async #submit(submission: Submission): Promise<StoredAnswer> {
     const { claims, timeline } = this.#options;
     const { key, fingerprint } = submission;
     const rules = this.#resolveRules(submission);
--- a/src/coordination/follower/heartbeats.ts
+++ b/src/coordination/follower/heartbeats.ts
@@ -17,6 +17,7 @@
   #sequence = 0;
   #peerSequence = 0;
   #peerOffset = -1;
+  #peerEcho = 0;
   #receivedAt: number;
 
   constructor(follower: LogFollower) {
@@ -29,6 +30,16 @@
     return this.#peerOffset;
   }
 
+  /** Gets the sequence of the last heartbeat that was sent. */
+  get sequence(): number {
+    return this.#sequence;
+  }
+
+  /** Gets the last own sequence that the peer has received. */
+  get peerEcho(): number {
+    return this.#peerEcho;
+  }
+
   /** Gets the time without a heartbeat from the peer, in milliseconds. */
   getSilenceMs(): number {
     return this.#follower.getTime() - this.#receivedAt;
@@ -59,6 +70,7 @@
     this.#receivedAt = this.#follower.getTime();
     this.#peerSequence = Math.max(this.#peerSequence, heartbeat.sequence);
     this.#peerOffset = Math.max(this.#peerOffset, heartbeat.viewOffset);
+    this.#peerEcho = Math.max(this.#peerEcho, heartbeat.echo);
     this.#follower.applyRecords(heartbeat.records);
     const sentAt = this.#sentAt.get(heartbeat.echo);
     if (sentAt === undefined) {
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -23,8 +23,11 @@
 /** Longest wait for the log when an agent stops, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 5_000;
 
-/** Time for results that are already sent to leave the process, in milliseconds. */
-const FLUSH_MS = 100;
+/** Longest wait for what the entries have received, in milliseconds. */
+const CONFIRM_TIMEOUT_MS = 5_000;
+
+/** Interval at which a leaving agent looks for confirmations, in milliseconds. */
+const CHECK_INTERVAL_MS = 20;
 
 export interface AgentIncarnationOptions {
   context: ProcessContext;
@@ -143,9 +146,13 @@
     const timeout = AbortSignal.timeout(LEAVE_TIMEOUT_MS);
     this.#credits.setOpen(false);
     await announcer.leave(this.memberId, "leaving", timeout);
+    await this.#waitForEntries();
     this.#gate.startDraining();
     await this.#executor.waitForIdle();
-    await new Promise((resolve) => setTimeout(resolve, FLUSH_MS));
+    const checks = this.#sessions.getAll().map((session) =>
+      session.createDeliveryCheck()
+    );
+    await waitUntil(() => checks.every((check) => check()));
     await announcer.leave(
       this.memberId,
       "left",
@@ -154,6 +161,16 @@
     this.close();
   }
 
+  /** Waits until the entries know that this agent is leaving; then no dispatch is on its way any more. */
+  async #waitForEntries(): Promise<void> {
+    const { view } = this.#options.context.follower;
+    await waitUntil(() => view.getMember(this.memberId)?.phase !== "live");
+    const offset = view.epoch;
+    await waitUntil(() =>
+      this.#sessions.getAll().every((session) => session.hasConfirmed(offset))
+    );
+  }
+
   /** Closes all streams at once. */
   close(): void {
     this.#abort.abort();
@@ -189,3 +206,10 @@
     return session.run();
   }
 }
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  const deadline = performance.now() + CONFIRM_TIMEOUT_MS;
+  while (!check() && performance.now() < deadline) {
+    await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
+  }
+}
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -88,7 +88,8 @@
 
   /** Is the entry a live member? */
   get isReady(): boolean {
-    return this.#wasAnnounced && !this.wasRemoved;
+    return this.#wasAnnounced && !this.#abort.signal.aborted &&
+      !this.wasRemoved;
   }
 
   /** Was the entry announced and then removed by the others? */
@@ -142,11 +143,11 @@
     void snapshots.run(signal);
   }
 
-  /** Finishes the running submissions and leaves. */
+  /** Finishes the submissions without an answer and leaves. No new one may come in any more. */
   async stop(): Promise<void> {
     const { log, follower } = this.#options.context;
     this.coordinator.startDraining();
-    while (this.coordinator.running > 0) {
+    while (this.coordinator.open > 0) {
       await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
     }
     const announcer = new Announcer({ log, view: follower.view });
--- a/src/processes/entry_process.ts
+++ b/src/processes/entry_process.ts
@@ -90,6 +90,9 @@
         incarnation.close();
       } else {
         await new Promise((resolve) => setTimeout(resolve, STOP_DELAY_MS));
+        // A submission that comes after the links are closed couldn't be told "not run".
+        incarnation.coordinator.startDraining();
+        this.#httpServer.stopListening();
         await incarnation.stop();
       }
       await started;
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -40,6 +40,12 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Stops to listen; open requests are still served. */
+  stopListening(): void {
+    this.#server.close();
+    this.#server.closeIdleConnections();
+  }
+
   /** Stops to listen, and waits until the open requests are answered. */
   async stop(): Promise<void> {
     await new Promise<void>((resolve) => {
