Take the clusters' ports from below the range of outgoing connections

Cause: a port that was found free could be taken as the source port of an outgoing connection before its process listened; a test with many fresh connections then failed in its before hook, seen once in log_outage_test with other clusters running beside it.

Change: random ports from 10,000 to 29,999, each tried.

--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -9,6 +9,10 @@
 /** Time that a process may take to stop, in milliseconds. */
 const STOP_TIMEOUT_MS = 30_000;
 
+/** First port of the clusters' processes, and the number of ports. */
+const FIRST_PORT = 10_000;
+const PORTS = 20_000;
+
 export interface ClusterOptions {
   /** Availability zone of each entry. */
   entryZones: string[];
@@ -340,14 +344,20 @@
   throw new Error("the cluster didn't reach the awaited state in time");
 }
 
-function findFreePort(): Promise<number> {
-  return new Promise((resolve) => {
+/**
+ * Finds a free port below the range from which the kernel takes the ports of outgoing connections: one of
+ * those could take the port again before its process listens.
+ */
+async function findFreePort(): Promise<number> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
     const server = createServer();
-    server.listen(0, "127.0.0.1", () => {
-      const address = server.address();
-      server.close(() =>
-        resolve(typeof address === "object" ? address?.port ?? 0 : 0)
-      );
+    const isFree = await new Promise<boolean>((resolve) => {
+      server.once("error", () => resolve(false));
+      server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
     });
-  });
+    if (isFree) {
+      return port;
+    }
+  }
 }
--- /dev/null
+++ b/tests/cluster/fuzz_test.ts
@@ -0,0 +1,263 @@
+import * as fc from "fast-check";
+import { Cluster, type ClusterProcess } from "../../scripts/lib/cluster.ts";
+import type { RelayMode } from "../../scripts/lib/relay.ts";
+import { Caller, printCompletedShare, sleep } from "../lib/caller.ts";
+import { FuzzCommand, type FuzzModel } from "../lib/fuzz_command.ts";
+
+const SEED = Number(process.env["CRANBERRYBANK_FUZZ_SEED"] ?? 20_261);
+const RUNS = Number(process.env["CRANBERRYBANK_FUZZ_RUNS"] ?? 5);
+
+/** Time for one run with its repair, in milliseconds. */
+const RUN_TIMEOUT_MS = 60_000;
+
+const LINK_MODES: RelayMode[] = [
+  { type: "refuse" },
+  { type: "hold" },
+  { type: "delay", delayMs: 40 },
+  { type: "pass" },
+];
+const LOG_FAULTS = [
+  { isDown: true },
+  { isHanging: true },
+  { delayMs: 300 },
+  { delayMs: 2_000 },
+  { lostReplies: 3 },
+  {},
+];
+const BEHAVIORS = [
+  { mode: "normal" },
+  { mode: "failing" },
+  { mode: "resetting" },
+  { mode: "hanging" },
+];
+
+describe("random faults and submissions", function () {
+  this.timeout(RUNS * RUN_TIMEOUT_MS);
+  const cluster = new Cluster({
+    entryZones: ["a", "b"],
+    agentZones: ["a", "a", "b", "b", "c"],
+    keepsStarts: true,
+    hasRelays: true,
+  });
+  const caller = new Caller();
+  const pending: Promise<unknown>[] = [];
+  let runs = 0;
+
+  before(() => cluster.start());
+  after(() => cluster.stop());
+
+  const all = () => [
+    ...cluster.entries,
+    ...cluster.agents,
+    ...cluster.upstreams,
+  ];
+  const get = (processes: ClusterProcess[], n: number) =>
+    processes[n % processes.length] as ClusterProcess;
+  /** Upstreams have the names of their agents. */
+  const getId = (process: ClusterProcess) => process.command[0] + process.name;
+
+  function submit(key: string, options: {
+    entry: number;
+    repeatable: boolean;
+    tasks: number;
+    runMs: number;
+  }): void {
+    const entry = get(cluster.entries, options.entry);
+    const giveUpAfterMs = 8_000;
+    const limits = { timeoutMs: 1_000, deadlineMs: 3_000, giveUpAfterMs };
+    pending.push(caller.submit({ ...options, ...limits, key, entry }));
+  }
+
+  /** Gets the shape of a key's submission: a resubmission has to be the same. */
+  function getShape(key: string) {
+    const n = Number(key.split("-").at(-1));
+    return {
+      repeatable: n % 3 === 0,
+      tasks: 1 + n % 5,
+      runMs: 10 + n * 7 % 80,
+    };
+  }
+
+  const number = fc.nat(100);
+  const submits = number.map((n) =>
+    new FuzzCommand({
+      name: `submit(${n})`,
+      run: async (model) => {
+        for (let count = 0; count < 8; count++) {
+          const key = `run${runs}-${model.keys.length}`;
+          model.keys.push(key);
+          submit(key, { ...getShape(key), entry: n + count });
+          await sleep(15);
+        }
+      },
+    })
+  );
+  const commands = fc.commands([
+    // More often than each fault, so that faults meet work.
+    ...[submits, submits, submits, submits],
+    fc.tuple(number, number).map(([n, entry]) =>
+      new FuzzCommand({
+        name: `resubmit(${n}, ${entry})`,
+        // Keys whose home has changed are the subject of the tests of the gather.
+        canRun: ({ keys, hasMovedHomes }) => keys.length > 0 && !hasMovedHomes,
+        run: ({ keys }) => {
+          const key = keys[n % keys.length] as string;
+          submit(key, { ...getShape(key), entry });
+        },
+      })
+    ),
+    fc.tuple(number, number).map(([n, entry]) =>
+      new FuzzCommand({
+        name: `cancel(${n}, ${entry})`,
+        canRun: ({ keys }) => keys.length > 0,
+        run: ({ keys }) => {
+          const key = keys[keys.length - 1 - n % Math.min(8, keys.length)];
+          pending.push(caller.cancel(get(cluster.entries, entry), key ?? ""));
+        },
+      })
+    ),
+    number.map((n) =>
+      new FuzzCommand({
+        name: `kill(${getName(n)})`,
+        canRun: ({ killed }) => killed.size < 2,
+        run: async (model) => {
+          const process = get(all(), n);
+          if (!model.killed.has(getId(process))) {
+            model.killed.add(getId(process));
+            model.hasMovedHomes ||= process.command[0] === "agent";
+            await cluster.kill(process);
+          }
+        },
+      })
+    ),
+    fc.constant(
+      new FuzzCommand({ name: "restart()", run: (model) => restart(model) }),
+    ),
+    number.map((n) =>
+      new FuzzCommand({
+        name: `pause(${getName(n)})`,
+        run: (model) => {
+          const process = get(all(), n);
+          model.hasMovedHomes ||= process.command[0] === "agent";
+          cluster.pause(process);
+        },
+      })
+    ),
+    number.map((n) =>
+      new FuzzCommand({
+        name: `resume(${getName(n)})`,
+        run: () => cluster.resume(get(all(), n)),
+      })
+    ),
+    fc.tuple(number, fc.constantFrom(...LINK_MODES), fc.boolean()).map((
+      [n, mode, isLog],
+    ) =>
+      new FuzzCommand({
+        name: `link(${n % 7}, ${mode.type}, ${isLog ? "log" : "peers"})`,
+        run: (model) => {
+          const process = get([...cluster.entries, ...cluster.agents], n);
+          model.hasMovedHomes ||= !isLog && mode.type !== "delay";
+          (isLog ? process.logRelay : process.peerRelay)?.setMode(mode);
+        },
+      })
+    ),
+    fc.constantFrom(...LOG_FAULTS).map((faults) =>
+      new FuzzCommand({
+        name: `log(${JSON.stringify(faults)})`,
+        run: () => cluster.setLogFaults(faults),
+      })
+    ),
+    fc.tuple(fc.constantFrom("a", "b", "c"), fc.constantFrom("in", "out")).map((
+      [zone, state],
+    ) =>
+      new FuzzCommand({
+        name: `zone(${zone}, ${state})`,
+        run: () => {
+          // The log may be down, so the change may fail.
+          const edits = [{ path: `zones.${zone}.state`, value: state }];
+          pending.push(cluster.publish(edits).catch(() => {}));
+        },
+      })
+    ),
+    fc.tuple(number, fc.constantFrom(...BEHAVIORS)).map(([n, behavior]) =>
+      new FuzzCommand({
+        name: `upstream(${n % 5}, ${behavior.mode})`,
+        run: () => {
+          const upstream = get(cluster.upstreams, n);
+          pending.push(
+            cluster.setBehavior(upstream, behavior).catch(() => {}),
+          );
+        },
+      })
+    ),
+    fc.integer({ min: 50, max: 1_000 }).map((ms) =>
+      new FuzzCommand({ name: `wait(${ms})`, run: () => sleep(ms) })
+    ),
+  ], { maxCommands: 40, size: "max" });
+
+  function getName(n: number): string {
+    const roles = [
+      ...["entry-1", "entry-2", "agent-1", "agent-2", "agent-3", "agent-4"],
+      ...["agent-5", "upstream-1", "upstream-2", "upstream-3", "upstream-4"],
+      "upstream-5",
+    ];
+    return roles[n % roles.length] as string;
+  }
+
+  function restart(model: FuzzModel): void {
+    for (const process of all()) {
+      if (model.killed.delete(getId(process))) {
+        cluster.restart(process);
+      }
+    }
+  }
+
+  /** Ends all faults, and waits until the cluster works and every submission has ended. */
+  async function repair(model: FuzzModel): Promise<void> {
+    await cluster.setLogFaults({});
+    for (const process of all()) {
+      cluster.resume(process);
+      process.peerRelay?.setMode({ type: "pass" });
+      process.logRelay?.setMode({ type: "pass" });
+    }
+    restart(model);
+    await Promise.all(pending.splice(0));
+    await cluster.waitUntilReady();
+    for (const upstream of cluster.upstreams) {
+      await cluster.setBehavior(upstream, {});
+    }
+    await cluster.publish(
+      ["a", "b", "c"].map((zone) => ({
+        path: `zones.${zone}.state`,
+        value: "in",
+      })),
+    );
+  }
+
+  it("break no guarantee", async () => {
+    // Guards against combinations of faults that no focused test has.
+    const property = fc.asyncProperty(commands, async (run) => {
+      runs++;
+      const first = caller.oracle.submissions.length;
+      const model: FuzzModel = {
+        keys: [],
+        killed: new Set(),
+        hasMovedHomes: false,
+      };
+      await fc.asyncModelRun(() => ({ model, real: {} }), run);
+      await repair(model);
+      const submissions = caller.oracle.submissions.slice(first);
+      printCompletedShare(`run ${runs}`, submissions);
+      const violations = await caller.findViolations(cluster);
+      if (violations.length > 0) {
+        throw new Error(violations.join("\n"));
+      }
+    });
+    // A run on a cluster that other runs have used isn't repeatable exactly, so nothing is shrunk.
+    await fc.assert(property, {
+      seed: SEED,
+      numRuns: RUNS,
+      endOnFailure: true,
+    });
+  });
+});
--- a/tests/cluster/zone_out_test.ts
+++ b/tests/cluster/zone_out_test.ts
@@ -75,16 +75,21 @@
     await cluster.setLogFaults({});
     const sentAt = Date.now();
     await cluster.publish([{ path: "zones.a.state", value: "in" }]);
+    let started = new Set<string>();
     await caller.runLoad({
       ...{ prefix: `in-${sentAt}`, entries: cluster.entries, intervalMs: 20 },
-      ...{ runMs: 30, tasks: 4, isGoingOn: (count) => count < 100 },
+      ...{ runMs: 30, tasks: 4, deadlineMs: 4_000 },
+      isGoingOn: (count) => {
+        if (count % 50 === 0) {
+          void cluster.getStarts().then((starts) => {
+            const late = starts.filter(({ timeMs }) => timeMs > sentAt);
+            started = new Set(late.map(({ upstream }) => upstream));
+          });
+        }
+        return count < 1_000 && started.size < cluster.agents.length;
+      },
     });
-    for (const name of ["agent-1", "agent-2"]) {
-      const starts = (await cluster.getStarts()).filter((
-        { upstream, timeMs },
-      ) => upstream === name && timeMs > sentAt);
-      expect(starts, name).not.to.deep.equal([]);
-    }
+    expect(started.size).to.equal(cluster.agents.length);
     await cluster.waitUntilReady();
   }
   afterEach(putIn);
