--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -9,10 +9,6 @@
 /** Time that a process may take to stop, in milliseconds. */
 const STOP_TIMEOUT_MS = 30_000;
 
-/** First port of the clusters' processes, and the number of ports. */
-const FIRST_PORT = 10_000;
-const PORTS = 20_000;
-
 export interface ClusterOptions {
   /** Availability zone of each entry. */
   entryZones: string[];
@@ -344,20 +340,22 @@
   throw new Error("the cluster didn't reach the awaited state in time");
 }
 
+/** Ports that were handed out; a process may not listen on its port yet. */
+const usedPorts = new Set<number>();
+
 /**
- * Finds a free port below the range from which the kernel takes the ports of outgoing connections: one of
- * those could take the port again before its process listens.
+ * Finds a port that nothing listens on. It lies below the range from which the kernel takes the ports of
+ * outgoing connections, so that none of these takes it before the process listens.
  */
-async function findFreePort(): Promise<number> {
-  for (;;) {
-    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
-    const server = createServer();
-    const isFree = await new Promise<boolean>((resolve) => {
-      server.once("error", () => resolve(false));
-      server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
-    });
-    if (isFree) {
-      return port;
-    }
+function findFreePort(): Promise<number> {
+  const port = 10_000 + Math.floor(Math.random() * 20_000);
+  if (usedPorts.has(port)) {
+    return findFreePort();
   }
+  usedPorts.add(port);
+  return new Promise((resolve) => {
+    const server = createServer();
+    server.once("error", () => resolve(findFreePort()));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(port)));
+  });
 }
--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -17,6 +17,9 @@
 import type { TaskExecutor } from "./task_executor.ts";
 import type { TaskResult } from "./task_result.ts";
 
+/** An entry that misses its second heartbeat keeps no credits, in milliseconds. */
+const MAX_SILENCE_MS = 1_200;
+
 export interface EntrySessionOptions {
   stream: PeerStream;
   memberId: string;
@@ -47,6 +50,11 @@
     return this.#hello?.memberId ?? "";
   }
 
+  /** Does the entry send heartbeats? A stream for claims only has none. */
+  get hasHeartbeats(): boolean {
+    return this.#hello?.wantsCredits ?? false;
+  }
+
   /** Gets the offset that the entry's view has confirmed; -1 before its first heartbeat. */
   get confirmedOffset(): number {
     return this.#heartbeats.peerOffset;
@@ -128,6 +136,11 @@
         case: "heartbeat",
         value: this.#heartbeats.create(credits.running, timeline.getClock()),
       });
+      if (
+        this.#account !== undefined && this.getSilenceMs() > MAX_SILENCE_MS
+      ) {
+        credits.suspend(this.#account);
+      }
       await new Promise((resolve) =>
         setTimeout(resolve, VIEW_LIMITS.heartbeatIntervalMs)
       );
@@ -146,6 +159,9 @@
       case "heartbeat":
         timeline.mergeClock(message.value.clock);
         this.#heartbeats.receive(message.value);
+        if (this.#account !== undefined) {
+          this.#options.credits.resume(this.#account);
+        }
         this.#setQueued(message.value.queued);
         return;
       case "dispatch":
@@ -202,7 +218,7 @@
     const { stream, timeline } = this.#options;
     timeline.mergeClock(dispatch.clock);
     // A dispatch of a broken stream comes again on the next one. It must not use the new stream's credits.
-    if (this.#account === undefined || stream.isClosed) {
+    if (stream.isClosed) {
       return;
     }
     const { result, granted } = await this.#runDispatch(
@@ -219,14 +235,20 @@
 
   async #runDispatch(
     dispatch: Dispatch,
-    account: CreditAccount,
+    account: CreditAccount | undefined,
   ): Promise<{ result: TaskResult; granted: number }> {
     const { executor, credits } = this.#options;
     const { onCredit, queued } = dispatch;
     if (executor.hasRecord(dispatch)) {
-      const granted = onCredit ? credits.releaseCredit(account) : 0;
+      const granted = onCredit && account !== undefined
+        ? credits.releaseCredit(account)
+        : 0;
       return { result: await executor.run(dispatch, this.entryId), granted };
     }
+    if (account === undefined) {
+      const message = "the entry places no tasks here";
+      return { result: createFailedResult("busy", message), granted: 0 };
+    }
     const hasSlot = credits.grantSlot(account, { onCredit });
     credits.setQueued(account, queued);
     if (!hasSlot) {
@@ -239,7 +261,10 @@
   #handleClaim(claim: Claim): void {
     const { claims, timeline } = this.#options;
     timeline.mergeClock(claim.clock);
-    claims.handleClaim(claim, this.entryId, {
+    claims.handleClaim({
+      claim,
+      coordinatorId: this.entryId,
+      isOpen: () => !this.#options.stream.isClosed,
       reply: (reply) => {
         timeline.record("claim_answered", {
           key: claim.key,
--- a/src/coordination/follower/log_follower.ts
+++ b/src/coordination/follower/log_follower.ts
@@ -48,6 +48,7 @@
   #recent: RawLogRecord[] = [];
   #proofTime = -Infinity;
   #openReads = 0;
+  #readAt = -Infinity;
   #snapshot: KnownSnapshot | undefined;
 
   constructor(options: LogFollowerOptions) {
@@ -122,11 +123,7 @@
       ? VIEW_LIMITS.agentReadAfterMs
       : 0;
     while (!signal.aborted) {
-      // Overlapping reads of a process that starts would all fetch the same records.
-      const maxOpen = this.#proofTime === -Infinity ? 1 : MAX_OPEN_READS;
-      if (
-        this.getViewAgeMs() >= readAfterMs && this.#openReads < maxOpen
-      ) {
+      if (this.getViewAgeMs() >= readAfterMs && this.#canRead()) {
         void this.readOnce();
       }
       await new Promise((resolve) =>
@@ -135,25 +132,36 @@
     }
   }
 
+  /** Overlapping reads of a process that starts would all fetch the same records. */
+  #canRead(): boolean {
+    const isStart = this.#proofTime === -Infinity && this.#openReads > 0;
+    const minWaitMs = isStart ? VIEW_LIMITS.logReadTimeoutMs : 0;
+    return this.#openReads < MAX_OPEN_READS &&
+      this.#getTime() - this.#readAt >= minWaitMs;
+  }
+
   /**
-   * Reads the log up to its head. Returns false when the log can't be reached, or has a gap. A read without a reply in
-   * time counts as unreachable, but its reply is used all the same when it comes: a slow log still accepts
-   * changes.
+   * Reads the log up to its head. Returns false when the log can't be reached, or has a gap. A read without
+   * a reply in time counts as unreachable, but its reply is used all the same when it comes: a slow log
+   * still accepts changes.
    */
   async readOnce(): Promise<boolean> {
     this.#openReads++;
     try {
       for (;;) {
         const sentAt = this.#getTime();
+        this.#readAt = sentAt;
+        const offset = this.view.offset;
         const timer = setTimeout(
           () => this.#outages.addOwnReport(this.#getTime()),
           VIEW_LIMITS.logReadTimeoutMs,
         );
-        const page = await this.#log.read(this.view.offset + 1, READ_LIMIT);
+        const page = await this.#log.read(offset + 1, READ_LIMIT);
         clearTimeout(timer);
         const isInTime = this.#getTime() - sentAt <=
           VIEW_LIMITS.logReadTimeoutMs;
-        if (page.isErr()) {
+        // A head below records that were read before means that the log has lost records.
+        if (page.isErr() || page.value.head < offset) {
           if (isInTime) {
             this.#outages.addOwnReport(this.#getTime());
           }
@@ -162,7 +170,6 @@
         if (isInTime) {
           this.#outages.removeOwnReport();
         }
-        const offset = this.view.offset;
         if (this.#isSnapshotNeeded(page.value)) {
           await this.#applySnapshot(page.value);
         }
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -1,5 +1,6 @@
 import { ClaimService } from "../coordination/claims/mod.ts";
 import {
+  CapacityControl,
   CreditLedger,
   EntrySession,
   SessionTable,
@@ -13,7 +14,7 @@
 import { MessageCounts } from "../state/metrics/mod.ts";
 import type { StartRecords } from "../state/starts/mod.ts";
 import { Timeline } from "../state/timeline/mod.ts";
-import { PeerServer } from "../transport/peer/mod.ts";
+import { ConnectPeerCaller, PeerServer } from "../transport/peer/mod.ts";
 import { HttpUpstreamCaller } from "../transport/upstream/mod.ts";
 import { createMemberId } from "./create_member_id.ts";
 import type { ProcessContext } from "./process_context.ts";
@@ -29,6 +30,9 @@
 /** Interval at which a leaving agent looks for confirmations, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
 
+/** Longest wait until the homes that gain this agent's keys have got its claims, in milliseconds. */
+const HANDOVER_TIMEOUT_MS = 10_000;
+
 export interface AgentIncarnationOptions {
   context: ProcessContext;
   upstream: UpstreamAnnouncement;
@@ -36,6 +40,8 @@
   httpAddress: string;
   /** Kept over incarnations: an attempt that started stays started. */
   records: StartRecords<TaskResult>;
+  /** Has the process had an incarnation before? */
+  isReturn: boolean;
 }
 
 /** One membership of an agent, from its announcement until it leaves or is removed. */
@@ -47,6 +53,7 @@
   readonly #gate: StartGate;
   readonly #executor: TaskExecutor;
   readonly #credits: CreditLedger;
+  readonly #capacity: CapacityControl;
   readonly #sessions = new SessionTable();
   readonly #claims: ClaimService;
   readonly #peerServer: PeerServer;
@@ -74,23 +81,38 @@
       slots: upstream.slots,
     });
     this.#credits = new CreditLedger(upstream.slots);
+    this.#capacity = new CapacityControl({
+      credits: this.#credits,
+      slots: upstream.slots,
+      getRefusal: () => this.#gate.getRefusal(),
+      hasCredits: () =>
+        (follower.view.settings.placement ?? "credits") === "credits",
+      isReturn: options.isReturn,
+    });
     const homes = new HomeFinder(follower.view);
     this.#claims = new ClaimService({
       follower,
       homes,
       memberId: this.memberId,
+      zone: settings.zone,
+      peers: new ConnectPeerCaller(),
+      departures: context.departures,
+      getStartedKeys: () => records.getStartedKeys(),
     });
     this.#peerServer = new PeerServer({
       host: settings.host,
       port: settings.peerPort,
       serve: (stream) => this.#serve(stream),
-      gather: () => ({ ready: false, claims: [] }),
+      gather: (request) => this.#claims.handleGather(request),
     });
     follower.addListener((event) => {
       if (event.type === "left" || event.type === "removed") {
         this.#sessions.closeEntry(event.member.id);
         this.#sessions.forgetEntry(event.member.id);
       }
+      if (this.#wasAnnounced) {
+        this.#capacity.apply();
+      }
     });
   }
 
@@ -128,7 +150,7 @@
     }, signal);
     await waitForView(context, () => this.isReady, { signal });
     this.#wasAnnounced = true;
-    this.#credits.setOpen(true);
+    void this.#capacity.run(signal);
     this.timeline.record("agent_started");
     const watcher = new SilenceWatcher({
       memberId: this.memberId,
@@ -144,11 +166,14 @@
     const { log, follower } = this.#options.context;
     const announcer = new Announcer({ log, view: follower.view });
     const timeout = AbortSignal.timeout(LEAVE_TIMEOUT_MS);
-    this.#credits.setOpen(false);
+    this.#capacity.stop();
     await announcer.leave(this.memberId, "leaving", timeout);
     await this.#waitForEntries();
     this.#gate.startDraining();
     await this.#executor.waitForIdle();
+    await this.#claims.waitForHandover(
+      AbortSignal.timeout(HANDOVER_TIMEOUT_MS),
+    );
     const checks = this.#sessions.getAll().map((session) =>
       session.createDeliveryCheck()
     );
@@ -174,6 +199,7 @@
   /** Closes all streams at once. */
   close(): void {
     this.#abort.abort();
+    this.#claims.stop();
     for (const session of this.#sessions.getAll()) {
       session.close();
     }
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -1,4 +1,5 @@
 import {
+  Admission,
   AgentPool,
   ClaimClient,
   JobCoordinator,
@@ -33,6 +34,7 @@
   readonly coordinator: JobCoordinator;
   readonly #options: EntryIncarnationOptions;
   readonly #abort = new AbortController();
+  readonly #claims: ClaimClient;
   readonly #pool: AgentPool;
   readonly #dispatcher: TaskDispatcher;
   readonly #peerServer: PeerServer;
@@ -67,20 +69,32 @@
       quotas,
     });
     this.#dispatcher = dispatcher;
-    const claims = new ClaimClient({ homes, pool: this.#pool });
+    this.#claims = new ClaimClient({
+      memberId: this.memberId,
+      follower,
+      homes,
+      pool: this.#pool,
+    });
     this.coordinator = new JobCoordinator({
       view: follower.view,
       homes,
-      pool: this.#pool,
-      claims,
+      claims: this.#claims,
       dispatcher,
+      admission: new Admission({
+        view: follower.view,
+        pool: this.#pool,
+        quotas,
+        queue: dispatcher.queue,
+        runTimes: dispatcher.runTimes,
+        getRunning: (service) => dispatcher.getRunning(service),
+      }),
       timeline: this.timeline,
     });
     this.#peerServer = new PeerServer({
       host: settings.host,
       port: settings.peerPort,
       serve: () => Promise.resolve(),
-      gather: () => ({ ready: false, claims: [] }),
+      gather: (request) => this.#claims.handleGather(request),
     });
     metrics.setGauge("tasks_waiting", () => dispatcher.queue.waiting);
     metrics.setGauge("submissions_running", () => this.coordinator.running);
@@ -163,6 +177,7 @@
   close(): void {
     this.#abort.abort();
     this.coordinator.close();
+    this.#claims.stop();
     this.#dispatcher.stop();
     this.#pool.close();
     this.#peerServer.stop();
--- a/src/processes/event_recorder.ts
+++ b/src/processes/event_recorder.ts
@@ -34,6 +34,9 @@
         this.#recordTime("claim", `claim/${event.key}`);
         this.#start(`queue/${event.key}`);
         return;
+      case "claim_not_granted":
+        this.#openSince.delete(`claim/${event.key}`);
+        return;
       case "submission_refused":
         this.#recordRefusal("submission", event);
         this.#end(event);
@@ -48,6 +51,9 @@
         this.#add("attempts_failed", event);
         this.#warn("attempt failed", event);
         return;
+      case "task_hedged":
+        this.#metrics.add("hedges");
+        return;
       case "task_started":
         this.#metrics.add("task_starts");
         this.#start(getTaskName(event));
@@ -61,6 +67,7 @@
         return;
       case "task_refused":
         this.#recordRefusal("task", event);
+        this.#warn("task refused", event);
         return;
       case "claim_answered":
         this.#metrics.add("claims", 1, {
@@ -82,7 +89,6 @@
     this.#metrics.add("refusals", 1, {
       labels: { of, kind: event.detail ?? "" },
     });
-    this.#warn(`${of} refused`, event);
   }
 
   #add(name: string, event: TimelineEvent): void {
@@ -91,7 +97,8 @@
 
   #warn(message: string, event: TimelineEvent): void {
     const { key, index, attempt, detail } = event;
-    this.#limiter.write("warn", message, { key, index, attempt, kind: detail });
+    const fields = { key, index, attempt, kind: detail };
+    this.#limiter.write("warn", message, fields);
   }
 
   #start(name: string): void {
--- /dev/null
+++ b/tests/cluster/claims_test.ts
@@ -0,0 +1,186 @@
+import { expect } from "chai";
+import { Cluster, type ClusterProcess } from "../../scripts/lib/cluster.ts";
+import { HomeFinder } from "../../src/state/homes/mod.ts";
+import { ClusterView, Member } from "../../src/state/view/mod.ts";
+import { Caller, sleep } from "../lib/caller.ts";
+import type { CallerAnswer } from "../lib/caller_answer.ts";
+
+describe("claims when agents come and go", function () {
+  this.timeout(90_000);
+  const cluster = new Cluster({
+    entryZones: ["a", "b"],
+    agentZones: ["a", "a", "b", "b", "c", "c"],
+  });
+  const { submit, findViolations } = createHelpers(cluster);
+
+  before(() => cluster.start());
+  after(() => cluster.stop());
+
+  it("keeps claims when an agent joins", async () => {
+    // Guards against a new home that grants keys which are running or done under the former home.
+    const done = Array.from({ length: 60 }, (_, n) => `done-${n}`);
+    const running = Array.from({ length: 40 }, (_, n) => `running-${n}`);
+    const doneAnswers = await submit(0, done);
+    const first = submit(0, running, { runMs: 4_000 });
+    await sleep(500);
+    const before = await getHomes(cluster);
+    await cluster.addAgent("a");
+    await cluster.waitUntilReady();
+    const after = await getHomes(cluster);
+    expect(done.map(after)).to.not.deep.equal(done.map(before));
+    const again = await submit(1, running, { runMs: 4_000 });
+    expect(again).to.deep.equal(await first);
+    expect(await submit(1, done)).to.deep.equal(doneAnswers);
+    expect(await findViolations()).to.deep.equal([]);
+  });
+
+  it("keeps claims when their home stops as planned", async () => {
+    // Guards against a stopping home that takes its claims with it.
+    const home = cluster.agents[1] as ClusterProcess;
+    const [fresh = "", ...known] = await findKeys(cluster, home, "stop");
+    const first = submit(0, known, { runMs: 1_500 });
+    await sleep(300);
+    const stopped = cluster.stopProcess(home);
+    const meanwhile = submit(1, known, { runMs: 1_500 });
+    await stopped;
+    const later = submit(1, known, { runMs: 1_500 });
+    expect(await meanwhile).to.deep.equal(await first);
+    expect(await later).to.deep.equal(await first);
+    expect((await submit(1, [fresh]))[0]?.status).to.equal("complete");
+    expect(await findViolations()).to.deep.equal([]);
+  });
+
+  it("keeps claims when their home is killed, and serves fresh keys", async () => {
+    // Guards against a home whose claims die with it, and against keys held back without need.
+    const home = cluster.agents[2] as ClusterProcess;
+    const keys = await findKeys(cluster, home, "kill");
+    const [fresh = "", done = "", ...running] = keys;
+    const doneAnswer = await submit(0, [done]);
+    const first = submit(0, running, { runMs: 8_000 });
+    await sleep(300);
+    await cluster.kill(home);
+    const again = submit(1, running, { runMs: 8_000 });
+    const freshAnswer = submit(1, [fresh]);
+    expect(await submit(1, [done])).to.deep.equal(doneAnswer);
+    expect((await freshAnswer)[0]?.status).to.equal("complete");
+    expect(await again).to.deep.equal(await first);
+    expect(await findViolations()).to.deep.equal([]);
+  });
+});
+
+describe("claims when entries fail", function () {
+  this.timeout(90_000);
+  const cluster = new Cluster({
+    entryZones: ["a", "b", "c", "a"],
+    agentZones: ["a", "a", "b", "b", "c"],
+  });
+  const { submit, findViolations } = createHelpers(cluster);
+
+  before(() => cluster.start());
+  after(() => cluster.stop());
+
+  it("refuses a paused entry that was removed and resumes late", async () => {
+    // Guards against late dispatches of an entry whose claims were given up.
+    const entry = cluster.entries[3] as ClusterProcess;
+    const options = { runMs: 1_500, tasks: 100 };
+    const first = submit(3, ["paused"], options);
+    await sleep(300);
+    cluster.pause(entry);
+    const [again] = await submit(0, ["paused"], options);
+    expect(getKind(again)).to.equal("coordinator_lost");
+    await Promise.all(cluster.agents.map(async (agent) => {
+      const isMember = async () =>
+        (await cluster.getView(agent)).members.some(({ name }) =>
+          name === entry.name
+        );
+      while (await isMember()) {
+        await sleep(50);
+      }
+    }));
+    const starts = await cluster.getStarts();
+    expect(starts).to.not.deep.equal([]);
+    cluster.resume(entry);
+    expect((await first)[0]?.status).to.equal("failed");
+    await sleep(1_000);
+    expect(await cluster.getStarts()).to.have.length(starts.length);
+    expect(await findViolations()).to.deep.equal([]);
+  });
+
+  it("answers unknown when the entry was killed", async () => {
+    // Guards against a second run in place of a lost coordinator, and against an endless wait for it.
+    const first = submit(0, ["entry"], { runMs: 1_500 });
+    await sleep(300);
+    await cluster.kill(cluster.entries[0] as ClusterProcess);
+    expect(await first).to.deep.equal([undefined]);
+    const [answer] = await submit(1, ["entry"], { runMs: 1_500 });
+    expect(getKind(answer)).to.equal("coordinator_lost");
+    expect(await findViolations()).to.deep.equal([]);
+  });
+
+  it("answers unknown when the entry and the home were killed", async () => {
+    // Guards against a claim that only start records still tell about.
+    const home = cluster.agents[0] as ClusterProcess;
+    const [key = "", fresh = ""] = await findKeys(cluster, home, "both");
+    const first = submit(1, [key], { runMs: 1_500 });
+    await sleep(300);
+    await cluster.kill(home);
+    await cluster.kill(cluster.entries[1] as ClusterProcess);
+    expect(await first).to.deep.equal([undefined]);
+    const [answer, freshAnswer] = await submit(2, [key, fresh], {
+      runMs: 1_500,
+    });
+    expect(getKind(answer)).to.equal("coordinator_lost");
+    expect(freshAnswer?.status).to.equal("complete");
+    expect(await findViolations()).to.deep.equal([]);
+  });
+});
+
+function createHelpers(cluster: Cluster) {
+  const caller = new Caller();
+  return {
+    submit: (
+      entry: number,
+      keys: string[],
+      options: { runMs?: number; tasks?: number } = {},
+    ): Promise<(CallerAnswer | undefined)[]> =>
+      Promise.all(keys.map(async (key) => {
+        const process = cluster.entries[entry] as ClusterProcess;
+        const job = { key, entry: process, ...options };
+        return (await caller.submit(job)).answer;
+      })),
+    findViolations: () => caller.findViolations(cluster),
+  };
+}
+
+function getKind(answer: CallerAnswer | undefined): string | undefined {
+  return answer?.status === "failed" ? answer.error.kind : answer?.status;
+}
+
+/** Gets the function that finds the name of a key's home under the view of the second entry. */
+async function getHomes(
+  cluster: Cluster,
+): Promise<(key: string) => string | undefined> {
+  const { members } = await cluster.getView(
+    cluster.entries[1] as ClusterProcess,
+  );
+  const view = new ClusterView();
+  members.filter(({ phase }) => phase === "live").forEach((member, n) => {
+    view.apply(
+      { type: "announce", member: Member.strip().parse(member) },
+      n + 1,
+    );
+  });
+  const homes = new HomeFinder(view);
+  return (key) => homes.find(`default/${key}`)?.name;
+}
+
+/** Finds 8 keys whose home is an agent. */
+async function findKeys(
+  cluster: Cluster,
+  home: ClusterProcess,
+  prefix: string,
+): Promise<string[]> {
+  const findHome = await getHomes(cluster);
+  return Array.from({ length: 400 }, (_, n) => `${prefix}-${n}`)
+    .filter((key) => findHome(key) === home.name).slice(0, 8);
+}
--- a/tests/cluster/zone_out_test.ts
+++ b/tests/cluster/zone_out_test.ts
@@ -143,8 +143,7 @@
         cluster.resume(paused);
       },
     });
-    // The paused entry keeps its credits until it is removed, after 3 s and more of silence.
-    expect(share).to.be.above(0.5);
+    expect(share).to.be.above(0.9);
   });
 
   it("starts nothing after the bound while the log is slow", async () => {
--- a/tests/coordination/entry/placement/placement_selector_test.ts
+++ b/tests/coordination/entry/placement/placement_selector_test.ts
@@ -25,6 +25,7 @@
   options: { type?: Placement["type"]; out?: string[]; waiting?: number } = {},
 ) {
   const runTimes = new RunTimes();
+  const clock = { time: 0 };
   const selector = new PlacementSelector<FakeAgent>({
     getPlacement: () => createPlacement(options.type),
     getOffering: () => agents,
@@ -33,10 +34,11 @@
     runTimes,
     getWaiting: () => options.waiting ?? 1,
     onChange: () => {},
+    getTime: () => clock.time,
   });
   const select = (request: Partial<PlacementRequest> = {}) =>
     selector.select({ service: "s", runKey: "s", ...request })?.member.id;
-  return { runTimes, selector, select };
+  return { clock, runTimes, selector, select };
 }
 
 describe("PlacementSelector", () => {
@@ -46,14 +48,36 @@
     it("prefers the agent with the shortest learned run time among those with credits", () => {
       const known = agents();
       const { runTimes, select } = createSelector(known);
-      runTimes.record("s", "a", 120);
+      runTimes.record("s", "a", 140);
       runTimes.record("s", "b", 80);
-      runTimes.record("s", "c", 100);
+      runTimes.record("s", "c", 110);
       expect(select()).to.equal("b");
       (known[1] as FakeAgent).credits = 0;
       expect(select()).to.equal("c");
     });
 
+    it("takes turns between agents whose run times differ by chance", () => {
+      // Guards against one agent that gets all tasks at low load, and others that are never learned again.
+      const known = agents();
+      const { runTimes, select } = createSelector(known);
+      runTimes.record("s", "a", 105);
+      runTimes.record("s", "b", 100);
+      runTimes.record("s", "c", 200);
+      expect(select()).to.equal("a");
+      known.push(known.shift() as FakeAgent);
+      expect(select()).to.equal("b");
+    });
+
+    it("learns an agent with one task at a time", () => {
+      // Guards against a burst on a slow worker that nothing is known of.
+      const [known, unknown] = agents().slice(0, 2) as [FakeAgent, FakeAgent];
+      const { runTimes, select } = createSelector([unknown, known]);
+      runTimes.record("s", known.member.id, 100);
+      expect(select()).to.equal("b");
+      unknown.inFlight = 1;
+      expect(select()).to.equal("a");
+    });
+
     it("leaves out the home and the agent that refused while another agent remains", () => {
       // Guards against a refused task that goes straight back, and against one that waits for ever.
       expect(createSelector(agents()).select({ homeId: "a", avoidId: "b" }))
@@ -74,19 +98,23 @@
 
     it("keeps the last tasks of a job from a slow worker, but not a long queue", () => {
       // Guards against a job whose last task waits for the slowest worker.
-      const select = (waiting: number) => {
+      const select = (waiting: number, heldMs: number) => {
         const [fast, slow] = agents() as [FakeAgent, FakeAgent];
         fast.credits = 0;
         fast.inFlight = 8;
         const created = createSelector([fast, slow], { waiting });
         created.runTimes.record("s", "a", 100);
         created.runTimes.record("s", "b", 500);
+        expect(created.select()).to.equal(undefined);
+        created.clock.time = heldMs;
         const selected = created.select();
         created.selector.stop();
         return selected;
       };
-      expect(select(1)).to.equal(undefined);
-      expect(select(100)).to.equal("b");
+      expect(select(100, 25), "queue of 100 tasks").to.equal("b");
+      expect(select(1, 499), "last task").to.equal(undefined);
+      // A faster worker that hangs must not hold the task for ever.
+      expect(select(1, 500)).to.equal("b");
     });
 
     it("uses the slow worker when no faster one is working", () => {
