--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -24,12 +24,15 @@
 /** Longest wait for the log when an agent stops, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 5_000;
 
+/** Longest wait for what the entries have received, in milliseconds. */
+const CONFIRM_TIMEOUT_MS = 5_000;
+
+/** Interval at which a leaving agent looks for confirmations, in milliseconds. */
+const CHECK_INTERVAL_MS = 20;
+
 /** Longest wait until the homes that gain this agent's keys have got its claims, in milliseconds. */
 const HANDOVER_TIMEOUT_MS = 10_000;
 
-/** Time for results that are already sent to leave the process, in milliseconds. */
-const FLUSH_MS = 100;
-
 export interface AgentIncarnationOptions {
   context: ProcessContext;
   upstream: UpstreamAnnouncement;
@@ -170,12 +173,16 @@
     const timeout = AbortSignal.timeout(LEAVE_TIMEOUT_MS);
     this.#capacity.stop();
     await announcer.leave(this.memberId, "leaving", timeout);
+    await this.#waitForEntries();
     this.#gate.startDraining();
     await this.#executor.waitForIdle();
     await this.#claims.waitForHandover(
       AbortSignal.timeout(HANDOVER_TIMEOUT_MS),
     );
-    await new Promise((resolve) => setTimeout(resolve, FLUSH_MS));
+    const checks = this.#sessions.getAll().map((session) =>
+      session.createDeliveryCheck()
+    );
+    await waitUntil(() => checks.every((check) => check()));
     await announcer.leave(
       this.memberId,
       "left",
@@ -184,6 +191,16 @@
     this.close();
   }
 
+  /** Waits until the entries know that this agent is leaving; then no dispatch is on its way any more. */
+  async #waitForEntries(): Promise<void> {
+    const { view } = this.#options.context.follower;
+    await waitUntil(() => view.getMember(this.memberId)?.phase !== "live");
+    const offset = view.epoch;
+    await waitUntil(() =>
+      this.#sessions.getAll().every((session) => session.hasConfirmed(offset))
+    );
+  }
+
   /** Closes all streams at once. */
   close(): void {
     this.#abort.abort();
@@ -220,3 +237,10 @@
     return session.run();
   }
 }
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  const deadline = performance.now() + CONFIRM_TIMEOUT_MS;
+  while (!check() && performance.now() < deadline) {
+    await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
+  }
+}
