Store an entry's answers before it leaves, and bound the memory of answers

Cause: an entry that stopped while a home was lost left answers unstored; small answers took about 300 bytes each that no limit counted; members that weren't ready were asked again after up to 1 s. Change: a stopping entry waits up to 10 s for its homes; the limit counts 300 bytes for each answer; the retry delay ends at 400 ms.

--- a/src/coordination/claims/claim_service.ts
+++ b/src/coordination/claims/claim_service.ts
@@ -14,6 +14,7 @@
 import { ClaimWaiters } from "./claim_waiters.ts";
 import type { Departures } from "./departures.ts";
 import { GatherHandler } from "./gather_handler.ts";
+import { getAnswerBytes } from "./get_answer_bytes.ts";
 import { Takeover } from "./takeover.ts";
 
 /** Interval at which a leaving home looks whether its keys were taken over, in milliseconds. */
@@ -50,7 +51,7 @@
   constructor(options: ClaimServiceOptions) {
     this.#options = options;
     this.#table = options.table ??
-      new ClaimTable({ getBytes: (answer) => answer.body.length });
+      new ClaimTable({ getBytes: getAnswerBytes });
     this.#gatherHandler = new GatherHandler({
       ...options,
       table: this.#table,
--- a/src/coordination/claims/gather_calls.ts
+++ b/src/coordination/claims/gather_calls.ts
@@ -12,7 +12,7 @@
 const RETRY_DELAY_MS = 100;
 
 /** Longest wait before a member is asked again, in milliseconds. */
-const MAX_RETRY_DELAY_MS = 1_000;
+const MAX_RETRY_DELAY_MS = 400;
 
 export interface GatherCallsOptions {
   /** Member id of the home that asks. */
--- a/src/coordination/entry/claim_client.ts
+++ b/src/coordination/entry/claim_client.ts
@@ -1,6 +1,6 @@
 import { ClaimTable } from "../../state/claims/mod.ts";
 import type { HomeFinder } from "../../state/homes/mod.ts";
-import { GatherHandler } from "../claims/mod.ts";
+import { GatherHandler, getAnswerBytes } from "../claims/mod.ts";
 import type { LogFollower } from "../follower/mod.ts";
 import type {
   ClaimReply,
@@ -43,12 +43,13 @@
   readonly #gatherHandler: GatherHandler;
   /** Keys whose claim this entry gives up, until their homes have confirmed it. */
   readonly #releasing = new Set<string>();
+  #openStores = 0;
   #isStopped = false;
 
   constructor(options: ClaimClientOptions) {
     this.#options = options;
     this.#table = options.table ??
-      new ClaimTable({ getBytes: (answer) => answer.body.length });
+      new ClaimTable({ getBytes: getAnswerBytes });
     this.#gatherHandler = new GatherHandler({ ...options, table: this.#table });
   }
 
@@ -112,6 +113,13 @@
     return this.#gatherHandler.handle(request);
   }
 
+  /** Waits until the homes have confirmed every answer and release, or the signal aborts. */
+  async waitForStores(signal: AbortSignal): Promise<void> {
+    while (this.#openStores > 0 && !signal.aborted) {
+      await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
+    }
+  }
+
   /** Stops the tries in the background. */
   stop(): void {
     this.#isStopped = true;
@@ -178,7 +186,8 @@
       case "lost":
         return { ...reply, outcome: decision.type };
       case "running":
-        return "waiting";
+        // Another submission of this entry runs; the next claim of this one waits for its answer.
+        return undefined;
       case "conflict":
       case "done": {
         // The home has forgotten a claim that this entry still keeps.
@@ -207,20 +216,32 @@
     }
   }
 
-  /** Tries to store an answer or a release until the key's home of that time has confirmed it. */
   async #store(
     key: string,
     fingerprint: string,
     options: { answer?: StoredAnswer } = {},
+  ): Promise<boolean> {
+    this.#openStores++;
+    try {
+      return await this.#sendUntilStored(key, fingerprint, options);
+    } finally {
+      this.#openStores--;
+    }
+  }
+
+  /** Tries to store an answer or a release until the key's home of that time has confirmed it. */
+  async #sendUntilStored(
+    key: string,
+    fingerprint: string,
+    options: { answer?: StoredAnswer },
   ): Promise<boolean> {
     const { answer } = options;
     const isNeeded = () =>
       !this.#isStopped &&
       (answer === undefined || this.#table.get(key) !== undefined);
     for (let delay = RETRY_DELAY_MS; isNeeded(); delay *= 2) {
-      if (
-        await this.#getHomeLink(key)?.claims.complete(key, fingerprint, answer)
-      ) {
+      const link = this.#getHomeLink(key);
+      if (await link?.claims.complete(key, fingerprint, answer)) {
         return true;
       }
       const wait = Math.min(delay, MAX_RETRY_DELAY_MS);
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -19,6 +19,9 @@
 /** Longest wait for the log when an entry stops, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 5_000;
 
+/** Longest wait, when an entry stops, for homes that have not stored its answers, in milliseconds. */
+const STORE_TIMEOUT_MS = 10_000;
+
 /** Interval at which a stopping entry looks for running submissions, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
 
@@ -163,6 +166,7 @@
     while (this.coordinator.running > 0) {
       await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
     }
+    await this.#claims.waitForStores(AbortSignal.timeout(STORE_TIMEOUT_MS));
     const announcer = new Announcer({ log, view: follower.view });
     await announcer.leave(
       this.memberId,
--- a/tests/coordination/claims/claim_service_test.ts
+++ b/tests/coordination/claims/claim_service_test.ts
@@ -6,7 +6,7 @@
 const STEPS_MS = 250;
 
 /** Longest wait until a member that wasn't ready is asked again, in milliseconds. */
-const MAX_RETRY_MS = 1_000;
+const MAX_RETRY_MS = 400;
 
 describe("ClaimService", () => {
   let cluster: FakeCluster;
--- a/tests/coordination/entry/claim_client_test.ts
+++ b/tests/coordination/entry/claim_client_test.ts
@@ -123,6 +123,25 @@
     });
   });
 
+  describe("waitForStores", () => {
+    it("waits until the home has the answer", async () => {
+      // Guards against a planned stop after which a done submission counts as lost.
+      const first = claim();
+      link.reply("granted");
+      await first;
+      link.isStoring = false;
+      void client.complete("k", "f", ANSWER);
+      let isDone = false;
+      const waited = client.waitForStores(AbortSignal.timeout(5_000))
+        .then(() => isDone = true);
+      await sleep(80);
+      expect(isDone).to.equal(false);
+      link.isStoring = true;
+      await waited;
+      expect(link.completes.length).to.be.greaterThan(1);
+    });
+  });
+
   describe("complete", () => {
     it("stores the answer at the new home when the home has moved", async () => {
       // Guards against an answer that stays at a home which nobody asks any more.
