Count an agent as gone only when its process is gone

Ruled out: a time limit on departures; it would be a guess. Change: a member carries the id of its process. A departed agent whose process is announced again by the epoch of the takeover keeps its start records and doesn't count; several departures of one process count once; where the lost home isn't known, since the home in between hadn't completed its takeover, only unclean departures count as one.

--- a/src/coordination/claims/departures.ts
+++ b/src/coordination/claims/departures.ts
@@ -1,10 +1,12 @@
+import type { MemberState } from "../../state/view/mod.ts";
 import type { LogFollower } from "../follower/mod.ts";
 
 /** The idempotency window: older departures concern no claim that is still remembered. */
 const WINDOW_MS = 600_000;
 
 interface Departure {
-  readonly role: "entry" | "agent";
+  readonly member: MemberState;
+  readonly type: "removed" | "left";
   readonly time: number;
 }
 
@@ -31,8 +33,9 @@
     this.#startedAt = this.#follower.getTime();
     this.#follower.addListener((event) => {
       if (event.type === "removed" || event.type === "left") {
-        const { id, role } = event.member;
-        this.#departures.set(id, { role, time: this.#follower.getTime() });
+        const { member, type } = event;
+        const time = this.#follower.getTime();
+        this.#departures.set(member.id, { member, type, time });
         this.#removeExpired();
       }
     });
@@ -53,17 +56,25 @@
    * and a further agent went away, so all three places that knew a claim may be lost. Undefined when the
    * members that are left know all claims.
    * @param homeId - The home before; empty when there was none.
-   * @param isGone - Did this home go away itself? False when it only hadn't completed its own takeover.
+   * @param options - `isGone`: did this home go away itself, or hadn't it completed its own takeover?
+   * `epoch`: members that were announced up to it have told what they know.
    */
-  getHoldUntil(homeId: string, isGone: boolean): number | undefined {
+  getHoldUntil(
+    homeId: string,
+    options: { isGone: boolean; epoch: number },
+  ): number | undefined {
+    const { isGone, epoch } = options;
     this.#removeExpired();
     if (isGone && !this.#isPastKnown()) {
       return this.#startedAt + this.#windowMs;
     }
-    const agents = [...this.#departures.values()]
-      .filter(({ role }) => role === "agent").length;
+    const lostHomes = isGone
+      ? [this.#getProcess(homeId)]
+      : this.#getLostHomes();
+    const lostStarts = this.#getLostStarts(epoch);
     const isHeld = this.#getLastTime("entry") > -Infinity &&
-      (agents >= 2 || homeId === "");
+      (homeId === "" ||
+        lostHomes.some((home) => lostStarts.some((id) => id !== home)));
     if (!isHeld) {
       return undefined;
     }
@@ -72,6 +83,39 @@
     return Math.min(this.#getLastTime("entry"), homeTime) + this.#windowMs;
   }
 
+  /** Gets the id of a member's process. One process may have gone several times, under several ids. */
+  #getProcess(memberId: string): string {
+    return this.#departures.get(memberId)?.member.processId ?? memberId;
+  }
+
+  /** Gets the processes of the agents that didn't leave cleanly, which means handing their claims over. */
+  #getLostHomes(): string[] {
+    return [...this.#departures.values()]
+      .filter(({ member, type }) =>
+        member.role === "agent" && type === "removed"
+      )
+      .map(({ member }) => this.#getProcess(member.id));
+  }
+
+  /** Gets the processes of agents whose start records are lost. */
+  #getLostStarts(epoch: number): string[] {
+    return [...this.#departures.values()]
+      .map(({ member }) => member)
+      .filter((member) =>
+        member.role === "agent" && !this.#hasReturned(member, epoch)
+      )
+      .map((member) => this.#getProcess(member.id));
+  }
+
+  /** Has the process of an agent come back as another member? It has kept its start records. */
+  #hasReturned(member: MemberState, epoch: number): boolean {
+    const { processId } = member;
+    return processId !== undefined &&
+      this.#follower.view.getMembers("agent").some((other) =>
+        other.processId === processId && other.announcedAt <= epoch
+      );
+  }
+
   /** Has this process seen every departure of the window? A snapshot doesn't tell about earlier ones. */
   #isPastKnown(): boolean {
     return this.#follower.getTime() - this.#startedAt >= this.#windowMs ||
@@ -80,9 +124,9 @@
 
   #getLastTime(role: "entry" | "agent"): number {
     let last = -Infinity;
-    for (const departure of this.#departures.values()) {
-      if (departure.role === role) {
-        last = Math.max(last, departure.time);
+    for (const { member, time } of this.#departures.values()) {
+      if (member.role === role) {
+        last = Math.max(last, time);
       }
     }
     return last;
--- a/src/coordination/claims/takeover.ts
+++ b/src/coordination/claims/takeover.ts
@@ -276,7 +276,9 @@
         this.#mergeAnswers(change, new Set(gone));
         for (const id of gone) {
           const isGone = follower.view.getMember(id) === undefined;
-          change.removeSource(id, departures.getHoldUntil(id, isGone));
+          const epoch = change.everybodyEpoch;
+          const until = departures.getHoldUntil(id, { isGone, epoch });
+          change.removeSource(id, until);
         }
         this.#options.onProgress();
       }
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -137,6 +137,7 @@
       id: this.memberId,
       name: settings.name,
       role: "agent",
+      processId: context.processId,
       zone: settings.zone,
       ...(settings.rack === undefined ? {} : { rack: settings.rack }),
       peerAddress: settings.announcedPeerAddress ??
--- a/src/processes/create_process_context.ts
+++ b/src/processes/create_process_context.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { Departures } from "../coordination/claims/mod.ts";
 import { LogFollower } from "../coordination/follower/mod.ts";
 import { Metrics } from "../state/metrics/mod.ts";
@@ -41,6 +42,7 @@
   );
   return {
     settings,
+    processId: randomUUID(),
     log,
     follower,
     departures,
--- a/src/processes/process_context.ts
+++ b/src/processes/process_context.ts
@@ -11,6 +11,8 @@
 /** What the parts of a process share, over all incarnations of its member. */
 export interface ProcessContext {
   readonly settings: ProcessSettings;
+  /** Random id of the process, for all its incarnations. */
+  readonly processId: string;
   readonly log: LogService;
   readonly follower: LogFollower;
   readonly departures: Departures;
--- a/src/state/view/member.ts
+++ b/src/state/view/member.ts
@@ -9,6 +9,8 @@
   /** Name from the process's settings file; stays the same over restarts. */
   name: z.string().min(1).max(96),
   role: z.enum(["entry", "agent"]),
+  /** Id of the process, which is the same for all its incarnations: it keeps the start records. */
+  processId: z.string().max(64).optional(),
   zone: z.string().min(1).max(64),
   rack: z.string().max(64).optional(),
   /** `host:port` of the server for streams from other processes. */
--- a/tests/coordination/claims/claim_service_test.ts
+++ b/tests/coordination/claims/claim_service_test.ts
@@ -125,6 +125,22 @@
       expect(cluster.claim("k", "e2")).to.deep.equal(["granted"]);
     });
 
+    it("holds nothing back when the further agent has come back", async () => {
+      // Guards against needless holds: a process that is announced anew keeps its start records.
+      const runner = ["a1", "a2"].find((id) => id !== cluster.findHome("k"));
+      await settle();
+      cluster.remove(["e1"]);
+      cluster.remove([runner as string]);
+      cluster.addAgent("back", { processId: runner as string });
+      await settle();
+      const home = ["a1", "a2", "a3", "a4"].find((id) => id !== runner);
+      const [fresh = ""] = findKeys(home as string);
+      cluster.remove([home as string]);
+      const other = cluster.claim(fresh, "e2");
+      await settle();
+      expect(other).to.deep.equal(["granted"]);
+    });
+
     it("holds nothing back after the loss of agents alone", async () => {
       await settle();
       const home = cluster.findHome("k");
--- a/tests/coordination/claims/fake_cluster.ts
+++ b/tests/coordination/claims/fake_cluster.ts
@@ -66,7 +66,7 @@
     this.#announce(id, "entry");
   }
 
-  addAgent(id: string): void {
+  addAgent(id: string, options: { processId?: string } = {}): void {
     const { follower, homes, departures } = this.#createFollower();
     const starts = new Map<string, string>();
     const service = new ClaimService({
@@ -84,7 +84,7 @@
     const handleGather = (request: GatherRequest) =>
       service.handleGather(request);
     this.#members.set(id, { follower, homes, handleGather });
-    this.#announce(id, "agent");
+    this.#announce(id, "agent", options.processId ?? id);
   }
 
   /** Appends a record. Members listed in `late` get it with a later record that they aren't listed for. */
@@ -187,11 +187,12 @@
     return { follower, departures, homes: new HomeFinder(view) };
   }
 
-  #announce(id: string, role: "entry" | "agent"): void {
+  #announce(id: string, role: "entry" | "agent", processId = id): void {
     this.append({
       type: "announce",
       member: {
-        ...{ id, name: id, role, zone: "z", services: [], slots: 8 },
+        ...{ id, name: id, role, processId, zone: "z" },
+        ...{ services: [], slots: 8 },
         ...{ peerAddress: id, httpAddress: id },
       },
     });
