Ask for slots only for tasks that the quotas let run

Cause: tasks that waited for their customer's maxRunning counted as demand, so the entry was given credits that it could not use, and other entries lost them.

Ruled out: counting the demand at most once a millisecond; a job sends its dispatches within that time, and the last ones told an old queue.

Change: the queue counts by service what customers and teams may still start; Demand divides that over the agents.

Before: a customer with a quota of 5 and 20 waiting tasks asked for 20. After: it asks for 5 (unit test).

Conclusion: correct in the unit test, its effect is not measured.

--- a/src/coordination/entry/demand.ts
+++ b/src/coordination/entry/demand.ts
@@ -12,8 +12,8 @@
 
 export interface DemandOptions {
   index: ServiceIndex;
-  /** Gets the number of waiting tasks by service. */
-  getWaiting: () => ReadonlyMap<string, number>;
+  /** Gets the number of waiting tasks by service that could run now. */
+  getWanted: () => ReadonlyMap<string, number>;
 }
 
 /**
@@ -35,9 +35,9 @@
 
   /** Gets the number of waiting tasks that one agent is told. */
   getShare(link: AgentLink): number {
-    const { index, getWaiting } = this.#options;
+    const { index, getWanted } = this.#options;
     let share = 0;
-    for (const [service, waiting] of getWaiting()) {
+    for (const [service, waiting] of getWanted()) {
       const position = index.getPosition(service, link);
       if (position !== undefined && waiting > 0) {
         const agents = index.getLinks(service).length;
@@ -70,10 +70,10 @@
   }
 
   #sendWants(): void {
-    const { index, getWaiting } = this.#options;
+    const { index, getWanted } = this.#options;
     const now = performance.now();
     const links = new Set<AgentLink>();
-    for (const [service, waiting] of getWaiting()) {
+    for (const [service, waiting] of getWanted()) {
       if (waiting > 0) {
         index.getLinks(service).forEach((link) => links.add(link));
       }
--- a/src/coordination/entry/queue/dispatch_queue.ts
+++ b/src/coordination/entry/queue/dispatch_queue.ts
@@ -40,6 +40,20 @@
     return this.#waitingByService;
   }
 
+  /** Gets the number of waiting tasks by service that the quotas allow to run now. */
+  getWantedByService(): Map<string, number> {
+    const { getMaxRunning } = this.#policy;
+    const wanted = new Map<string, number>();
+    for (const [name, queue] of this.#customers) {
+      let rest = Math.max(0, getMaxRunning(name) - queue.running);
+      for (const [teamName, team] of queue.waiting > 0 ? queue.teams : []) {
+        const limit = Math.max(0, getMaxRunning(name, teamName) - team.running);
+        rest -= team.addWanted(wanted, Math.min(rest, limit));
+      }
+    }
+    return wanted;
+  }
+
   /** Gets the number of waiting tasks, or 0 while none of them can be placed. */
   get size(): number {
     this.#next = this.#findNext();
--- a/src/coordination/entry/queue/team_queue.ts
+++ b/src/coordination/entry/queue/team_queue.ts
@@ -41,6 +41,22 @@
     return best;
   }
 
+  /**
+   * Adds the tasks that may run now to the number by service.
+   * @param wanted - Number of tasks by service.
+   * @param limit - Largest number of tasks to add.
+   */
+  addWanted(wanted: Map<string, number>, limit: number): number {
+    let rest = Math.min(this.waiting, limit);
+    const added = rest;
+    for (const [service, lane] of this.#lanes) {
+      const count = Math.min(lane.waiting, rest);
+      wanted.set(service, (wanted.get(service) ?? 0) + count);
+      rest -= count;
+    }
+    return added;
+  }
+
   /** Removes a task that `findFirst` has found, or that was marked as removed. */
   remove(task: WaitingTask): void {
     const lane = this.#lanes.get(task.options.service) as TaskLane;
--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -77,7 +77,7 @@
     this.#waiting = waiting;
     this.#demand = new Demand({
       index: pool.index,
-      getWaiting: () => waiting.waitingByService,
+      getWanted: () => waiting.getWantedByService(),
     });
     // p-queue creates its queue itself; the constructor returns the one that this class also looks into.
     const queueClass = function () {
--- a/tests/coordination/entry/dispatch_queue_test.ts
+++ b/tests/coordination/entry/dispatch_queue_test.ts
@@ -126,6 +126,22 @@
     });
   });
 
+  describe("getWantedByService", () => {
+    it("counts only tasks that the quotas let run", () => {
+      // Guards against an entry that takes credits from others for tasks that it must not start.
+      const { add, start, queue } = createQueue({
+        getMaxRunning: (_, team) => team === undefined ? 5 : 4,
+      });
+      addMany(add, 10, { team: "x" });
+      expect([...queue.getWantedByService()]).to.deep.equal([["s", 4]]);
+      addMany(add, 10, { team: "y", service: "t" });
+      expect([...queue.getWantedByService()])
+        .to.deep.equal([["s", 4], ["t", 1]]);
+      start(20);
+      expect(queue.getWantedByService().get("s")).to.equal(0);
+    });
+  });
+
   describe("remove", () => {
     it("removes waiting tasks and keeps the counts right", () => {
       // Guards against a cancellation wave that leaves ghosts in the queue.
