Look only at suspected members when a suspicion arrives

Cause: for each suspect record the member table looked at every suspected member, and for an entry it asked every agent for its entries. Ruled out: fewer observers (the majority rule needs them). Change: a record leads to a look at the members that it names, and at all only after a removal; the agents of an entry come from an index.

--- a/scripts/lib/bench/run_view_bench.ts
+++ b/scripts/lib/bench/run_view_bench.ts
@@ -6,6 +6,7 @@
   type LogRecord,
   type Member,
 } from "../../../src/state/view/mod.ts";
+import { MemberTable } from "../../../src/state/view/member_table.ts";
 import { writeTable } from "./bench_table.ts";
 
 const TEAMS = 180;
@@ -26,6 +27,10 @@
     { agents: 8_800, entries: 200, teams: TEAMS },
   ];
   writeTable("view: state and cost for each record", sizes.map(measureView));
+  writeTable(
+    "view: loss of one zone of 11, each observer suspects those it watches",
+    sizes.slice(1).map(measureZoneLoss),
+  );
   writeTable(
     "kept claims and start records",
     [1_000, 10_000, 50_000].map(
@@ -53,7 +58,8 @@
     Array.from({ length: 20 }),
     (_, count) => apply(createChange(count)),
   );
-  const suspectMs = measureSuspects(view, { size, apply });
+  const suspectMs = measureSuspects(view, { role: "agent", apply });
+  const entrySuspectMs = measureSuspects(view, { role: "entry", apply });
   const { snapshotMs, snapshotBytes, setMs } = measureSnapshot(view);
   const homes = new HomeFinder(view);
   const refreshMs = measureEach([0], () => homes.find("first"));
@@ -68,7 +74,8 @@
     "heap MB": memoryMb,
     "announce ms": announceMs,
     "change ms": changeMs,
-    "suspect ms": suspectMs,
+    "suspect agents ms": suspectMs,
+    "suspect entry ms": entrySuspectMs,
     "snapshot MB": snapshotBytes / 1e6,
     "snapshot ms": snapshotMs,
     "set snapshot ms": setMs,
@@ -123,18 +130,65 @@
   }));
 }
 
-/** Measures the records that remove one rack of three agents: a record from each of its observers. */
+/** Measures suspicions of three agents by entries, or of one entry by agents, until the records run out. */
 function measureSuspects(
   view: ClusterView,
-  options: { size: Size; apply: (record: LogRecord) => void },
+  options: { role: "entry" | "agent"; apply: (record: LogRecord) => void },
 ): number {
-  const memberIds = view.getMembers("agent").slice(0, 3).map(({ id }) => id);
-  const observers = view.getMembers("entry").slice(0, options.size.entries);
+  const { role, apply } = options;
+  const count = role === "agent" ? 3 : 1;
+  const memberIds = view.getMembers(role).slice(0, count).map(({ id }) => id);
+  const observers = view.getMembers(role === "agent" ? "entry" : "agent");
   return measureEach(
-    observers,
+    observers.slice(0, 50),
     ({ id }) =>
-      options.apply({ type: "suspect", observerId: id, memberIds, timeMs: 0 }),
+      apply({ type: "suspect", observerId: id, memberIds, timeMs: 0 }),
+  );
+}
+
+/** Measures the suspicions from the loss of a zone until its members are removed. */
+function measureZoneLoss(size: Size): { [column: string]: number } {
+  const table = new MemberTable({ getEntriesPerAgent: () => undefined });
+  let offset = 1;
+  const members = [
+    ...createMembers("entry", size.entries),
+    ...createMembers("agent", size.agents),
+  ];
+  members.forEach((member) => table.announce(member, offset++));
+  const lost = new Set(
+    members.filter(({ zone }) => zone === "zone-0").map(({ id }) => id),
   );
+  const watched = new Map<string, string[]>();
+  for (const { id, role } of members) {
+    for (const entryId of role === "agent" ? table.getEntriesOf(id) : []) {
+      watched.set(id, [...watched.get(id) ?? [], entryId]);
+      watched.set(entryId, [...watched.get(entryId) ?? [], id]);
+    }
+  }
+  let records = 0;
+  let bytes = 0;
+  const cpu = measureEach([0], () => {
+    for (const { id } of members.filter(({ id }) => !lost.has(id))) {
+      const suspects = (watched.get(id) ?? []).filter((other) =>
+        lost.has(other) && table.get(other) !== undefined
+      );
+      if (suspects.length > 0) {
+        records++;
+        bytes += JSON.stringify(suspects).length;
+        table.suspect(id, suspects, { offset: offset++, timeMs: 0 });
+      }
+    }
+  });
+  return {
+    agents: size.agents,
+    entries: size.entries,
+    "members lost": lost.size,
+    "still members": [...lost].filter((id) => table.get(id)).length,
+    records,
+    "ids in records B": bytes,
+    "cpu ms in all": cpu,
+    "cpu ms a record": cpu / records,
+  };
 }
 
 function measureSnapshot(view: ClusterView) {
--- a/src/state/view/member_table.ts
+++ b/src/state/view/member_table.ts
@@ -29,6 +29,7 @@
   constructor(options: MemberTableOptions = {}) {
     this.#subset = new StreamSubset({
       getEntries: () => this.getAll().filter(({ role }) => role === "entry"),
+      getAgents: () => this.getAll().filter(({ role }) => role === "agent"),
       getLimit: () =>
         options.getEntriesPerAgent?.() ?? DEFAULT_ENTRIES_PER_AGENT,
     });
@@ -72,6 +73,8 @@
     this.#members.set(member.id, state);
     if (member.role === "entry") {
       this.#subset.removeAll();
+    } else {
+      this.#subset.addAgent(member.id);
     }
     this.#epoch = offset;
     events.push({ type: "joined", member: state });
@@ -116,7 +119,7 @@
         this.#suspicions.set(id, observers);
       }
     }
-    const events = this.#removeSuspected();
+    const events = this.#removeSuspected(ids);
     if (events.length > 0) {
       this.#epoch = options.offset;
     }
@@ -169,30 +172,37 @@
     this.#suspicions.delete(member.id);
     if (member.role === "entry") {
       this.#subset.removeAll();
+    } else {
+      this.#subset.removeAgent(member.id);
     }
     return { type, member };
   }
 
-  /** Removes suspected members until none is left that enough observers suspect. */
-  #removeSuspected(): ViewEvent[] {
+  /**
+   * Removes suspected members until none is left that enough observers suspect.
+   * @param ids - Members whose suspicions have changed; all of them when the membership has changed. The
+   * loss of a zone brings a record from thousands of observers, and looking at everybody for each took
+   * minutes of processor time.
+   */
+  #removeSuspected(
+    ids: Iterable<string> = this.#suspicions.keys(),
+  ): ViewEvent[] {
     const events: ViewEvent[] = [];
-    let removed = true;
-    while (removed) {
-      removed = false;
-      for (const id of [...this.#suspicions.keys()]) {
-        const member = this.#members.get(id);
-        if (member !== undefined && this.#isSuspectedEnough(member)) {
-          events.push(this.#remove(member, "removed"));
-          removed = true;
-        }
+    for (const id of [...ids]) {
+      const member = this.#members.get(id);
+      if (member !== undefined && this.#isSuspectedEnough(member)) {
+        events.push(this.#remove(member, "removed"));
       }
     }
-    return events;
+    // A removed member observes no more, so others may now have a majority against them.
+    return events.length === 0 ? [] : [...events, ...this.#removeSuspected()];
   }
 
   #isSuspectedEnough(member: MemberState): boolean {
-    const observers = this.#suspicions.get(member.id) ??
-      new Map<string, number>();
+    const observers = this.#suspicions.get(member.id);
+    if (observers === undefined) {
+      return false;
+    }
     const newest = Math.max(...observers.values());
     const watching = this.#getWatching(member);
     let count = 0;
@@ -209,9 +219,6 @@
     if (member.role === "agent") {
       return this.#subset.get(member.id);
     }
-    const agents = this.getAll().filter(({ role, id }) =>
-      role === "agent" && this.#subset.get(id).has(member.id)
-    );
-    return new Set(agents.map(({ id }) => id));
+    return this.#subset.getAgents(member.id);
   }
 }
--- a/src/state/view/stream_subset.ts
+++ b/src/state/view/stream_subset.ts
@@ -8,6 +8,7 @@
 
 export interface StreamSubsetOptions {
   getEntries: () => readonly MemberState[];
+  getAgents: () => readonly MemberState[];
   /** Gets the largest number of entries that use one agent. */
   getLimit: () => number;
 }
@@ -20,6 +21,8 @@
 export class StreamSubset {
   readonly #options: StreamSubsetOptions;
   readonly #byAgent = new Map<string, ReadonlySet<string>>();
+  /** The agents by entry; made when it is first asked for after a change of the entries. */
+  #byEntry: Map<string, Set<string>> | undefined;
   #zones: readonly Zone[] | undefined;
   #limit = 0;
 
@@ -40,6 +43,7 @@
       this.#limit = limit;
       this.#zones = createZones(getEntries());
       this.#byAgent.clear();
+      this.#byEntry = undefined;
     }
     let chosen = this.#byAgent.get(agentId);
     if (chosen === undefined) {
@@ -48,6 +52,44 @@
     }
     return chosen;
   }
+
+  /** Gets the ids of the agents that an entry uses. */
+  getAgents(entryId: string): ReadonlySet<string> {
+    if (
+      this.#zones === undefined || this.#limit !== this.#options.getLimit() ||
+      this.#byEntry === undefined
+    ) {
+      const byEntry = new Map<string, Set<string>>();
+      for (const { id } of this.#options.getAgents()) {
+        this.#addTo(byEntry, id);
+      }
+      this.#byEntry = byEntry;
+    }
+    return this.#byEntry.get(entryId) ?? new Set();
+  }
+
+  /** Adds an agent that has joined. */
+  addAgent(agentId: string): void {
+    if (this.#byEntry !== undefined) {
+      this.#addTo(this.#byEntry, agentId);
+    }
+  }
+
+  /** Removes an agent that has left or was removed. */
+  removeAgent(agentId: string): void {
+    for (const entryId of this.#byAgent.get(agentId) ?? []) {
+      this.#byEntry?.get(entryId)?.delete(agentId);
+    }
+    this.#byAgent.delete(agentId);
+  }
+
+  #addTo(byEntry: Map<string, Set<string>>, agentId: string): void {
+    for (const entryId of this.get(agentId)) {
+      const agents = byEntry.get(entryId) ?? new Set();
+      agents.add(agentId);
+      byEntry.set(entryId, agents);
+    }
+  }
 }
 
 function createZones(entries: readonly MemberState[]): Zone[] {
