--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -24,12 +24,15 @@
 /** Longest wait for the log when an agent stops, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 5_000;
 
+/** Longest wait for what the entries have received, in milliseconds. */
+const CONFIRM_TIMEOUT_MS = 5_000;
+
+/** Interval at which a leaving agent looks for confirmations, in milliseconds. */
+const CHECK_INTERVAL_MS = 20;
+
 /** Longest wait until the homes that gain this agent's keys have got its claims, in milliseconds. */
 const HANDOVER_TIMEOUT_MS = 10_000;
 
-/** Time for results that are already sent to leave the process, in milliseconds. */
-const FLUSH_MS = 100;
-
 export interface AgentIncarnationOptions {
   context: ProcessContext;
   upstream: UpstreamAnnouncement;
@@ -55,6 +58,7 @@
   readonly #claims: ClaimService;
   readonly #peerServer: PeerServer;
   readonly #messages: MessageCounts;
+  #announcedAt = Infinity;
   #wasAnnounced = false;
 
   constructor(options: AgentIncarnationOptions) {
@@ -121,9 +125,9 @@
 
   /** Was the agent announced and then removed by the others? */
   get wasRemoved(): boolean {
-    return this.#wasAnnounced && !this.#abort.signal.aborted &&
-      this.#options.context.follower.view.getMember(this.memberId) ===
-        undefined;
+    const { view } = this.#options.context.follower;
+    return view.offset >= this.#announcedAt && !this.#abort.signal.aborted &&
+      view.getMember(this.memberId) === undefined;
   }
 
   /** Announces the agent and starts to serve. */
@@ -133,7 +137,7 @@
     const { signal } = this.#abort;
     const peerPort = await this.#peerServer.start();
     const announcer = new Announcer({ log, view: follower.view });
-    await announcer.announce({
+    const offset = await announcer.announce({
       id: this.memberId,
       name: settings.name,
       role: "agent",
@@ -145,7 +149,11 @@
       services: upstream.services,
       slots: upstream.slots,
     }, signal);
+    this.#announcedAt = offset ?? Infinity;
     await waitForView(context, () => this.isReady, { signal });
+    if (signal.aborted) {
+      return;
+    }
     this.#wasAnnounced = true;
     void this.#capacity.run(signal);
     this.timeline.record("agent_started");
@@ -165,12 +173,16 @@
     const timeout = AbortSignal.timeout(LEAVE_TIMEOUT_MS);
     this.#capacity.stop();
     await announcer.leave(this.memberId, "leaving", timeout);
+    await this.#waitForEntries();
     this.#gate.startDraining();
     await this.#executor.waitForIdle();
     await this.#claims.waitForHandover(
       AbortSignal.timeout(HANDOVER_TIMEOUT_MS),
     );
-    await new Promise((resolve) => setTimeout(resolve, FLUSH_MS));
+    const checks = this.#sessions.getAll().map((session) =>
+      session.createDeliveryCheck()
+    );
+    await waitUntil(() => checks.every((check) => check()));
     await announcer.leave(
       this.memberId,
       "left",
@@ -179,6 +191,16 @@
     this.close();
   }
 
+  /** Waits until the entries know that this agent is leaving; then no dispatch is on its way any more. */
+  async #waitForEntries(): Promise<void> {
+    const { view } = this.#options.context.follower;
+    await waitUntil(() => view.getMember(this.memberId)?.phase !== "live");
+    const offset = view.epoch;
+    await waitUntil(() =>
+      this.#sessions.getAll().every((session) => session.hasConfirmed(offset))
+    );
+  }
+
   /** Closes all streams at once. */
   close(): void {
     this.#abort.abort();
@@ -215,3 +237,10 @@
     return session.run();
   }
 }
+
+async function waitUntil(check: () => boolean): Promise<void> {
+  const deadline = performance.now() + CONFIRM_TIMEOUT_MS;
+  while (!check() && performance.now() < deadline) {
+    await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
+  }
+}
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -38,6 +38,7 @@
   readonly #pool: AgentPool;
   readonly #dispatcher: TaskDispatcher;
   readonly #peerServer: PeerServer;
+  #announcedAt = Infinity;
   #wasAnnounced = false;
 
   constructor(options: EntryIncarnationOptions) {
@@ -102,14 +103,15 @@
 
   /** Is the entry a live member? */
   get isReady(): boolean {
-    return this.#wasAnnounced && !this.wasRemoved;
+    return this.#wasAnnounced && !this.#abort.signal.aborted &&
+      !this.wasRemoved;
   }
 
   /** Was the entry announced and then removed by the others? */
   get wasRemoved(): boolean {
-    return this.#wasAnnounced && !this.#abort.signal.aborted &&
-      this.#options.context.follower.view.getMember(this.memberId) ===
-        undefined;
+    const { view } = this.#options.context.follower;
+    return view.offset >= this.#announcedAt && !this.#abort.signal.aborted &&
+      view.getMember(this.memberId) === undefined;
   }
 
   /** Announces the entry and opens its links. */
@@ -119,7 +121,7 @@
     const { signal } = this.#abort;
     const peerPort = await this.#peerServer.start();
     const announcer = new Announcer({ log, view: follower.view });
-    await announcer.announce({
+    const offset = await announcer.announce({
       id: this.memberId,
       name: settings.name,
       role: "entry",
@@ -131,8 +133,12 @@
       services: [],
       slots: 0,
     }, signal);
+    this.#announcedAt = offset ?? Infinity;
     const isMember = () => follower.view.getMember(this.memberId) !== undefined;
     await waitForView(context, isMember, { signal });
+    if (signal.aborted) {
+      return;
+    }
     this.#wasAnnounced = true;
     this.#pool.start();
     this.timeline.record("entry_started");
@@ -156,11 +162,11 @@
     void snapshots.run(signal);
   }
 
-  /** Finishes the running submissions and leaves. */
+  /** Finishes the submissions without an answer and leaves. No new one may come in any more. */
   async stop(): Promise<void> {
     const { log, follower } = this.#options.context;
     this.coordinator.startDraining();
-    while (this.coordinator.running > 0) {
+    while (this.coordinator.open > 0) {
       await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
     }
     const announcer = new Announcer({ log, view: follower.view });
