--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -65,6 +65,26 @@
     return this.#heartbeats.getSilenceMs();
   }
 
+  /**
+   * Creates a check whether the entry has received everything that was sent so far. True also for an entry
+   * that is silent or sends no heartbeats: waiting for it is of no use.
+   */
+  createDeliveryCheck(): () => boolean {
+    const { sequence } = this.#heartbeats;
+    return () => this.#isUnreachable() || this.#heartbeats.peerEcho > sequence;
+  }
+
+  /** Has the entry's view reached an offset? True also for an entry that is silent. */
+  hasConfirmed(offset: number): boolean {
+    return this.#isUnreachable() || this.confirmedOffset >= offset;
+  }
+
+  #isUnreachable(): boolean {
+    return this.#options.stream.isClosed ||
+      this.#hello?.wantsCredits !== true ||
+      this.getSilenceMs() > VIEW_LIMITS.suspectAfterMs;
+  }
+
   /** Closes the stream. */
   close(): void {
     this.#options.stream.close();
@@ -187,11 +207,11 @@
     if (count === 0) {
       messages.recordWasted("creditRevoke");
       messages.recordWasted("creditReturn");
-    } else {
-      // An upper bound: a credit that came with a result cost no message of its own.
+    }
+    const wasted = credits.returnCredits(this.#account, count);
+    for (let n = 0; n < wasted; n++) {
       messages.recordWasted("credit");
     }
-    credits.returnCredits(this.#account, count);
   }
 
   async #handleDispatch(dispatch: Dispatch): Promise<void> {
--- a/src/coordination/claims/departures.ts
+++ b/src/coordination/claims/departures.ts
@@ -51,6 +51,16 @@
     return this.#getLastTime("agent");
   }
 
+  /** May an entry have been removed after a time? True as well when this process can't know. */
+  canHaveRemovedEntry(since: number): boolean {
+    if (this.#startedAt > since) {
+      return true;
+    }
+    return [...this.#departures.values()].some(({ member, type, time }) =>
+      member.role === "entry" && type === "removed" && time >= since
+    );
+  }
+
   /**
    * Gets the time until which the unknown keys of a home can't be told from fresh ones: an entry, the home
    * and a further agent went away, so all three places that knew a claim may be lost. Undefined when the
--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -34,6 +34,7 @@
   readonly #options: JobCoordinatorOptions;
   readonly #running = new Map<string, AbortController>();
   #isDraining = false;
+  #open = 0;
 
   constructor(options: JobCoordinatorOptions) {
     this.#options = options;
@@ -44,6 +45,11 @@
     return this.#running.size;
   }
 
+  /** Gets the number of submissions without an answer, from their claim on. */
+  get open(): number {
+    return this.#open;
+  }
+
   /** Refuses new submissions from now on. */
   startDraining(): void {
     this.#isDraining = true;
@@ -75,6 +81,15 @@
    * requests is refused after the claim only, so that a resubmission is never told "not run" by mistake.
    */
   async submit(submission: Submission): Promise<StoredAnswer> {
+    this.#open++;
+    try {
+      return await this.#submit(submission);
+    } finally {
+      this.#open--;
+    }
+  }
+
+  async #submit(submission: Submission): Promise<StoredAnswer> {
     const { claims, timeline } = this.#options;
     const { key, fingerprint } = submission;
     const rules = this.#resolveRules(submission);
@@ -204,14 +219,17 @@
   }
 
   #planTasks(submission: Submission, rules: ResolvedRules): PlannedTask[] {
-    const { view, homes } = this.#options;
+    const { view, homes, dispatcher } = this.#options;
     const { key, customer, team = "", service } = submission;
     const settings = view.settings.customers?.[customer];
     const homeId = homes.find(key)?.id;
+    const runKey = getRunKey(view.settings, submission);
+    const order = dispatcher.getOrder(runKey, submission.tasks.length);
     return submission.tasks.map((task) => ({
       ...task,
       ...{ key, customer, team, service, homeId },
-      runKey: getRunKey(view.settings, submission),
+      runKey,
+      order,
       priority: rules.priority,
       weight: settings?.weight ?? 1,
       teamWeight: settings?.teams?.[team]?.weight ?? 1,
--- a/tests/coordination/entry/task_dispatcher_test.ts
+++ b/tests/coordination/entry/task_dispatcher_test.ts
@@ -46,6 +46,7 @@
         body: new Uint8Array(),
         repeatable: false,
         ...{ key: "key", customer: "default", service: "echo", priority: 5 },
+        order: 0,
         ...{ team: "", runKey: "echo", teamWeight: 1, hedging: false },
         ...{ weight: 1, timeoutMs: 1_000, maxAttempts: 1, homeId: undefined },
       };
