--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -51,7 +51,10 @@
 
 for (const kind of ["zone", "upstream"] as const) {
   addPublishOptions(
-    program.command(`${kind} <state> <name>`, `Takes a ${kind} out or in`),
+    program.command(
+      `${kind} <state> <name>`,
+      `Takes one ${kind} out of service or in`,
+    ),
   ).option("--force", "Accepts a name that no live member has", false)
     .action((
       state: string,
--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -9,6 +9,7 @@
 import type { Timeline } from "../../state/timeline/mod.ts";
 import { Heartbeats, type LogFollower, VIEW_LIMITS } from "../follower/mod.ts";
 import { ClaimChannel } from "./claim_channel.ts";
+import { OpenDispatches } from "./open_dispatches.ts";
 import type { PeerCaller, PeerStream } from "../links/mod.ts";
 import type { Cancel, Dispatch, PeerMessage, Result } from "../messages/mod.ts";
 
@@ -18,12 +19,6 @@
 /** Shortest time between two wants, in milliseconds; heartbeats tell the queue every 500 ms. */
 const WANT_INTERVAL_MS = 200;
 
-/**
- * Time for which a stream may be broken before its repeatable tasks may be tried elsewhere, in milliseconds: a
- * few reconnections, and well before the agent can be removed.
- */
-const BROKEN_AFTER_MS = 500;
-
 /** Refused streams count as silence after this time, in milliseconds. A process that only restarts is back. */
 const MAX_REFUSED_MS = 1_000;
 
@@ -45,13 +40,6 @@
   messages: MessageCounts;
 }
 
-interface PendingDispatch {
-  readonly message: Dispatch;
-  readonly onBroken: () => void;
-  cancel?: Cancel;
-  readonly resolve: (result: Result | DispatchError) => void;
-}
-
 /**
  * The entry's side of the stream to one agent. A broken stream is opened again, and the open dispatches are
  * sent again on it: the agent's start records make that safe, also for tasks that aren't repeatable.
@@ -61,7 +49,7 @@
   readonly #abort = new AbortController();
   /** The claims at this agent. */
   readonly claims: ClaimChannel;
-  readonly #dispatches = new Map<number, PendingDispatch>();
+  readonly #dispatches = new OpenDispatches();
   #stream: PeerStream | undefined;
   /** Time since which every stream has ended before the agent's first message. */
   #refusedSince: number | undefined;
@@ -75,8 +63,6 @@
   #isWantOpen = false;
   #wastedWants = 0;
   #isUp = false;
-  #brokenTimer: NodeJS.Timeout | undefined;
-  #nextId = 1;
 
   constructor(options: AgentLinkOptions) {
     this.#options = options;
@@ -175,10 +161,7 @@
     this.claims.close();
     if (this.#isUp) {
       this.#isUp = false;
-      this.#brokenTimer ??= setTimeout(() => {
-        this.#brokenTimer = undefined;
-        this.#dispatches.forEach(({ onBroken }) => onBroken());
-      }, BROKEN_AFTER_MS);
+      this.#dispatches.setBroken();
       this.#options.onCredits(this, { isMore: false });
       this.#options.onChange();
     }
@@ -197,15 +180,8 @@
   close(): void {
     this.#abort.abort();
     this.#stream?.close();
-    clearTimeout(this.#brokenTimer);
-    const error = createError(
-      "agent_lost",
-      `agent ${this.member.id} was removed`,
-    );
-    for (const { resolve } of this.#dispatches.values()) {
-      resolve(error);
-    }
-    this.#dispatches.clear();
+    const message = `agent ${this.member.id} was removed`;
+    this.#dispatches.resolveAll(createError("agent_lost", message));
     this.claims.close();
   }
 
@@ -218,18 +194,14 @@
     task: Omit<Dispatch, "dispatchId" | "queued" | "clock">,
     options: { onBroken: () => void },
   ): { id: number; result: Promise<Result | DispatchError> } {
-    const id = this.#nextId++;
-    const message: Dispatch = { ...task, dispatchId: id, queued: 0, clock: 0 };
+    const { message, result } = this.#dispatches.add(task, options);
     if (task.onCredit) {
       this.#credits--;
     }
     this.#load++;
-    const result = new Promise<Result | DispatchError>((resolve) => {
-      this.#dispatches.set(id, { message, resolve, ...options });
-    });
     this.#options.onCredits(this, { isMore: false });
     this.#sendDispatch(message);
-    return { id, result };
+    return { id: message.dispatchId, result };
   }
 
   /** Tells the agent that tasks wait for its slots. */
@@ -243,16 +215,13 @@
 
   /** Cancels a dispatch. Its result says whether it had started. */
   cancel(cancel: Cancel): void {
-    const pending = this.#dispatches.get(cancel.dispatchId);
-    if (pending !== undefined) {
-      pending.cancel = cancel;
-    }
+    this.#dispatches.addCancel(cancel);
     this.#send({ case: "cancel", value: cancel });
   }
 
   /** Forgets a dispatch whose result isn't awaited any more. */
   forget(dispatchId: number): void {
-    this.#dispatches.delete(dispatchId);
+    this.#dispatches.forget(dispatchId);
   }
 
   async #runStream(stream: PeerStream): Promise<void> {
@@ -333,9 +302,7 @@
     }
     this.#refusedSince = undefined;
     this.#isUp = true;
-    clearTimeout(this.#brokenTimer);
-    this.#brokenTimer = undefined;
-    for (const { message, cancel } of this.#dispatches.values()) {
+    for (const { message, cancel } of this.#dispatches.setUp()) {
       if (cancel !== undefined) {
         // Sent first, it leaves a tombstone where the dispatch itself was lost.
         this.#send({ case: "cancel", value: cancel });
@@ -347,14 +314,12 @@
 
   #handleResult(result: Result): void {
     this.#options.timeline.mergeClock(result.clock);
-    const pending = this.#dispatches.get(result.dispatchId);
-    this.#dispatches.delete(result.dispatchId);
     this.#load = Math.max(0, this.#load - 1);
     if (isRefusal(result)) {
       this.#options.messages.recordWasted("dispatch");
       this.#options.messages.recordWasted("result");
     }
-    pending?.resolve(result);
+    this.#dispatches.resolve(result);
     this.#addCredits(result.credits);
   }
 
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -16,10 +16,10 @@
 import { Timeline } from "../state/timeline/mod.ts";
 import { ConnectPeerCaller, PeerServer } from "../transport/peer/mod.ts";
 import { HttpUpstreamCaller } from "../transport/upstream/mod.ts";
+import { announceMember } from "./announce_member.ts";
 import { createMemberId } from "./create_member_id.ts";
 import type { ProcessContext } from "./process_context.ts";
 import type { UpstreamAnnouncement } from "./upstream_announcement.ts";
-import { startPeerServer } from "./start_peer_server.ts";
 import { waitForView } from "./wait_for_view.ts";
 
 /** Longest wait for the log when an agent stops, in milliseconds. */
@@ -134,27 +134,18 @@
   /** Announces the agent and starts to serve. */
   async start(): Promise<void> {
     const { context, upstream, httpAddress } = this.#options;
-    const { settings, log, follower } = context;
+    const { log, follower } = context;
     const { signal } = this.#abort;
-    const server = this.#peerServer;
-    const peerPort = await startPeerServer(context, server, { signal });
-    if (peerPort === undefined) {
-      return;
-    }
-    const announcer = new Announcer({ log, view: follower.view });
-    const offset = await announcer.announce({
+    const offset = await announceMember(context, {
       id: this.memberId,
-      name: settings.name,
       role: "agent",
       processId: context.processId,
-      zone: settings.zone,
-      ...(settings.rack === undefined ? {} : { rack: settings.rack }),
-      peerAddress: settings.announcedPeerAddress ??
-        `${settings.host}:${peerPort}`,
       httpAddress,
       services: upstream.services,
       slots: upstream.slots,
-    }, signal);
+      peerServer: this.#peerServer,
+      signal,
+    });
     this.#announcedAt = offset ?? Infinity;
     await waitForView(context, () => this.isReady, { signal });
     if (signal.aborted) {
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -12,9 +12,9 @@
 import { MessageCounts } from "../state/metrics/mod.ts";
 import { Timeline } from "../state/timeline/mod.ts";
 import { ConnectPeerCaller, PeerServer } from "../transport/peer/mod.ts";
+import { announceMember } from "./announce_member.ts";
 import { createMemberId } from "./create_member_id.ts";
 import type { ProcessContext } from "./process_context.ts";
-import { startPeerServer } from "./start_peer_server.ts";
 import { waitForView } from "./wait_for_view.ts";
 
 /** Longest wait for the log when an entry stops, in milliseconds. */
@@ -123,24 +123,15 @@
     const { context, httpAddress } = this.#options;
     const { settings, log, follower } = context;
     const { signal } = this.#abort;
-    const server = this.#peerServer;
-    const peerPort = await startPeerServer(context, server, { signal });
-    if (peerPort === undefined) {
-      return;
-    }
-    const announcer = new Announcer({ log, view: follower.view });
-    const offset = await announcer.announce({
+    const offset = await announceMember(context, {
       id: this.memberId,
-      name: settings.name,
       role: "entry",
-      zone: settings.zone,
-      ...(settings.rack === undefined ? {} : { rack: settings.rack }),
-      peerAddress: settings.announcedPeerAddress ??
-        `${settings.host}:${peerPort}`,
       httpAddress,
       services: [],
       slots: 0,
-    }, signal);
+      peerServer: this.#peerServer,
+      signal,
+    });
     this.#announcedAt = offset ?? Infinity;
     const isMember = () => follower.view.getMember(this.memberId) !== undefined;
     await waitForView(context, isMember, { signal });
