--- a/scripts/bench_capacity.ts
+++ b/scripts/bench_capacity.ts
@@ -1,6 +1,8 @@
 /**
- * Measures processor time, memory and bytes of each role against what drives them, so that slopes result.
- * `node --expose-gc dist/scripts/bench_capacity.js --parts agent,entry,view,log --seconds 8`
+ * Measures processor time, memory and bytes of each role against what drives
+ * them, so that slopes result. Run it with
+ * `node --expose-gc dist/scripts/bench_capacity.js --parts agent --seconds 8`;
+ * the parts are agent, entry, view and log.
  */
 import sade from "sade";
 import { runAgentBench } from "./lib/bench/run_agent_bench.ts";
--- a/scripts/bench_homes.ts
+++ b/scripts/bench_homes.ts
@@ -1,6 +1,7 @@
 /**
- * Measures what homes cost at target scale: 704 homes among 8,800 agents in 11 zones, and 200 entries. All
- * in one process without a network; the gather calls are counted and answered in memory.
+ * Measures what homes cost at target scale: 704 homes among 8,800 agents in 11
+ * zones, and 200 entries. All in one process without a network; the gather
+ * calls are counted and answered in memory.
  */
 import { ok } from "neverthrow";
 import { parseArgs } from "node:util";
@@ -104,7 +105,10 @@
   report("derive the homes after a change", total / count, "ms");
 }
 
-/** A home takes over from a removed home of its zone; every member is asked and knows some claims. */
+/**
+ * A home takes over from a removed home of its zone; every member is asked and
+ * knows some claims.
+ */
 async function measureTakeover(): Promise<void> {
   const [self, other] = homes.getSet().getZoneHomes("z0");
   const memberId = self?.id ?? "";
@@ -152,7 +156,10 @@
   return { ready: true, claims: [], epoch, isComplete: true, next: 0 };
 }
 
-/** An agent answers 704 homes that all gather at one time, as after the loss of a zone. */
+/**
+ * An agent answers 704 homes that all gather at one time, as after the loss of
+ * a zone.
+ */
 function measureGatherHandler(): void {
   const started = new Map<string, string>();
   for (let n = 0; n < starts; n++) {
--- a/scripts/check_layers.ts
+++ b/scripts/check_layers.ts
@@ -1,5 +1,6 @@
 /**
- * Checks that imports between the layers point one way only, and that a source file exports one thing.
+ * Checks that imports between the layers point one way only, and that a source
+ * file exports one thing.
  */
 import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
@@ -39,7 +40,10 @@
   }
 }
 
-/** A file exports one name; the options interface of a class or function belongs to it. */
+/**
+ * A file exports one name; the options interface of a class or function belongs
+ * to it.
+ */
 function checkExports(file: string, text: string): void {
   const names = new Set<string>();
   const pattern =
--- a/scripts/lib/bench/agent_bench.ts
+++ b/scripts/lib/bench/agent_bench.ts
@@ -8,7 +8,10 @@
 import { Cluster } from "../cluster.ts";
 import { ByteCounter } from "./byte_counter.ts";
 
-/** One real agent process, with the entries' side of its streams in this process. */
+/**
+ * One real agent process, with the entries' side of its streams in this
+ * process.
+ */
 export class AgentBench {
   readonly links: AgentLink[] = [];
   readonly #cluster = new Cluster({
--- a/scripts/lib/bench/bench_table.ts
+++ b/scripts/lib/bench/bench_table.ts
@@ -3,7 +3,10 @@
 /** One measured point: the drivers first, then the figures. */
 type Row = { readonly [column: string]: number | string };
 
-/** Prints measured points as a table that can be quoted, with the command that made them. */
+/**
+ * Prints measured points as a table that can be quoted, with the command that
+ * made them.
+ */
 export function writeTable(title: string, rows: readonly Row[]): void {
   const columns = Object.keys(rows[0] ?? {});
   const format = (value: number | string | undefined) =>
--- a/scripts/lib/bench/byte_counter.ts
+++ b/scripts/lib/bench/byte_counter.ts
@@ -1,6 +1,9 @@
 import { type AddressInfo, connect, createServer, type Server } from "node:net";
 
-/** A loopback relay that counts the bytes on its connections: what TCP carries, without TCP/IP headers. */
+/**
+ * A loopback relay that counts the bytes on its connections: what TCP carries,
+ * without TCP/IP headers.
+ */
 export class ByteCounter {
   readonly #server: Server;
   /** Bytes from the connecting side to the target. */
--- a/scripts/lib/bench/entry_bench.ts
+++ b/scripts/lib/bench/entry_bench.ts
@@ -6,7 +6,9 @@
 import { ByteCounter } from "./byte_counter.ts";
 import { FakeAgent } from "./fake_agent.ts";
 
-/** One real entry process, with the agents' side of its streams in this process. */
+/**
+ * One real entry process, with the agents' side of its streams in this process.
+ */
 export class EntryBench {
   readonly #cluster = new Cluster({
     entryZones: ["a"],
@@ -47,7 +49,10 @@
     void this.#follower.run(this.#abort.signal);
   }
 
-  /** Adds fake agents until there are so many, and waits until the entry has streams to all. */
+  /**
+   * Adds fake agents until there are so many, and waits until the entry has
+   * streams to all.
+   */
   async setAgents(count: number, credits: number): Promise<void> {
     while (this.#agents.length < count) {
       await this.#addAgent(`fake-${this.#agents.length + 1}`, credits);
--- a/scripts/lib/bench/fake_agent.ts
+++ b/scripts/lib/bench/fake_agent.ts
@@ -21,7 +21,10 @@
   credits: number;
 }
 
-/** The agent's side of the streams without an upstream, to load an entry with many agents. */
+/**
+ * The agent's side of the streams without an upstream, to load an entry with
+ * many agents.
+ */
 export class FakeAgent {
   readonly #options: FakeAgentOptions;
   readonly #server = new PeerServer({
--- a/scripts/lib/bench/process_usage.ts
+++ b/scripts/lib/bench/process_usage.ts
@@ -8,7 +8,10 @@
   readonly residentMb: number;
 }
 
-/** Reads the processor time and the memory that a process uses while some load runs. */
+/**
+ * Reads the processor time and the memory that a process uses while some load
+ * runs.
+ */
 export async function readUsage(
   pid: number,
   run: () => Promise<void>,
@@ -23,7 +26,10 @@
   };
 }
 
-/** Reads the processor time from the scheduler's counters, which are exact; `stat` counts in steps of 10 ms. */
+/**
+ * Reads the processor time from the scheduler's counters, which are exact;
+ * `stat` counts in steps of 10 ms.
+ */
 function readCpuMs(pid: number): number {
   let nanoseconds = 0;
   for (const thread of readdirSync(`/proc/${pid}/task`)) {
--- a/scripts/lib/bench/run_agent_bench.ts
+++ b/scripts/lib/bench/run_agent_bench.ts
@@ -5,7 +5,10 @@
 import { readUsage } from "./process_usage.ts";
 import { runAtRate } from "./run_at_rate.ts";
 
-/** Run time of a task, in milliseconds; short, so that the slots are not the limit. */
+/**
+ * Run time of a task, in milliseconds; short, so that the slots are not the
+ * limit.
+ */
 const RUN_MS = 5;
 
 interface Point {
--- a/scripts/lib/bench/run_entry_bench.ts
+++ b/scripts/lib/bench/run_entry_bench.ts
@@ -69,7 +69,10 @@
   await runWaiting(seconds);
 }
 
-/** Measures tasks that wait because no agent grants a credit, while more of them arrive. */
+/**
+ * Measures tasks that wait because no agent grants a credit, while more of them
+ * arrive.
+ */
 async function runWaiting(seconds: number): Promise<void> {
   const rows: { [column: string]: number }[] = [];
   const bench = new EntryBench();
--- a/scripts/lib/bench/run_log_bench.ts
+++ b/scripts/lib/bench/run_log_bench.ts
@@ -4,7 +4,10 @@
 import { getPercentiles } from "../../../src/load/mod.ts";
 import { runAtRate } from "./run_at_rate.ts";
 
-/** Runs appends and reads against the log stand-in at the rates of the target size. */
+/**
+ * Runs appends and reads against the log stand-in at the rates of the target
+ * size.
+ */
 export async function runLogBench(seconds: number): Promise<void> {
   const cluster = new Cluster({ entryZones: [], agentZones: [] });
   await cluster.start();
--- a/scripts/lib/bench/run_view_bench.ts
+++ b/scripts/lib/bench/run_view_bench.ts
@@ -19,7 +19,10 @@
   readonly teams: number;
 }
 
-/** Runs the measurements of the view, claims and start records inside this process. */
+/**
+ * Runs the measurements of the view, claims and start records inside this
+ * process.
+ */
 export function runViewBench(): void {
   const sizes = [
     { agents: 10, entries: 3, teams: 2 },
@@ -130,7 +133,10 @@
   }));
 }
 
-/** Measures suspicions of three agents by entries, or of one entry by agents, until the records run out. */
+/**
+ * Measures suspicions of three agents by entries, or of one entry by agents,
+ * until the records run out.
+ */
 function measureSuspects(
   view: ClusterView,
   options: { role: "entry" | "agent"; apply: (record: LogRecord) => void },
@@ -146,7 +152,10 @@
   );
 }
 
-/** Measures the suspicions from the loss of a zone until its members are removed. */
+/**
+ * Measures the suspicions from the loss of a zone until its members are
+ * removed.
+ */
 function measureZoneLoss(size: Size): { [column: string]: number } {
   const table = new MemberTable({ getEntriesPerAgent: () => undefined });
   let offset = 1;
@@ -250,7 +259,9 @@
   return (user + system) / 1_000 / items.length;
 }
 
-/** Reads the memory that objects and buffers take after a garbage collection. */
+/**
+ * Reads the memory that objects and buffers take after a garbage collection.
+ */
 function readHeapBytes(): number {
   const { gc } = globalThis as { gc?: () => void };
   if (gc === undefined) {
--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -18,9 +18,15 @@
   slots?: number;
   /** Speed of each upstream; 1 where none is given. */
   speeds?: number[];
-  /** Puts a relay before each process's peer server and between each process and the log. */
+  /**
+   * Puts a relay before each process's peer server and between each process and
+   * the log.
+   */
   hasRelays?: boolean;
-  /** Keeps the upstreams' starts in files, so that those of a killed upstream still count. */
+  /**
+   * Keeps the upstreams' starts in files, so that those of a killed upstream
+   * still count.
+   */
   keepsStarts?: boolean;
   /** Options of the log stand-in's command line. */
   logOptions?: string[];
@@ -49,8 +55,9 @@
 }
 
 /**
- * A cluster of separate local processes: the log stand-in, entries, and agents with an upstream stand-in
- * beside each. For development scripts, tests and benchmarks. Upstream `n` belongs to agent `n`.
+ * A cluster of separate local processes: the log stand-in, entries, and agents
+ * with an upstream stand-in beside each. For development scripts, tests and
+ * benchmarks. Upstream `n` belongs to agent `n`.
  */
 export class Cluster {
   readonly entries: ClusterProcess[] = [];
@@ -71,7 +78,10 @@
     return this.#folder;
   }
 
-  /** Starts all processes, publishes the services and waits until all processes are ready. */
+  /**
+   * Starts all processes, publishes the services and waits until all processes
+   * are ready.
+   */
   async start(): Promise<void> {
     const { entryZones, agentZones, services = ["echo"], logOptions = [] } =
       this.#options;
@@ -94,7 +104,10 @@
     await this.waitUntilReady();
   }
 
-  /** Waits until every process is ready and every entry has a stream to every agent. */
+  /**
+   * Waits until every process is ready and every entry has a stream to every
+   * agent.
+   */
   async waitUntilReady(): Promise<void> {
     for (const { httpAddress } of [...this.entries, ...this.agents]) {
       await waitForHttp(`http://${httpAddress}/readyz`);
@@ -347,11 +360,13 @@
 const usedPorts = new Set<number>();
 
 /**
- * Finds a port that nothing listens on. It lies below the range from which the kernel takes the ports of
- * outgoing connections, so that none of these takes it before the process listens.
+ * Finds a port that nothing listens on. It lies below the range from which the
+ * kernel takes the ports of outgoing connections, so that none of these takes
+ * it before the process listens.
  */
 function findFreePort(): Promise<number> {
-  // Clusters of other processes take theirs from other slices: a port is free until its process listens.
+  // Clusters of other processes take theirs from other slices: a port is free
+  // until its process listens.
   const slice = 10_000 + process.pid % 20 * 1_000;
   const port = slice + Math.floor(Math.random() * 1_000);
   if (usedPorts.has(port)) {
--- a/scripts/lib/format_load_summary.ts
+++ b/scripts/lib/format_load_summary.ts
@@ -49,7 +49,10 @@
   { name: "load average", get: (r) => r.loadAverage[1] },
 ];
 
-/** Formats each figure of some reports as its median over the seeds, with the smallest and the largest. */
+/**
+ * Formats each figure of some reports as its median over the seeds, with the
+ * smallest and the largest.
+ */
 export function formatLoadSummary(reports: readonly LoadReport[]): string {
   const groups = new Map<string, LoadReport[]>();
   for (const report of reports) {
--- a/scripts/lib/relay.ts
+++ b/scripts/lib/relay.ts
@@ -11,7 +11,10 @@
   | { readonly type: "pass" }
   /** Closes all connections and accepts no new ones. */
   | { readonly type: "refuse" }
-  /** Keeps the connections open and passes nothing: what a lost network looks like. */
+  /**
+   * Keeps the connections open and passes nothing: what a lost network looks
+   * like.
+   */
   | { readonly type: "hold" }
   | { readonly type: "delay"; readonly delayMs: number };
 
@@ -37,7 +40,10 @@
     return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
   }
 
-  /** Changes what happens to the bytes; held bytes go on when the mode is `pass` or `delay` again. */
+  /**
+   * Changes what happens to the bytes; held bytes go on when the mode is `pass`
+   * or `delay` again.
+   */
   setMode(mode: RelayMode): void {
     this.#mode = mode;
     if (mode.type === "refuse") {
--- a/scripts/run_load.ts
+++ b/scripts/run_load.ts
@@ -1,7 +1,8 @@
 /**
- * Starts a cluster of a given shape, runs load scenarios against it, and prints the reports and a summary
- * over the seeds. Each run gets a fresh cluster. For example:
- * `node dist/scripts/run_load.js --scenarios steady-70,overload-150 --seeds 1,2,3 --out /tmp/load.jsonl`
+ * Starts a cluster of a given shape, runs load scenarios against it, and prints
+ * the reports and a summary over the seeds. Each run gets a fresh cluster. For
+ * example: `node dist/scripts/run_load.js --scenarios steady-70,overload-150
+ * --seeds 1,2,3 --out /tmp/load.jsonl`
  */
 import { appendFileSync } from "node:fs";
 import sade from "sade";
@@ -65,7 +66,8 @@
     }
     const reports: LoadReport[] = [];
     for (const scenario of scenarios as LoadScenario[]) {
-      // The policies alternate within a seed, so that a change of the machine's load meets all of them.
+      // The policies alternate within a seed, so that a change of the machine's
+      // load meets all of them.
       for (const seed of String(options.seeds).split(",").map(Number)) {
         for (const placement of options.placements.split(",")) {
           const report = await runWithRetry({
@@ -87,7 +89,10 @@
   })
   .parse(process.argv);
 
-/** Runs again when the cluster didn't start, for example because another process took one of its ports. */
+/**
+ * Runs again when the cluster didn't start, for example because another process
+ * took one of its ports.
+ */
 async function runWithRetry(options: RunOptions): Promise<LoadReport> {
   for (let tries = 1;; tries++) {
     try {
@@ -157,7 +162,10 @@
   }
 }
 
-/** Reads what the workers ran. A task's end follows from its run time and the speed of its worker. */
+/**
+ * Reads what the workers ran. A task's end follows from its run time and the
+ * speed of its worker.
+ */
 async function readRuns(
   cluster: Cluster,
   options: RunOptions & { startedAt: number },
@@ -184,7 +192,10 @@
   });
 }
 
-/** Gets the part of a key that doesn't depend on when the run was made: seed and position. */
+/**
+ * Gets the part of a key that doesn't depend on when the run was made: seed and
+ * position.
+ */
 function getSuffix(key: string): string {
   return key.split("-").slice(-2).join("-");
 }
--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -14,7 +14,8 @@
 import { setSettings } from "../ctl/set_settings.ts";
 import type { SubmitFlags } from "../ctl/submit_flags.ts";
 
-// An empty default keeps the parser from turning a value such as a key of digits into a number.
+// An empty default keeps the parser from turning a value such as a key of
+// digits into a number.
 const program = sade("cranberrybank-ctl")
   .option("--log", "host:port of the log service", "")
   .option("--settings", "JSON file with logAddress and operator", "")
--- a/src/coordination/agent/capacity_control.ts
+++ b/src/coordination/agent/capacity_control.ts
@@ -1,13 +1,18 @@
 import type { DispatchError } from "../../state/errors/mod.ts";
 import type { CreditLedger } from "./credit_ledger.ts";
 
-/** Interval of the check, in milliseconds. View events are checked at once; the view's age changes silently. */
+/**
+ * Interval of the check, in milliseconds. View events are checked at once; the
+ * view's age changes silently.
+ */
 const CHECK_INTERVAL_MS = 250;
 
 /**
- * Time over which the slots return, in milliseconds. Caches and connections of the returning back ends are
- * cold, and the whole queue would move there at once. Each second costs work that waits: with 4 s from a
- * quarter of the slots on, a zone change did 83% and 86% of the allowed work, with these values 94% and 88%.
+ * Time over which the slots return, in milliseconds. Caches and connections of
+ * the returning back ends are cold, and the whole queue would move there at
+ * once. Each second costs work that waits: with 4 s from a quarter of the slots
+ * on, a zone change did 83% and 86% of the allowed work, with these values 94%
+ * and 88%.
  */
 const RAMP_UP_MS = 1_000;
 
@@ -28,8 +33,8 @@
 }
 
 /**
- * Opens the agent's credits while tasks may start, withdraws them when its zone or upstream goes out, and
- * ramps the slots up over a second when it returns.
+ * Opens the agent's credits while tasks may start, withdraws them when its zone
+ * or upstream goes out, and ramps the slots up over a second when it returns.
  */
 export class CapacityControl {
   readonly #options: CapacityControlOptions;
@@ -44,7 +49,9 @@
     this.#wasOut = options.isReturn;
   }
 
-  /** Applies the state of the view at a fixed interval until the signal aborts. */
+  /**
+   * Applies the state of the view at a fixed interval until the signal aborts.
+   */
   async run(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.#isStopped) {
       this.apply();
--- a/src/coordination/agent/credit_account.ts
+++ b/src/coordination/agent/credit_account.ts
@@ -1,6 +1,8 @@
 /** Credits that were granted together. */
 interface Grant {
-  /** Did they have a message of their own? Otherwise they came with a result. */
+  /**
+   * Did they have a message of their own? Otherwise they came with a result.
+   */
   readonly hasMessage: boolean;
   left: number;
   wasUsed: boolean;
@@ -15,11 +17,17 @@
   revoking: number;
   /** Tasks for which the entry wants slots here, as last reported. */
   queued: number;
-  /** True while the entry is silent: it gets no credits, and those it held were taken back. */
+  /**
+   * True while the entry is silent: it gets no credits, and those it held were
+   * taken back.
+   */
   isSuspended: boolean;
   /** False once the stream has ended or a newer one has replaced it. */
   isOpen: boolean;
-  /** The grants whose credits are unused, the oldest first. Credits are used from the oldest. */
+  /**
+   * The grants whose credits are unused, the oldest first. Credits are used
+   * from the oldest.
+   */
   readonly grants: Grant[];
   readonly grant: (count: number) => void;
   readonly revoke: (count: number) => void;
--- a/src/coordination/agent/credit_ledger.ts
+++ b/src/coordination/agent/credit_ledger.ts
@@ -8,13 +8,15 @@
 }
 
 /**
- * The credits of one agent. A credit is a free slot promised to one entry. Unused credits and running
- * tasks never exceed the slots together, so a task that is sent on a credit finds its slot free. Only a
- * smaller number of slots leaves more out for a moment, until the excess is revoked.
+ * The credits of one agent. A credit is a free slot promised to one entry.
+ * Unused credits and running tasks never exceed the slots together, so a task
+ * that is sent on a credit finds its slot free. Only a smaller number of slots
+ * leaves more out for a moment, until the excess is revoked.
  *
- * Credits follow the demand. A free slot goes to the entry that queues and holds the least, which is
- * max-min fair; when nobody queues, free slots are spread evenly, so that a task can start at once. Idle
- * credits are asked back when another entry queues.
+ * Credits follow the demand. A free slot goes to the entry that queues and
+ * holds the least, which is max-min fair; when nobody queues, free slots are
+ * spread evenly, so that a task can start at once. Idle credits are asked back
+ * when another entry queues.
  */
 export class CreditLedger {
   readonly #accounts = new Map<string, CreditAccount>();
@@ -29,7 +31,10 @@
     this.#slots = slots;
   }
 
-  /** Gets the number of slots that are neither promised nor in use; negative after the slots shrank. */
+  /**
+   * Gets the number of slots that are neither promised nor in use; negative
+   * after the slots shrank.
+   */
   get free(): number {
     let used = this.#runningTotal;
     for (const account of this.#accounts.values()) {
@@ -51,7 +56,9 @@
     }
   }
 
-  /** Starts or stops granting credits. Stopping asks all unused credits back. */
+  /**
+   * Starts or stops granting credits. Stopping asks all unused credits back.
+   */
   setOpen(isOpen: boolean): void {
     if (isOpen !== this.#isOpen) {
       this.#isOpen = isOpen;
@@ -60,7 +67,8 @@
   }
 
   /**
-   * Adds an entry's stream. An older stream of the same entry is replaced, and its unused credits end.
+   * Adds an entry's stream. An older stream of the same entry is replaced, and
+   * its unused credits end.
    * @param entryId - Member id of the entry.
    * @param options - Reach the entry.
    */
@@ -94,8 +102,9 @@
   }
 
   /**
-   * Takes the unused credits of a silent entry back without its consent: a paused entry would keep slots idle
-   * until it is removed. A task that it sends on such a credit later gets a slot only when one is free.
+   * Takes the unused credits of a silent entry back without its consent: a
+   * paused entry would keep slots idle until it is removed. A task that it
+   * sends on such a credit later gets a slot only when one is free.
    */
   suspend(account: CreditAccount): void {
     if (account.isOpen && !account.isSuspended) {
@@ -115,7 +124,9 @@
     }
   }
 
-  /** Records the number of tasks that wait for slots of this agent at an entry. */
+  /**
+   * Records the number of tasks that wait for slots of this agent at an entry.
+   */
   setQueued(account: CreditAccount, queued: number): void {
     if (account.isOpen && account.queued !== queued) {
       account.queued = queued;
@@ -126,8 +137,9 @@
   /**
    * Takes a slot for a task, and returns false when there is none.
    * @param account - Stream that brought the task.
-   * @param options - `onCredit` is false for a task that was pushed, or sent again on a new stream: such a
-   * task gets a slot only when one is free and promised to nobody.
+   * @param options - `onCredit` is false for a task that was pushed, or sent
+   * again on a new stream: such a task gets a slot only when one is free and
+   * promised to nobody.
    */
   grantSlot(account: CreditAccount, options: { onCredit: boolean }): boolean {
     if (options.onCredit && account.isOpen && account.unused > 0) {
@@ -143,7 +155,8 @@
   }
 
   /**
-   * Records that a task has ended, and gets the number of credits to send with its result.
+   * Records that a task has ended, and gets the number of credits to send with
+   * its result.
    * @param account - Stream that brought the task.
    */
   releaseSlot(account: CreditAccount): number {
@@ -158,7 +171,8 @@
   }
 
   /**
-   * Records that a dispatch on a credit needed no slot, since its attempt is known already.
+   * Records that a dispatch on a credit needed no slot, since its attempt is
+   * known already.
    * @param account - Stream that brought the dispatch.
    */
   releaseCredit(account: CreditAccount): number {
@@ -171,8 +185,9 @@
   }
 
   /**
-   * Records the return of unused credits; each revocation is answered with one return, of 0 at least.
-   * Gets the number of grant messages of which no credit was used.
+   * Records the return of unused credits; each revocation is answered with one
+   * return, of 0 at least. Gets the number of grant messages of which no credit
+   * was used.
    */
   returnCredits(account: CreditAccount, count: number): number {
     if (!account.isOpen) {
@@ -185,7 +200,10 @@
     return wasted;
   }
 
-  /** Grants a free slot with a result when its entry is the one to get it: that costs no message. */
+  /**
+   * Grants a free slot with a result when its entry is the one to get it: that
+   * costs no message.
+   */
   #grantFreeTo(account: CreditAccount): number {
     const receiver = this.#isOpen && this.free > 0
       ? this.#findReceiver(account)
@@ -199,7 +217,9 @@
     return granted;
   }
 
-  /** Grants free slots, and asks idle credits back while another entry queues. */
+  /**
+   * Grants free slots, and asks idle credits back while another entry queues.
+   */
   #balance(): void {
     const grants = new Map<CreditAccount, number>();
     for (let free = this.#isOpen ? this.free : 0; free > 0; free--) {
@@ -217,7 +237,10 @@
     this.#revokeIdle();
   }
 
-  /** At most one revocation is open on a stream, so that a return can be matched with it. */
+  /**
+   * At most one revocation is open on a stream, so that a return can be matched
+   * with it.
+   */
   #revokeIdle(): void {
     let wanted = Math.max(0, -this.free);
     for (const account of this.#accounts.values()) {
@@ -243,8 +266,9 @@
   }
 
   /**
-   * Finds the entry for a free slot. Without demand a slot stays with the preferred entry unless another
-   * one holds nothing here, since each move costs a message.
+   * Finds the entry for a free slot. Without demand a slot stays with the
+   * preferred entry unless another one holds nothing here, since each move
+   * costs a message.
    */
   #findReceiver(preferred?: CreditAccount): CreditAccount | undefined {
     let best: CreditAccount | undefined;
@@ -282,7 +306,10 @@
   }
 }
 
-/** Removes returned credits, and gets the number of grant messages that proved useless. */
+/**
+ * Removes returned credits, and gets the number of grant messages that proved
+ * useless.
+ */
 function removeNewest({ grants }: CreditAccount, count: number): number {
   let wasted = 0;
   for (let rest = count; rest > 0;) {
--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -17,7 +17,9 @@
 import type { TaskExecutor } from "./task_executor.ts";
 import type { TaskResult } from "./task_result.ts";
 
-/** An entry that misses its second heartbeat keeps no credits, in milliseconds. */
+/**
+ * An entry that misses its second heartbeat keeps no credits, in milliseconds.
+ */
 const MAX_SILENCE_MS = 1_200;
 
 export interface EntrySessionOptions {
@@ -55,7 +57,10 @@
     return this.#hello?.wantsCredits ?? false;
   }
 
-  /** Gets the offset that the entry's view has confirmed; -1 before its first heartbeat. */
+  /**
+   * Gets the offset that the entry's view has confirmed; -1 before its first
+   * heartbeat.
+   */
   get confirmedOffset(): number {
     return this.#heartbeats.peerOffset;
   }
@@ -66,15 +71,19 @@
   }
 
   /**
-   * Creates a check whether the entry has received everything that was sent so far. True also for an entry
-   * that is silent or sends no heartbeats: waiting for it is of no use.
+   * Creates a check whether the entry has received everything that was sent so
+   * far. True also for an entry that is silent or sends no heartbeats: waiting
+   * for it is of no use.
    */
   createDeliveryCheck(): () => boolean {
     const { sequence } = this.#heartbeats;
     return () => this.#isUnreachable() || this.#heartbeats.peerEcho > sequence;
   }
 
-  /** Has the entry's view reached an offset? True also for an entry that is silent. */
+  /**
+   * Has the entry's view reached an offset? True also for an entry that is
+   * silent.
+   */
   hasConfirmed(offset: number): boolean {
     return this.#isUnreachable() || this.confirmedOffset >= offset;
   }
@@ -217,7 +226,8 @@
   async #handleDispatch(dispatch: Dispatch): Promise<void> {
     const { stream, timeline } = this.#options;
     timeline.mergeClock(dispatch.clock);
-    // A dispatch of a broken stream comes again on the next one. It must not use the new stream's credits.
+    // A dispatch of a broken stream comes again on the next one. It must not
+    // use the new stream's credits.
     if (stream.isClosed) {
       return;
     }
--- a/src/coordination/agent/session_table.ts
+++ b/src/coordination/agent/session_table.ts
@@ -29,7 +29,10 @@
     return this.#sessions.delete(session.entryId);
   }
 
-  /** Gets the entries that had a stream here and the time since their last heartbeat, in milliseconds. */
+  /**
+   * Gets the entries that had a stream here and the time since their last
+   * heartbeat, in milliseconds.
+   */
   getSilences(): { memberId: string; silenceMs: number }[] {
     const now = performance.now();
     const closed = [...this.#lastHeard].filter(([id]) =>
--- a/src/coordination/agent/start_gate.ts
+++ b/src/coordination/agent/start_gate.ts
@@ -8,9 +8,10 @@
 }
 
 /**
- * Decides whether a task may start now. All that it checks are facts of the log, and the view's age bounds
- * how old they can be; so a process that was paused, or is cut off, refuses in place of acting on old facts.
- * The check must run in the same tick that writes the request to the upstream.
+ * Decides whether a task may start now. All that it checks are facts of the
+ * log, and the view's age bounds how old they can be; so a process that was
+ * paused, or is cut off, refuses in place of acting on old facts. The check
+ * must run in the same tick that writes the request to the upstream.
  */
 export class StartGate {
   readonly #follower: LogFollower;
@@ -32,7 +33,9 @@
     this.#isDraining = true;
   }
 
-  /** Gets the reason why no task may start at this agent now, whoever sends it. */
+  /**
+   * Gets the reason why no task may start at this agent now, whoever sends it.
+   */
   getRefusal(): DispatchError | undefined {
     const view = this.#follower.view;
     if (this.#isDraining) {
--- a/src/coordination/agent/task_executor.ts
+++ b/src/coordination/agent/task_executor.ts
@@ -21,8 +21,9 @@
 }
 
 /**
- * Runs attempts of tasks at the upstream. Each attempt starts at most once: a dispatch that arrives again
- * gets the result of the first one, and a cancelled attempt leaves a tombstone.
+ * Runs attempts of tasks at the upstream. Each attempt starts at most once: a
+ * dispatch that arrives again gets the result of the first one, and a cancelled
+ * attempt leaves a tombstone.
  */
 export class TaskExecutor {
   readonly #gate: StartGate;
@@ -57,14 +58,17 @@
     await this.#queue.onIdle();
   }
 
-  /** Does an attempt have a record already, so that running it takes no slot? */
+  /**
+   * Does an attempt have a record already, so that running it takes no slot?
+   */
   hasRecord(dispatch: Dispatch): boolean {
     const { key, index, attempt } = dispatch;
     return this.#records.get(key, index, attempt) !== undefined;
   }
 
   /**
-   * Runs an attempt, or gets the result of the same attempt when it arrived before.
+   * Runs an attempt, or gets the result of the same attempt when it arrived
+   * before.
    * @param dispatch - The attempt.
    * @param coordinatorId - Member id of the entry that sent it.
    */
@@ -89,7 +93,10 @@
     }
   }
 
-  /** Cancels an attempt. Before its start it never starts; afterwards its call is aborted. */
+  /**
+   * Cancels an attempt. Before its start it never starts; afterwards its call
+   * is aborted.
+   */
   cancel(cancel: Cancel): void {
     const record = this.#records.get(cancel.key, cancel.index, cancel.attempt);
     if (record === undefined || record.state === "waiting") {
@@ -108,7 +115,8 @@
       return Promise.resolve(this.#refuse(dispatch, busy));
     }
     const result = this.#queue.add(() => this.#start(dispatch, coordinatorId));
-    // A very short queue may have started the attempt at once; then its record says so already.
+    // A very short queue may have started the attempt at once; then its record
+    // says so already.
     if (
       this.#records.get(dispatch.key, dispatch.index, dispatch.attempt) ===
         undefined
--- a/src/coordination/claims/claim_service.ts
+++ b/src/coordination/claims/claim_service.ts
@@ -17,7 +17,10 @@
 import { getAnswerBytes } from "./get_answer_bytes.ts";
 import { Takeover } from "./takeover.ts";
 
-/** Interval at which a leaving home looks whether its keys were taken over, in milliseconds. */
+/**
+ * Interval at which a leaving home looks whether its keys were taken over, in
+ * milliseconds.
+ */
 const CHECK_INTERVAL_MS = 50;
 
 export interface ClaimServiceOptions {
@@ -29,12 +32,17 @@
   zone: string;
   peers: Pick<PeerCaller, "gather">;
   departures: Departures;
-  /** Gets each key that has a started task at this agent, with its coordinator. */
+  /**
+   * Gets each key that has a started task at this agent, with its coordinator.
+   */
   getStartedKeys: () => Map<string, string>;
   table?: ClaimTable<StoredAnswer>;
 }
 
-/** The home side of idempotent submission: grants each key to one coordinator and keeps its answer. */
+/**
+ * The home side of idempotent submission: grants each key to one coordinator
+ * and keeps its answer.
+ */
 export class ClaimService {
   readonly #options: ClaimServiceOptions;
   readonly #table: ClaimTable<StoredAnswer>;
@@ -72,7 +80,10 @@
     return this.#table.size;
   }
 
-  /** Handles a claim. It is replied to once, and again with the final reply after `running`. */
+  /**
+   * Handles a claim. It is replied to once, and again with the final reply
+   * after `running`.
+   */
   handleClaim(request: ClaimWaiter): void {
     const { claim, reply } = request;
     for (const key of this.#table.removeExpired()) {
@@ -98,7 +109,10 @@
     this.#decide(request);
   }
 
-  /** Stores a final answer, or releases the claim. Returns false when this agent isn't the key's home. */
+  /**
+   * Stores a final answer, or releases the claim. Returns false when this agent
+   * isn't the key's home.
+   */
   handleComplete(complete: Complete, coordinatorId: string): boolean {
     const { homes, memberId, follower } = this.#options;
     const { key, fingerprint, answer } = complete;
@@ -110,7 +124,8 @@
     if (answer === undefined) {
       this.#table.release(key, coordinatorId);
       this.#takeover.addReleased(key, coordinatorId);
-      // Whoever waits asks again. That also ends requests of the coordinator itself on broken streams.
+      // Whoever waits asks again. That also ends requests of the coordinator
+      // itself on broken streams.
       const moved = { outcome: "moved", coordinator: "" } as const;
       this.#notify(key, moved);
       this.#waiters.remove(key).forEach((waiter) => waiter.reply(moved));
@@ -130,7 +145,10 @@
     return this.#gatherHandler.handle(request);
   }
 
-  /** Waits, after this agent was marked as leaving, until the homes that gain its keys have got its claims. */
+  /**
+   * Waits, after this agent was marked as leaving, until the homes that gain
+   * its keys have got its claims.
+   */
   async waitForHandover(signal: AbortSignal): Promise<void> {
     while (!signal.aborted && !this.#isHandedOver()) {
       await new Promise((resolve) => setTimeout(resolve, CHECK_INTERVAL_MS));
@@ -163,7 +181,8 @@
       return "held_back";
     }
     if (follower.view.getMember(coordinatorId) === undefined) {
-      // An entry that this view doesn't hold yet asks again; one that was removed coordinates nothing.
+      // An entry that this view doesn't hold yet asks again; one that was
+      // removed coordinates nothing.
       return claim.viewOffset > follower.view.offset ? "moved" : "held_back";
     }
     return homes.find(claim.key)?.id === memberId ? undefined : "moved";
--- a/src/coordination/claims/departures.ts
+++ b/src/coordination/claims/departures.ts
@@ -1,7 +1,10 @@
 import type { MemberState } from "../../state/view/mod.ts";
 import type { LogFollower } from "../follower/mod.ts";
 
-/** The idempotency window: older departures concern no claim that is still remembered. */
+/**
+ * The idempotency window: older departures concern no claim that is still
+ * remembered.
+ */
 const WINDOW_MS = 600_000;
 
 interface Departure {
@@ -16,10 +19,12 @@
 }
 
 /**
- * The members that went away within the idempotency window. It is kept by the process, since a home needs
- * to know of departures before its own announcement.
+ * The members that went away within the idempotency window. It is kept by the
+ * process, since a home needs to know of departures before its own
+ * announcement.
  *
- * Clean departures count as well: a process that has stopped remembers neither its claims nor its starts.
+ * Clean departures count as well: a process that has stopped remembers neither
+ * its claims nor its starts.
  */
 export class Departures {
   readonly #follower: LogFollower;
@@ -51,7 +56,10 @@
     return this.#getLastTime("agent");
   }
 
-  /** May an entry have been removed after a time? True as well when this process can't know. */
+  /**
+   * May an entry have been removed after a time? True as well when this process
+   * can't know.
+   */
   canHaveRemovedEntry(since: number): boolean {
     if (this.#startedAt > since) {
       return true;
@@ -62,12 +70,14 @@
   }
 
   /**
-   * Gets the time until which the unknown keys of a home can't be told from fresh ones: an entry, the home
-   * and a further agent went away, so all three places that knew a claim may be lost. Undefined when the
-   * members that are left know all claims.
+   * Gets the time until which the unknown keys of a home can't be told from
+   * fresh ones: an entry, the home and a further agent went away, so all three
+   * places that knew a claim may be lost. Undefined when the members that are
+   * left know all claims.
    * @param homeId - The home before; empty when there was none.
-   * @param options - `isGone`: did this home go away itself, or hadn't it completed its own takeover?
-   * `epoch`: members that were announced up to it have told what they know.
+   * @param options - `isGone`: did this home go away itself, or hadn't it
+   * completed its own takeover? `epoch`: members that were announced up to it
+   * have told what they know.
    */
   getHoldUntil(
     homeId: string,
@@ -88,17 +98,24 @@
     if (!isHeld) {
       return undefined;
     }
-    // A claim was granted and completed while its coordinator and its home were both there.
+    // A claim was granted and completed while its coordinator and its home were
+    // both there.
     const homeTime = this.getTime(homeId) ?? this.#getLastTime("agent");
     return Math.min(this.#getLastTime("entry"), homeTime) + this.#windowMs;
   }
 
-  /** Gets the id of a member's process. One process may have gone several times, under several ids. */
+  /**
+   * Gets the id of a member's process. One process may have gone several times,
+   * under several ids.
+   */
   #getProcess(memberId: string): string {
     return this.#departures.get(memberId)?.member.processId ?? memberId;
   }
 
-  /** Gets the processes of the agents that didn't leave cleanly, which means handing their claims over. */
+  /**
+   * Gets the processes of the agents that didn't leave cleanly, which means
+   * handing their claims over.
+   */
   #getLostHomes(): string[] {
     return [...this.#departures.values()]
       .filter(({ member, type }) =>
@@ -117,7 +134,10 @@
       .map((member) => this.#getProcess(member.id));
   }
 
-  /** Has the process of an agent come back as another member? It has kept its start records. */
+  /**
+   * Has the process of an agent come back as another member? It has kept its
+   * start records.
+   */
   #hasReturned(member: MemberState, epoch: number): boolean {
     const { processId } = member;
     return processId !== undefined &&
@@ -126,7 +146,10 @@
       );
   }
 
-  /** Has this process seen every departure of the window? A snapshot doesn't tell about earlier ones. */
+  /**
+   * Has this process seen every departure of the window? A snapshot doesn't
+   * tell about earlier ones.
+   */
   #isPastKnown(): boolean {
     return this.#follower.getTime() - this.#startedAt >= this.#windowMs ||
       this.#follower.getRecordsAfter(0, 1) !== undefined;
--- a/src/coordination/claims/gather_calls.ts
+++ b/src/coordination/claims/gather_calls.ts
@@ -8,7 +8,10 @@
 /** Gather calls that may be open at one time. */
 const MAX_OPEN_CALLS = 32;
 
-/** Wait before a member that couldn't answer is asked again, in milliseconds; it doubles each time. */
+/**
+ * Wait before a member that couldn't answer is asked again, in milliseconds; it
+ * doubles each time.
+ */
 const RETRY_DELAY_MS = 100;
 
 /** Longest wait before a member is asked again, in milliseconds. */
@@ -53,7 +56,8 @@
 
   /**
    * Asks members, except those that are being asked already.
-   * @param members - Ids with the first change of homes that each is asked about.
+   * @param members - Ids with the first change of homes that each is asked
+   * about.
    */
   start(members: ReadonlyMap<string, number>): void {
     const now = performance.now();
@@ -80,7 +84,8 @@
       ? undefined
       : await readKnownClaims(peers, address, request);
     this.#asked.delete(id);
-    // A member that is ahead may have left out keys that this home would still grant under its own view.
+    // A member that is ahead may have left out keys that this home would still
+    // grant under its own view.
     if (answer !== undefined && answer.epoch <= homes.epoch) {
       this.#answers.set(id, answer);
       this.#retries.delete(id);
--- a/src/coordination/claims/gather_handler.ts
+++ b/src/coordination/claims/gather_handler.ts
@@ -11,7 +11,10 @@
 /** Claims in one page of a reply. */
 const MAX_PAGE_CLAIMS = 2_000;
 
-/** Answers in one page of a reply, in bytes, so that a page takes far less than the call's time limit. */
+/**
+ * Answers in one page of a reply, in bytes, so that a page takes far less than
+ * the call's time limit.
+ */
 const MAX_PAGE_BYTES = 4 * 1_048_576;
 
 interface IndexedKey {
@@ -27,14 +30,18 @@
   table: ClaimTable<StoredAnswer>;
   /** Gets each key that has a started task here, with its coordinator. */
   getStartedKeys?: () => Map<string, string>;
-  /** Were this member's own takeovers complete at every change of homes since an epoch? */
+  /**
+   * Were this member's own takeovers complete at every change of homes since an
+   * epoch?
+   */
   isCompleteSince?: (epoch: number) => boolean;
 }
 
 /**
- * Answers the gather calls of homes that gained keys. The keys are indexed by home once for each epoch, so
- * hundreds of homes that gather at one time cost one scan together. That is enough: once the view has
- * reached the epoch, new claims of a home's keys come from that home itself.
+ * Answers the gather calls of homes that gained keys. The keys are indexed by
+ * home once for each epoch, so hundreds of homes that gather at one time cost
+ * one scan together. That is enough: once the view has reached the epoch, new
+ * claims of a home's keys come from that home itself.
  */
 export class GatherHandler {
   readonly #options: GatherHandlerOptions;
--- a/src/coordination/claims/home_change.ts
+++ b/src/coordination/claims/home_change.ts
@@ -12,19 +12,29 @@
 }
 
 /**
- * One change of the home set, as a home that gains keys sees it. Each former home of gained keys is a
- * source; its keys wait until the source, or everybody in its place, has told what it knows about them.
+ * One change of the home set, as a home that gains keys sees it. Each former
+ * home of gained keys is a source; its keys wait until the source, or everybody
+ * in its place, has told what it knows about them.
  */
 export class HomeChange {
   readonly epoch: number;
   readonly #options: HomeChangeOptions;
   readonly #sources = new Map<string, "alive" | "gone">();
   readonly #heldUntil = new Map<string, number>();
-  /** Epoch at which everybody has to answer in place of the sources that are gone. */
+  /**
+   * Epoch at which everybody has to answer in place of the sources that are
+   * gone.
+   */
   everybodyEpoch = 0;
-  /** Time before which a removed member may still have granted claims or started tasks. */
+  /**
+   * Time before which a removed member may still have granted claims or started
+   * tasks.
+   */
   notBefore = -Infinity;
-  /** True when this process missed how the homes changed, so it has to wait in any case. */
+  /**
+   * True when this process missed how the homes changed, so it has to wait in
+   * any case.
+   */
   isBlind = false;
 
   constructor(options: HomeChangeOptions) {
@@ -47,14 +57,20 @@
     return this.#sources.size > 0;
   }
 
-  /** Replaces a source by everybody: it went away, or it doesn't know all claims of its keys itself. */
+  /**
+   * Replaces a source by everybody: it went away, or it doesn't know all claims
+   * of its keys itself.
+   */
   setGone(id: string, options: { epoch: number; notBefore: number }): void {
     this.#sources.set(id, "gone");
     this.everybodyEpoch = Math.max(this.everybodyEpoch, options.epoch);
     this.notBefore = Math.max(this.notBefore, options.notBefore);
   }
 
-  /** Ends the wait for a source. Unknown keys of it are still held back until a time, if one is given. */
+  /**
+   * Ends the wait for a source. Unknown keys of it are still held back until a
+   * time, if one is given.
+   */
   removeSource(id: string, heldUntil?: number): void {
     this.#sources.delete(id);
     if (heldUntil !== undefined) {
@@ -62,7 +78,10 @@
     }
   }
 
-  /** Forgets the sources whose unknown keys are fresh again. Returns false when none is held back. */
+  /**
+   * Forgets the sources whose unknown keys are fresh again. Returns false when
+   * none is held back.
+   */
   removeExpired(now: number): boolean {
     for (const [id, until] of this.#heldUntil) {
       if (until <= now) {
@@ -100,7 +119,10 @@
   }
 }
 
-/** Finds the homes that may have lost keys to this one; "" stands for the homes of an empty set. */
+/**
+ * Finds the homes that may have lost keys to this one; "" stands for the homes
+ * of an empty set.
+ */
 function findSources(options: HomeChangeOptions): string[] {
   const { memberId, zone, before, after } = options;
   if (!after.has(memberId)) {
@@ -117,7 +139,8 @@
     if (home.id === memberId) {
       return false;
     }
-    // Rendezvous hashing moves keys only to a home or zone that is new, or away from one that is gone.
+    // Rendezvous hashing moves keys only to a home or zone that is new, or away
+    // from one that is gone.
     const isGone = home.zone === zone && !after.has(home.id);
     const isTakenFrom = isNew && (isNewZone || home.zone === zone);
     return isGone || isTakenFrom || !zones.has(home.zone);
--- a/src/coordination/claims/read_known_claims.ts
+++ b/src/coordination/claims/read_known_claims.ts
@@ -2,8 +2,9 @@
 import type { GatherReply, GatherRequest } from "../messages/mod.ts";
 
 /**
- * Reads all pages of a member's answer to a gather call. Gets undefined when the member can't be reached,
- * isn't ready, or its homes changed between two pages; the caller asks again.
+ * Reads all pages of a member's answer to a gather call. Gets undefined when
+ * the member can't be reached, isn't ready, or its homes changed between two
+ * pages; the caller asks again.
  */
 export async function readKnownClaims(
   peers: Pick<PeerCaller, "gather">,
--- a/src/coordination/claims/select_claims.ts
+++ b/src/coordination/claims/select_claims.ts
@@ -2,9 +2,10 @@
 import type { KnownClaim } from "../messages/mod.ts";
 
 /**
- * Selects one claim for each key from the claims that all members know, by the id of the member. A stored
- * answer counts most. A live coordinator knows best whether it still runs a submission: a running claim
- * that only a former home knows was released since then.
+ * Selects one claim for each key from the claims that all members know, by the
+ * id of the member. A stored answer counts most. A live coordinator knows best
+ * whether it still runs a submission: a running claim that only a former home
+ * knows was released since then.
  */
 export function selectClaims(
   known: ReadonlyMap<string, readonly KnownClaim[]>,
--- a/src/coordination/claims/takeover.ts
+++ b/src/coordination/claims/takeover.ts
@@ -10,7 +10,10 @@
 import { HomeChange } from "./home_change.ts";
 import { selectClaims } from "./select_claims.ts";
 
-/** Interval at which members that haven't answered yet are asked again, in milliseconds. */
+/**
+ * Interval at which members that haven't answered yet are asked again, in
+ * milliseconds.
+ */
 const STEP_MS = 100;
 
 export interface TakeoverOptions {
@@ -29,12 +32,15 @@
 }
 
 /**
- * Takes over the keys that this home gains when the homes change. A former home that is alive is asked
- * alone. When it is gone, every member is asked, and the answers are used at once, or, when an entry was
- * removed as well, once the view age limit has passed since the removal. The same happens when the former home hadn't completed its own takeover.
+ * Takes over the keys that this home gains when the homes change. A former home
+ * that is alive is asked alone. When it is gone, every member is asked, and the
+ * answers are used at once, or, when an entry was removed as well, once the
+ * view age limit has passed since the removal. The same happens when the former
+ * home hadn't completed its own takeover.
  *
- * Each change of the homes is tracked on its own, but a member's answer counts for all changes up to the
- * epoch of the answer, so that many changes together cost one call for each member.
+ * Each change of the homes is tracked on its own, but a member's answer counts
+ * for all changes up to the epoch of the answer, so that many changes together
+ * cost one call for each member.
  */
 export class Takeover {
   readonly #options: TakeoverOptions;
@@ -75,13 +81,19 @@
       : undefined;
   }
 
-  /** Were this home's takeovers complete at every change of homes since an epoch? */
+  /**
+   * Were this home's takeovers complete at every change of homes since an
+   * epoch?
+   */
   isCompleteSince(epoch: number): boolean {
     this.#refresh();
     return epoch > this.#lastIncompleteEpoch;
   }
 
-  /** Remembers that a coordinator released a key, so that an older answer doesn't bring its claim back. */
+  /**
+   * Remembers that a coordinator released a key, so that an older answer
+   * doesn't bring its claim back.
+   */
   addReleased(key: string, coordinator: string): void {
     if (this.isOpen) {
       this.#released.set(key, coordinator);
@@ -100,7 +112,10 @@
     }
   }
 
-  /** Looks whether the homes have changed. The view may also jump to a snapshot, without events. */
+  /**
+   * Looks whether the homes have changed. The view may also jump to a snapshot,
+   * without events.
+   */
   #refresh(): void {
     const { homes, follower } = this.#options;
     const after = homes.getSet();
@@ -121,7 +136,8 @@
     }
     const change = new HomeChange({ ...this.#options, epoch, before, after });
     if (isJump) {
-      // The view has jumped to a snapshot, so there may have been other homes in between.
+      // The view has jumped to a snapshot, so there may have been other homes
+      // in between.
       const notBefore = now + VIEW_LIMITS.maxViewAgeMs;
       change.isBlind = true;
       change.getSources("alive").forEach((id) =>
@@ -135,7 +151,10 @@
     }
   }
 
-  /** Takes out claims of an earlier time as home: only the home since then knows what became of them. */
+  /**
+   * Takes out claims of an earlier time as home: only the home since then knows
+   * what became of them.
+   */
   #removeStale(change: HomeChange): void {
     const { table } = this.#options;
     for (const claim of table.getAll()) {
@@ -146,7 +165,10 @@
     }
   }
 
-  /** A member that went away unasked may have left claims or starts at members that answered before. */
+  /**
+   * A member that went away unasked may have left claims or starts at members
+   * that answered before.
+   */
   #handleDeparture(member: MemberState, type: "removed" | "left"): void {
     const { homes, follower } = this.#options;
     for (const change of this.#changes) {
@@ -180,7 +202,10 @@
     this.#stale.length = 0;
   }
 
-  /** Replaces the sources that went away, or don't know all their claims, by everybody. */
+  /**
+   * Replaces the sources that went away, or don't know all their claims, by
+   * everybody.
+   */
   #replaceGone(): void {
     const { homes, follower, departures } = this.#options;
     const { maxViewAgeMs } = VIEW_LIMITS;
@@ -189,7 +214,8 @@
       for (const id of change.getSources("alive")) {
         const answer = this.#calls.get(id);
         if (follower.view.getMember(id) === undefined) {
-          // Without a time, the homes before were lost before this process could see it.
+          // Without a time, the homes before were lost before this process
+          // could see it.
           const time = id === ""
             ? departures.getLastAgentTime()
             : departures.getTime(id) ?? follower.getTime();
@@ -205,7 +231,10 @@
     }
   }
 
-  /** Finds the members that have to answer, with the first change that each is asked about. */
+  /**
+   * Finds the members that have to answer, with the first change that each is
+   * asked about.
+   */
   #findMissing(): Map<string, number> {
     const missing = new Map<string, number>();
     const add = (id: string, change: HomeChange) => {
@@ -235,7 +264,10 @@
     return [...view.getMembers("entry"), ...view.getMembers("agent")];
   }
 
-  /** Must a member still answer before the sources of a change that are gone can be replaced? */
+  /**
+   * Must a member still answer before the sources of a change that are gone can
+   * be replaced?
+   */
   #isMissing(member: MemberState, change: HomeChange): boolean {
     return member.id !== this.#options.memberId &&
       member.announcedAt <= change.everybodyEpoch &&
@@ -264,7 +296,9 @@
     }
   }
 
-  /** Takes over the keys of sources that are gone, once everybody has answered. */
+  /**
+   * Takes over the keys of sources that are gone, once everybody has answered.
+   */
   #completeChanges(): void {
     const { follower, departures } = this.#options;
     const members = this.#getMembers();
@@ -286,10 +320,12 @@
   }
 
   /**
-   * Can no removed member grant a claim or start a task any more that would count? A removed agent with an
-   * old view can do so until the view age limit, but only for an entry that still has a stream to it: the live
-   * entries have closed theirs before they answered the gather. So the wait is needed only when an entry was
-   * removed as well, so lately that the agent's view may not hold it.
+   * Can no removed member grant a claim or start a task any more that would
+   * count? A removed agent with an old view can do so until the view age limit,
+   * but only for an entry that still has a stream to it: the live entries have
+   * closed theirs before they answered the gather. So the wait is needed only
+   * when an entry was removed as well, so lately that the agent's view may not
+   * hold it.
    */
   #isFenced(change: HomeChange): boolean {
     const { follower, departures } = this.#options;
--- a/src/coordination/entry/admission.ts
+++ b/src/coordination/entry/admission.ts
@@ -9,8 +9,9 @@
 import type { Submission } from "./submission.ts";
 
 /**
- * Tasks that may wait at one entry. An entry's part of the target load is 900 starts a second, so this is
- * more than 20 s of work; with bodies of 10 KB it stays within 200 MB.
+ * Tasks that may wait at one entry. An entry's part of the target load is 900
+ * starts a second, so this is more than 20 s of work; with bodies of 10 KB it
+ * stays within 200 MB.
  */
 const MAX_WAITING = 20_000;
 
@@ -30,7 +31,10 @@
   deadline: number;
 }
 
-/** Decides whether a claimed submission is run. Refusing here is early and a true "not run". */
+/**
+ * Decides whether a claimed submission is run. Refusing here is early and a
+ * true "not run".
+ */
 export class Admission {
   readonly #options: AdmissionOptions;
 
@@ -114,8 +118,9 @@
   }
 
   /**
-   * Estimates the time until the last task starts: the tasks before it, divided by the rate at which the
-   * running ones end (Little's law). The customer's weight bounds how many tasks of others go first.
+   * Estimates the time until the last task starts: the tasks before it, divided
+   * by the rate at which the running ones end (Little's law). The customer's
+   * weight bounds how many tasks of others go first.
    */
   #estimateWait(submission: Submission): number {
     const { queue, runTimes, getRunning } = this.#options;
@@ -124,7 +129,8 @@
     const runMs = runTimes.getMean(service);
     const running = getRunning(service);
     if (waiting === 0 || runMs === undefined || running === 0) {
-      // Without a queue the rate says how much was asked for, not how much can be done.
+      // Without a queue the rate says how much was asked for, not how much can
+      // be done.
       return 0;
     }
     const rate = running / Math.max(1, runMs);
@@ -134,7 +140,10 @@
     return Math.min(all, (own + tasks.length) / share) / rate;
   }
 
-  /** Gets a customer's part of the capacity among the customers that have waiting tasks. */
+  /**
+   * Gets a customer's part of the capacity among the customers that have
+   * waiting tasks.
+   */
   #getShare(customer: string): number {
     const { queue, view } = this.#options;
     const getWeight = (name: string) =>
--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -16,10 +16,16 @@
 /** Wait before a broken stream is opened again, in milliseconds. */
 const RECONNECT_DELAY_MS = 100;
 
-/** Shortest time between two wants, in milliseconds; heartbeats tell the queue every 500 ms. */
+/**
+ * Shortest time between two wants, in milliseconds; heartbeats tell the queue
+ * every 500 ms.
+ */
 const WANT_INTERVAL_MS = 200;
 
-/** Refused streams count as silence after this time, in milliseconds. A process that only restarts is back. */
+/**
+ * Refused streams count as silence after this time, in milliseconds. A process
+ * that only restarts is back.
+ */
 const MAX_REFUSED_MS = 1_000;
 
 export interface AgentLinkOptions {
@@ -41,8 +47,9 @@
 }
 
 /**
- * The entry's side of the stream to one agent. A broken stream is opened again, and the open dispatches are
- * sent again on it: the agent's start records make that safe, also for tasks that aren't repeatable.
+ * The entry's side of the stream to one agent. A broken stream is opened again,
+ * and the open dispatches are sent again on it: the agent's start records make
+ * that safe, also for tasks that aren't repeatable.
  */
 export class AgentLink {
   readonly #options: AgentLinkOptions;
@@ -51,7 +58,9 @@
   readonly claims: ClaimChannel;
   readonly #dispatches = new OpenDispatches();
   #stream: PeerStream | undefined;
-  /** Time since which every stream has ended before the agent's first message. */
+  /**
+   * Time since which every stream has ended before the agent's first message.
+   */
   #refusedSince: number | undefined;
   #heartbeats: Heartbeats;
   #wantsCredits: boolean;
@@ -78,7 +87,10 @@
     });
   }
 
-  /** Does this entry place tasks on the agent, and watch it? Otherwise the stream carries only claims. */
+  /**
+   * Does this entry place tasks on the agent, and watch it? Otherwise the
+   * stream carries only claims.
+   */
   get wantsCredits(): boolean {
     return this.#wantsCredits;
   }
@@ -93,7 +105,9 @@
     return this.#credits;
   }
 
-  /** Gets the number of tasks that run at the agent, as far as this entry knows. */
+  /**
+   * Gets the number of tasks that run at the agent, as far as this entry knows.
+   */
   get load(): number {
     return Math.max(this.#load, this.#dispatches.size);
   }
@@ -103,7 +117,10 @@
     return this.#toldQueued;
   }
 
-  /** May a want be sent now? One that brings no credit doubles the time to the next. */
+  /**
+   * May a want be sent now? One that brings no credit doubles the time to the
+   * next.
+   */
   canWant(): boolean {
     const interval = WANT_INTERVAL_MS * 2 ** Math.min(this.#wastedWants, 3);
     return this.#isUp && performance.now() - this.#wantedAt >= interval;
@@ -119,14 +136,18 @@
     return this.#dispatches.size;
   }
 
-  /** Gets the offset that the agent's view has confirmed; -1 before its first heartbeat. */
+  /**
+   * Gets the offset that the agent's view has confirmed; -1 before its first
+   * heartbeat.
+   */
   get confirmedOffset(): number {
     return this.#heartbeats.peerOffset;
   }
 
   /**
-   * Gets the time since the agent's last heartbeat, in milliseconds. An address that has refused every new
-   * stream for a while has no process any more, so it counts as silent at once.
+   * Gets the time since the agent's last heartbeat, in milliseconds. An address
+   * that has refused every new stream for a while has no process any more, so
+   * it counts as silent at once.
    */
   getSilenceMs(): number {
     const now = performance.now();
@@ -142,7 +163,8 @@
       try {
         await this.#runStream(stream);
       } catch {
-        // The stream broke. The agent is suspected by its silence, not by one broken stream.
+        // The stream broke. The agent is suspected by its silence, not by one
+        // broken stream.
       }
       stream.close();
       if (!this.#isUp) {
@@ -167,7 +189,10 @@
     }
   }
 
-  /** Changes what the stream is for, by opening it again; running tasks keep their results. */
+  /**
+   * Changes what the stream is for, by opening it again; running tasks keep
+   * their results.
+   */
   setWantsCredits(wantsCredits: boolean): void {
     if (wantsCredits !== this.#wantsCredits) {
       this.#wantsCredits = wantsCredits;
@@ -176,7 +201,10 @@
     }
   }
 
-  /** Closes the link after the agent was removed or has left. Open dispatches end as `agent_lost`. */
+  /**
+   * Closes the link after the agent was removed or has left. Open dispatches
+   * end as `agent_lost`.
+   */
   close(): void {
     this.#abort.abort();
     this.#stream?.close();
@@ -188,7 +216,8 @@
   /**
    * Sends an attempt, and waits for its result.
    * @param task - The attempt.
-   * @param options - `onBroken` is called when the stream stays broken while the result is open.
+   * @param options - `onBroken` is called when the stream stays broken while
+   * the result is open.
    */
   dispatch(
     task: Omit<Dispatch, "dispatchId" | "queued" | "clock">,
@@ -296,7 +325,8 @@
 
   #handleHello(memberId: string): void {
     if (memberId !== this.member.id) {
-      // Another incarnation listens at this address: what this link waits for died with the old one.
+      // Another incarnation listens at this address: what this link waits for
+      // died with the old one.
       this.#stream?.close();
       return;
     }
@@ -323,7 +353,10 @@
     this.#addCredits(result.credits);
   }
 
-  /** Gives unused credits back. Each revocation gets one return, so that the agent can match them. */
+  /**
+   * Gives unused credits back. Each revocation gets one return, so that the
+   * agent can match them.
+   */
   #handleCreditRevoke(asked: number): void {
     const count = Math.min(asked, this.#credits);
     this.#credits -= count;
--- a/src/coordination/entry/agent_pool.ts
+++ b/src/coordination/entry/agent_pool.ts
@@ -8,13 +8,17 @@
   follower: LogFollower;
   /** Called when an agent has a credit that it had not. */
   onCredits: () => void;
-  /** Called when an agent has left, was removed or is out of service: it may come back as another machine. */
+  /**
+   * Called when an agent has left, was removed or is out of service: it may
+   * come back as another machine.
+   */
   onRemove: (memberId: string) => void;
 }
 
 /**
- * The links of an entry: to the agents of its subset, on which it places tasks, and to other agents that are
- * homes of its keys. Those are opened on demand and carry only claims.
+ * The links of an entry: to the agents of its subset, on which it places tasks,
+ * and to other agents that are homes of its keys. Those are opened on demand
+ * and carry only claims.
  */
 export class AgentPool {
   readonly #options: AgentPoolOptions;
@@ -50,7 +54,10 @@
     return [...this.#links.values()].filter((link) => link.wantsCredits);
   }
 
-  /** Opens links to the agents of the subset; later ones follow by the events of the view. */
+  /**
+   * Opens links to the agents of the subset; later ones follow by the events of
+   * the view.
+   */
   start(): void {
     this.#isOpen = true;
     this.#applySubset();
@@ -82,7 +89,9 @@
     return slots;
   }
 
-  /** Has some agent that this entry knew offered the service, in service or not? */
+  /**
+   * Has some agent that this entry knew offered the service, in service or not?
+   */
   wasOffered(service: string): boolean {
     return this.#offered.has(service);
   }
@@ -92,13 +101,17 @@
     return this.index.getLinks(service).length > 0;
   }
 
-  /** Keeps the agents with credits, the least recently used first: that spreads tasks over equal agents. */
+  /**
+   * Keeps the agents with credits, the least recently used first: that spreads
+   * tasks over equal agents.
+   */
   #handleCredits(link: AgentLink, options: { isMore: boolean }): void {
     this.ready.delete(link);
     if (link.credits > 0) {
       this.ready.add(link);
     }
-    // A dispatch uses a credit in the middle of a look at the queue, which must not start another one.
+    // A dispatch uses a credit in the middle of a look at the queue, which must
+    // not start another one.
     if (options.isMore) {
       this.#options.onCredits();
     }
@@ -125,7 +138,10 @@
     }
   }
 
-  /** Opens streams to agents that are new in the subset, and withdraws from those that have left it. */
+  /**
+   * Opens streams to agents that are new in the subset, and withdraws from
+   * those that have left it.
+   */
   #applySubset(): void {
     const { view } = this.#options.follower;
     for (const member of view.getMembers("agent")) {
--- a/src/coordination/entry/attempt.ts
+++ b/src/coordination/entry/attempt.ts
@@ -4,7 +4,10 @@
 import type { PlannedTask } from "./planned_task.ts";
 import type { SentAttempt } from "./sent_attempt.ts";
 
-/** Wait for the result of a cancelled dispatch before its task counts as unknown, in milliseconds. */
+/**
+ * Wait for the result of a cancelled dispatch before its task counts as
+ * unknown, in milliseconds.
+ */
 const CANCEL_GRACE_MS = 1_000;
 
 export interface AttemptOptions {
@@ -41,7 +44,10 @@
     this.#result = result;
   }
 
-  /** Waits for the result. After an abort it cancels the dispatch and waits a little longer. */
+  /**
+   * Waits for the result. After an abort it cancels the dispatch and waits a
+   * little longer.
+   */
   async wait(signal: AbortSignal): Promise<Result | DispatchError> {
     let timer: NodeJS.Timeout | undefined;
     let onAbort = () => {};
--- a/src/coordination/entry/claim_channel.ts
+++ b/src/coordination/entry/claim_channel.ts
@@ -48,7 +48,10 @@
     send({ case: "claim", value });
   }
 
-  /** Stores the final answer of a submission, or releases its claim. Gets false on failure. */
+  /**
+   * Stores the final answer of a submission, or releases its claim. Gets false
+   * on failure.
+   */
   async complete(
     key: string,
     fingerprint: string,
--- a/src/coordination/entry/claim_client.ts
+++ b/src/coordination/entry/claim_client.ts
@@ -17,8 +17,8 @@
 const MAX_RETRY_DELAY_MS = 2_000;
 
 /**
- * Longest wait for the home before the caller is answered all the same, in milliseconds. This entry keeps
- * the answer, and goes on trying.
+ * Longest wait for the home before the caller is answered all the same, in
+ * milliseconds. This entry keeps the answer, and goes on trying.
  */
 const STORE_WAIT_MS = 1_000;
 
@@ -33,15 +33,17 @@
 }
 
 /**
- * The entry's side of idempotent submission: claims keys at their homes and stores the answers there. It
- * keeps its own claims with their answers for the idempotency window, so that they can be rebuilt when
- * their home is lost.
+ * The entry's side of idempotent submission: claims keys at their homes and
+ * stores the answers there. It keeps its own claims with their answers for the
+ * idempotency window, so that they can be rebuilt when their home is lost.
  */
 export class ClaimClient {
   readonly #options: ClaimClientOptions;
   readonly #table: ClaimTable<StoredAnswer>;
   readonly #gatherHandler: GatherHandler;
-  /** Keys whose claim this entry gives up, until their homes have confirmed it. */
+  /**
+   * Keys whose claim this entry gives up, until their homes have confirmed it.
+   */
   readonly #releasing = new Set<string>();
   #openStores = 0;
   #isStopped = false;
@@ -54,8 +56,9 @@
   }
 
   /**
-   * Claims a key. Waits while another coordinator runs the submission, and tries again while the home
-   * moves or can't be reached. Gets undefined when the deadline passes first.
+   * Claims a key. Waits while another coordinator runs the submission, and
+   * tries again while the home moves or can't be reached. Gets undefined when
+   * the deadline passes first.
    * @param key - Idempotency key with its scope.
    * @param fingerprint - Digest of the request.
    * @param options - `deadline` is a time of `performance.now()`.
@@ -85,8 +88,9 @@
   }
 
   /**
-   * Stores the final answer at the key's home, or releases the claim when there is none. Gets false when
-   * the home didn't confirm it in time; then it is tried again in the background.
+   * Stores the final answer at the key's home, or releases the claim when there
+   * is none. Gets false when the home didn't confirm it in time; then it is
+   * tried again in the background.
    */
   async complete(
     key: string,
@@ -113,7 +117,10 @@
     return this.#gatherHandler.handle(request);
   }
 
-  /** Waits until the homes have confirmed every answer and release, or the signal aborts. */
+  /**
+   * Waits until the homes have confirmed every answer and release, or the
+   * signal aborts.
+   */
   async waitForStores(signal: AbortSignal): Promise<void> {
     while (this.#openStores > 0 && !signal.aborted) {
       await new Promise((resolve) => setTimeout(resolve, RETRY_DELAY_MS));
@@ -159,7 +166,10 @@
     });
   }
 
-  /** Gets what a reply means for one submission: `waiting` when another reply follows. */
+  /**
+   * Gets what a reply means for one submission: `waiting` when another reply
+   * follows.
+   */
   #resolveReply(
     reply: ClaimReply | undefined,
     options: { key: string; fingerprint: string },
@@ -167,7 +177,8 @@
     const { key, fingerprint } = options;
     const coordinator = this.#options.memberId;
     if (reply?.outcome === "running") {
-      // The home granted the key to this entry, but the reply was lost with its stream.
+      // The home granted the key to this entry, but the reply was lost with its
+      // stream.
       const isLostGrant = reply.coordinator === coordinator &&
         this.#table.get(key) === undefined && !this.#releasing.has(key);
       if (!isLostGrant) {
@@ -186,7 +197,8 @@
       case "lost":
         return { ...reply, outcome: decision.type };
       case "running":
-        // Another submission of this entry runs; the next claim of this one waits for its answer.
+        // Another submission of this entry runs; the next claim of this one
+        // waits for its answer.
         return undefined;
       case "conflict":
       case "done": {
@@ -229,7 +241,10 @@
     }
   }
 
-  /** Tries to store an answer or a release until the key's home of that time has confirmed it. */
+  /**
+   * Tries to store an answer or a release until the key's home of that time has
+   * confirmed it.
+   */
   async #sendUntilStored(
     key: string,
     fingerprint: string,
--- a/src/coordination/entry/demand.ts
+++ b/src/coordination/entry/demand.ts
@@ -1,13 +1,22 @@
 import type { AgentLink } from "./agent_link.ts";
 import type { ServiceIndex } from "./service_index.ts";
 
-/** Shortest time between two looks for agents to ask, in milliseconds. Dispatches tell the queue meanwhile. */
+/**
+ * Shortest time between two looks for agents to ask, in milliseconds.
+ * Dispatches tell the queue meanwhile.
+ */
 const INTERVAL_MS = 10;
 
-/** Wants that each dispatch earns: keeps them below half of the allowed 0.1 wasted messages a task. */
+/**
+ * Wants that each dispatch earns: keeps them below half of the allowed 0.1
+ * wasted messages a task.
+ */
 const WANTS_PER_DISPATCH = 0.04;
 
-/** Wants that are earned a second without a dispatch, so that a queue that gets no credit can still ask. */
+/**
+ * Wants that are earned a second without a dispatch, so that a queue that gets
+ * no credit can still ask.
+ */
 const WANTS_PER_SECOND = 5;
 
 export interface DemandOptions {
@@ -17,9 +26,10 @@
 }
 
 /**
- * Tells the agents how many slots this entry wants. The waiting tasks are divided over the agents that can
- * run them: if each was told the whole queue, they would together take many more credits from other
- * entries than there are tasks.
+ * Tells the agents how many slots this entry wants. The waiting tasks are
+ * divided over the agents that can run them: if each was told the whole queue,
+ * they would together take many more credits from other entries than there are
+ * tasks.
  */
 export class Demand {
   readonly #options: DemandOptions;
@@ -90,7 +100,8 @@
         link.want(share);
       }
     }
-    // The odd tasks are told to other agents next time: the asked ones may have no slot to give.
+    // The odd tasks are told to other agents next time: the asked ones may have
+    // no slot to give.
     this.#rotation++;
     if (links.size > 0) {
       this.start();
--- a/src/coordination/entry/is_upstream_failure.ts
+++ b/src/coordination/entry/is_upstream_failure.ts
@@ -1,6 +1,9 @@
 import type { Result } from "../messages/mod.ts";
 
-/** Error kinds that speak against the upstream and not against the agent's state or the caller. */
+/**
+ * Error kinds that speak against the upstream and not against the agent's state
+ * or the caller.
+ */
 const FAILURES: ReadonlySet<string> = new Set([
   "upstream_unreachable",
   "upstream_reset",
--- a/src/coordination/entry/job_coordinator.ts
+++ b/src/coordination/entry/job_coordinator.ts
@@ -55,7 +55,10 @@
     this.#isDraining = true;
   }
 
-  /** Cancels a submission that this entry runs. Returns false when it runs none with this key. */
+  /**
+   * Cancels a submission that this entry runs. Returns false when it runs none
+   * with this key.
+   */
   cancel(key: string): boolean {
     const controller = this.#running.get(key);
     controller?.abort(createError("cancelled", "cancelled by the caller"));
@@ -63,8 +66,9 @@
   }
 
   /**
-   * Ends all running submissions after this entry was removed. The homes have given their keys up as lost,
-   * so nothing else than "unknown" may be answered, also for tasks that never started.
+   * Ends all running submissions after this entry was removed. The homes have
+   * given their keys up as lost, so nothing else than "unknown" may be
+   * answered, also for tasks that never started.
    */
   close(): void {
     const error = createError(
@@ -77,8 +81,9 @@
   }
 
   /**
-   * Runs a submission, or joins it when it runs already, and gets its answer. Everything but malformed
-   * requests is refused after the claim only, so that a resubmission is never told "not run" by mistake.
+   * Runs a submission, or joins it when it runs already, and gets its answer.
+   * Everything but malformed requests is refused after the claim only, so that
+   * a resubmission is never told "not run" by mistake.
    */
   async submit(submission: Submission): Promise<StoredAnswer> {
     this.#open++;
--- a/src/coordination/entry/open_dispatches.ts
+++ b/src/coordination/entry/open_dispatches.ts
@@ -2,8 +2,9 @@
 import type { Cancel, Dispatch, Result } from "../messages/mod.ts";
 
 /**
- * Time for which a stream may be broken before its repeatable tasks may be tried elsewhere, in milliseconds: a
- * few reconnections, and well before the agent can be removed.
+ * Time for which a stream may be broken before its repeatable tasks may be
+ * tried elsewhere, in milliseconds: a few reconnections, and well before the
+ * agent can be removed.
  */
 const BROKEN_AFTER_MS = 500;
 
@@ -14,7 +15,10 @@
   cancel?: Cancel;
 }
 
-/** The dispatches of one stream whose results are awaited. They outlive a broken stream. */
+/**
+ * The dispatches of one stream whose results are awaited. They outlive a broken
+ * stream.
+ */
 export class OpenDispatches {
   readonly #dispatches = new Map<number, OpenDispatch>();
   #brokenTimer: NodeJS.Timeout | undefined;
@@ -28,7 +32,8 @@
   /**
    * Adds a dispatch under a new id.
    * @param task - The dispatch without what depends on the stream.
-   * @param options - `onBroken` is called when the stream stays broken while the result is open.
+   * @param options - `onBroken` is called when the stream stays broken while
+   * the result is open.
    */
   add(
     task: Omit<Dispatch, "dispatchId" | "queued" | "clock">,
@@ -78,7 +83,9 @@
     }, BROKEN_AFTER_MS);
   }
 
-  /** Records that the stream is up again, and gets what has to be sent on it. */
+  /**
+   * Records that the stream is up again, and gets what has to be sent on it.
+   */
   setUp(): { message: Dispatch; cancel?: Cancel }[] {
     clearTimeout(this.#brokenTimer);
     this.#brokenTimer = undefined;
--- a/src/coordination/entry/placement/agent_health.ts
+++ b/src/coordination/entry/placement/agent_health.ts
@@ -1,10 +1,19 @@
-/** Consecutive failures that eject an agent. One failing task must not, and a dead back end fails them all. */
+/**
+ * Consecutive failures that eject an agent. One failing task must not, and a
+ * dead back end fails them all.
+ */
 const MAX_FAILURES = 5;
 
-/** Time without tasks after the first ejection, in milliseconds; each failed probe doubles it. */
+/**
+ * Time without tasks after the first ejection, in milliseconds; each failed
+ * probe doubles it.
+ */
 const FIRST_EJECTION_MS = 1_000;
 
-/** Longest time without tasks, in milliseconds: then a failing agent costs two probes a minute. */
+/**
+ * Longest time without tasks, in milliseconds: then a failing agent costs two
+ * probes a minute.
+ */
 const MAX_EJECTION_MS = 30_000;
 
 interface Health {
@@ -25,9 +34,10 @@
 }
 
 /**
- * Ejects agents whose tasks all fail. Such an agent answers fast and looks idle, so it would attract the
- * work of the others. After an exponential delay one task probes it. At most half of the agents of a
- * service are ejected: when more fail, the tasks are the likelier cause.
+ * Ejects agents whose tasks all fail. Such an agent answers fast and looks
+ * idle, so it would attract the work of the others. After an exponential delay
+ * one task probes it. At most half of the agents of a service are ejected: when
+ * more fail, the tasks are the likelier cause.
  */
 export class AgentHealth {
   readonly #options: AgentHealthOptions;
@@ -51,7 +61,10 @@
     return this.#agents.get(agentId)?.ejectedUntil !== undefined;
   }
 
-  /** Records that a task was placed; the first one after an ejection is the probe. */
+  /**
+   * Records that a task was placed; the first one after an ejection is the
+   * probe.
+   */
   recordPlacement(agentId: string): void {
     const health = this.#agents.get(agentId);
     if (health?.ejectedUntil !== undefined) {
@@ -67,7 +80,9 @@
     }
   }
 
-  /** Records a task that says nothing about the upstream, such as a refused one. */
+  /**
+   * Records a task that says nothing about the upstream, such as a refused one.
+   */
   recordNeutral(agentId: string): void {
     const health = this.#agents.get(agentId);
     if (health?.isProbing) {
--- a/src/coordination/entry/placement/placement_request.ts
+++ b/src/coordination/entry/placement/placement_request.ts
@@ -3,10 +3,16 @@
   readonly service: string;
   /** Name under which run times are learned. */
   readonly runKey: string;
-  /** The submission's home: its claim and its start records should not be lost together. */
+  /**
+   * The submission's home: its claim and its start records should not be lost
+   * together.
+   */
   readonly homeId?: string | undefined;
   /** The agent that refused the task last. */
   readonly avoidId?: string | undefined;
-  /** Has the task left the queue, so that it takes the best agent that is ready now? */
+  /**
+   * Has the task left the queue, so that it takes the best agent that is ready
+   * now?
+   */
   readonly isReleased?: boolean;
 }
--- a/src/coordination/entry/placement/placement_selector.ts
+++ b/src/coordination/entry/placement/placement_selector.ts
@@ -14,7 +14,9 @@
   runTimes: RunTimes;
   /** Gets the number of waiting tasks of a service. */
   getWaiting: (service: string) => number;
-  /** Called when a task that was held back for a faster agent should look again. */
+  /**
+   * Called when a task that was held back for a faster agent should look again.
+   */
   onChange: () => void;
   /** Monotonic clock in milliseconds. */
   getTime?: () => number;
@@ -31,7 +33,10 @@
     this.#guard = new SlowWorkerGuard(options);
   }
 
-  /** Forgets which agents are usable, after links, health or the view have changed. */
+  /**
+   * Forgets which agents are usable, after links, health or the view have
+   * changed.
+   */
   removeUsable(): void {
     this.#usable.clear();
   }
@@ -41,7 +46,10 @@
     this.#guard.stop();
   }
 
-  /** Can some agent take a task of the service, apart from what excludes single agents? */
+  /**
+   * Can some agent take a task of the service, apart from what excludes single
+   * agents?
+   */
   isReady(service: string): boolean {
     const usable = this.#getUsable(service);
     const placement = this.#options.getPlacement();
@@ -91,7 +99,10 @@
       : undefined;
   }
 
-  /** Finds the agent that was used least recently among those with the shortest run time. */
+  /**
+   * Finds the agent that was used least recently among those with the shortest
+   * run time.
+   */
   #findBest(
     request: PlacementRequest,
     placement: Placement & { type: "credits" },
@@ -141,7 +152,10 @@
     return usable[Math.floor(Math.random() * usable.length)];
   }
 
-  /** Leaves out the home and the agent that refused, as long as another agent remains. */
+  /**
+   * Leaves out the home and the agent that refused, as long as another agent
+   * remains.
+   */
   #createFilter(request: PlacementRequest): (candidate: T) => boolean {
     const usable = this.#getUsable(request.service);
     const { homeId, avoidId } = request;
--- a/src/coordination/entry/placement/run_times.ts
+++ b/src/coordination/entry/placement/run_times.ts
@@ -1,19 +1,27 @@
 /**
- * Weight of a new run time after the first ones, which are averaged. The tasks of a service differ by a factor of
- * ten; with this weight the mean still scatters by less than the factor between equal and slow workers.
+ * Weight of a new run time after the first ones, which are averaged. The tasks
+ * of a service differ by a factor of ten; with this weight the mean still
+ * scatters by less than the factor between equal and slow workers.
  */
 const WEIGHT = 0.05;
 
-/** A run time counts as at most this many times, or this part of, the learned one: one outlier moves it little. */
+/**
+ * A run time counts as at most this many times, or this part of, the learned
+ * one: one outlier moves it little.
+ */
 const OUTLIER_FACTOR = 4;
 
 /**
- * Run times older than this are not used: they must not keep a worker or a job out for good. A slow worker so
- * gets a task a minute. With 20 s, four such tasks in 5 s showed in the p99 of 40 jobs a second.
+ * Run times older than this are not used: they must not keep a worker or a job
+ * out for good. A slow worker so gets a task a minute. With 20 s, four such
+ * tasks in 5 s showed in the p99 of 40 jobs a second.
  */
 const MAX_AGE_MS = 60_000;
 
-/** Run times after which the spread is known well enough to call a task a straggler. */
+/**
+ * Run times after which the spread is known well enough to call a task a
+ * straggler.
+ */
 const MIN_SAMPLES = 20;
 
 interface Learned {
@@ -29,7 +37,10 @@
   getTime?: () => number;
 }
 
-/** Learned run times by service or job, and by agent. Declared times are not used. */
+/**
+ * Learned run times by service or job, and by agent. Declared times are not
+ * used.
+ */
 export class RunTimes {
   readonly #getTime: () => number;
   readonly #byKey = new Map<string, Learned>();
@@ -47,17 +58,26 @@
     this.#record(this.#byKey, key, runMs);
   }
 
-  /** Gets the mean run time at one agent; undefined when nothing recent is known. */
+  /**
+   * Gets the mean run time at one agent; undefined when nothing recent is
+   * known.
+   */
   get(key: string, agentId: string): number | undefined {
     return this.#getFresh(this.#byAgent.get(agentId)?.get(key))?.mean;
   }
 
-  /** Gets the mean run time at all agents; undefined when nothing recent is known. */
+  /**
+   * Gets the mean run time at all agents; undefined when nothing recent is
+   * known.
+   */
   getMean(key: string): number | undefined {
     return this.#getFresh(this.#byKey.get(key))?.mean;
   }
 
-  /** Gets the mean run time at the fastest agent; undefined while too little is known. */
+  /**
+   * Gets the mean run time at the fastest agent; undefined while too little is
+   * known.
+   */
   getShortest(key: string): number | undefined {
     const learned = this.#getFresh(this.#byKey.get(key));
     if (learned === undefined || learned.samples < MIN_SAMPLES) {
@@ -70,10 +90,14 @@
     return shortest;
   }
 
-  /** Gets the run time beyond which a task is a straggler; undefined while too little is known. */
+  /**
+   * Gets the run time beyond which a task is a straggler; undefined while too
+   * little is known.
+   */
   getStragglerMs(key: string): number | undefined {
     const learned = this.#getFresh(this.#byKey.get(key));
-    // Mean and four deviations, as for TCP's retransmission: few ordinary tasks take longer.
+    // Mean and four deviations, as for TCP's retransmission: few ordinary tasks
+    // take longer.
     return learned === undefined || learned.samples < MIN_SAMPLES
       ? undefined
       : learned.mean + 4 * learned.deviation;
--- a/src/coordination/entry/placement/slow_worker_guard.ts
+++ b/src/coordination/entry/placement/slow_worker_guard.ts
@@ -2,12 +2,16 @@
 import type { PlacementRequest } from "./placement_request.ts";
 import type { RunTimes } from "./run_times.ts";
 
-/** Time for which an estimate is used again, in milliseconds: it looks at all agents of the service. */
+/**
+ * Time for which an estimate is used again, in milliseconds: it looks at all
+ * agents of the service.
+ */
 const ESTIMATE_AGE_MS = 5;
 
 /**
- * Part of the slow run time for which a task is held back in any case. A new queue first brings credits of
- * faster agents from other entries, which takes a few round trips.
+ * Part of the slow run time for which a task is held back in any case. A new
+ * queue first brings credits of faster agents from other entries, which takes a
+ * few round trips.
  */
 const MIN_HOLD_PART = 0.05;
 
@@ -29,9 +33,10 @@
 }
 
 /**
- * Keeps slow workers from taking the tail of a job. A free slot of a slow worker is used only when the task
- * ends there before the faster workers would have ended the whole queue; otherwise the job would wait for
- * that one task. A task is held back no longer than it would run on the slow worker.
+ * Keeps slow workers from taking the tail of a job. A free slot of a slow
+ * worker is used only when the task ends there before the faster workers would
+ * have ended the whole queue; otherwise the job would wait for that one task. A
+ * task is held back no longer than it would run on the slow worker.
  */
 export class SlowWorkerGuard<T extends Candidate> {
   readonly #options: SlowWorkerGuardOptions;
@@ -39,7 +44,10 @@
   readonly #estimates = new Map<string, Estimate>();
   /** Since when tasks of a service wait. */
   readonly #queuedSince = new Map<string, number>();
-  /** Since when tasks of a service are held back, without one that started on a faster agent. */
+  /**
+   * Since when tasks of a service are held back, without one that started on a
+   * faster agent.
+   */
   readonly #heldSince = new Map<string, number>();
   #timer: NodeJS.Timeout | undefined;
 
@@ -49,7 +57,8 @@
   }
 
   /**
-   * Can a task start on the best agent that is ready, or should it wait for a faster one?
+   * Can a task start on the best agent that is ready, or should it wait for a
+   * faster one?
    * @param best - The ready agent with the shortest run time.
    * @param request - The task.
    * @param options - The agents that may run the task, and what counts as slow.
--- a/src/coordination/entry/planned_task.ts
+++ b/src/coordination/entry/planned_task.ts
@@ -9,7 +9,10 @@
   /** Name under which run times are learned. */
   readonly runKey: string;
   readonly priority: number;
-  /** Among tasks of equal priority the one with the lower order leaves the queue first. */
+  /**
+   * Among tasks of equal priority the one with the lower order leaves the queue
+   * first.
+   */
   readonly order: number;
   readonly weight: number;
   readonly teamWeight: number;
--- a/src/coordination/entry/queue/dispatch_queue.ts
+++ b/src/coordination/entry/queue/dispatch_queue.ts
@@ -8,13 +8,18 @@
 
 type RunFunction = () => Promise<unknown>;
 
-/** Customers that are remembered without tasks; more are forgotten when they owe nothing. */
+/**
+ * Customers that are remembered without tasks; more are forgotten when they owe
+ * nothing.
+ */
 const MAX_IDLE_CUSTOMERS = 1_000;
 
 /**
- * The queue class for p-queue: weighted fair sharing of slot time between customers, and between the teams
- * of a customer; priorities within a team. Its size counts only while some task can be placed, so p-queue
- * starts a task exactly when an agent can take it. A look at the queue costs no scan of its tasks.
+ * The queue class for p-queue: weighted fair sharing of slot time between
+ * customers, and between the teams of a customer; priorities within a team. Its
+ * size counts only while some task can be placed, so p-queue starts a task
+ * exactly when an agent can take it. A look at the queue costs no scan of its
+ * tasks.
  */
 export class DispatchQueue implements Queue<RunFunction, DispatchQueueOptions> {
   readonly #policy: DispatchQueuePolicy;
@@ -40,7 +45,10 @@
     return this.#waitingByService;
   }
 
-  /** Gets the number of waiting tasks by service that the quotas allow to run now. */
+  /**
+   * Gets the number of waiting tasks by service that the quotas allow to run
+   * now.
+   */
   getWantedByService(): Map<string, number> {
     const { getMaxRunning } = this.#policy;
     const wanted = new Map<string, number>();
@@ -54,13 +62,17 @@
     return wanted;
   }
 
-  /** Gets the number of waiting tasks, or 0 while none of them can be placed. */
+  /**
+   * Gets the number of waiting tasks, or 0 while none of them can be placed.
+   */
   get size(): number {
     this.#next = this.#findNext();
     return this.#next === undefined ? 0 : this.#tasks.size;
   }
 
-  /** Gets the waiting and running tasks of a customer, or of one of its teams. */
+  /**
+   * Gets the waiting and running tasks of a customer, or of one of its teams.
+   */
   getShare(customer: string, team?: string): Readonly<FairShare> | undefined {
     const queue = this.#customers.get(customer);
     return team === undefined ? queue : queue?.teams.get(team);
@@ -206,7 +218,10 @@
   }
 }
 
-/** Finds a task of the party that has got the least, among those that may run more tasks and have one to place. */
+/**
+ * Finds a task of the party that has got the least, among those that may run
+ * more tasks and have one to place.
+ */
 function findFair<T extends FairShare>(
   parties: ReadonlyMap<string, T>,
   getMaxRunning: (name: string) => number,
--- a/src/coordination/entry/queue/dispatch_queue_options.ts
+++ b/src/coordination/entry/queue/dispatch_queue_options.ts
@@ -7,7 +7,9 @@
   readonly service: string;
   /** Tasks with a higher priority leave first, within one team. */
   readonly priority: number;
-  /** Among tasks of equal priority the one with the lower order leaves first. */
+  /**
+   * Among tasks of equal priority the one with the lower order leaves first.
+   */
   readonly order: number;
   /** Share of the capacity relative to other customers. */
   readonly weight: number;
--- a/src/coordination/entry/queue/dispatch_queue_policy.ts
+++ b/src/coordination/entry/queue/dispatch_queue_policy.ts
@@ -6,6 +6,9 @@
   isReady: (service: string) => boolean;
   /** Can this task be placed now? */
   canPlace: (options: DispatchQueueOptions) => boolean;
-  /** Gets the number of tasks of a customer, or of one of its teams, that may run at this entry. */
+  /**
+   * Gets the number of tasks of a customer, or of one of its teams, that may
+   * run at this entry.
+   */
   getMaxRunning: (customer: string, team?: string) => number;
 }
--- a/src/coordination/entry/queue/task_group.ts
+++ b/src/coordination/entry/queue/task_group.ts
@@ -1,7 +1,10 @@
 import type { DispatchQueueOptions } from "./dispatch_queue_options.ts";
 import type { WaitingTask } from "./waiting_task.ts";
 
-/** Waiting tasks of one submission that can be placed on the same agents, in order of arrival. */
+/**
+ * Waiting tasks of one submission that can be placed on the same agents, in
+ * order of arrival.
+ */
 export class TaskGroup {
   readonly options: DispatchQueueOptions;
   #tasks: WaitingTask[] = [];
--- a/src/coordination/entry/queue/task_lane.ts
+++ b/src/coordination/entry/queue/task_lane.ts
@@ -5,12 +5,16 @@
 const PRIORITIES = 10;
 
 /**
- * Groups that are tried before the others wait for the next change. Groups differ in the one or two agents
- * that they leave out, so while two agents are ready nearly every first group can be placed.
+ * Groups that are tried before the others wait for the next change. Groups
+ * differ in the one or two agents that they leave out, so while two agents are
+ * ready nearly every first group can be placed.
  */
 const TRIED_GROUPS = 16;
 
-/** The waiting tasks of one team and one service: by priority, then by the order of their submissions. */
+/**
+ * The waiting tasks of one team and one service: by priority, then by the order
+ * of their submissions.
+ */
 export class TaskLane {
   readonly #levels: TaskGroup[][] = Array.from(
     { length: PRIORITIES },
@@ -59,7 +63,10 @@
     this.waiting--;
   }
 
-  /** Gets the groups of a task's priority; the highest priority is the first level. */
+  /**
+   * Gets the groups of a task's priority; the highest priority is the first
+   * level.
+   */
   #getLevel({ options }: WaitingTask): TaskGroup[] {
     const highest = PRIORITIES - 1;
     const priority = Math.min(highest, Math.max(0, options.priority));
--- a/src/coordination/entry/queue/team_queue.ts
+++ b/src/coordination/entry/queue/team_queue.ts
@@ -57,7 +57,9 @@
     return added;
   }
 
-  /** Removes a task that `findFirst` has found, or that was marked as removed. */
+  /**
+   * Removes a task that `findFirst` has found, or that was marked as removed.
+   */
   remove(task: WaitingTask): void {
     const lane = this.#lanes.get(task.options.service) as TaskLane;
     if (task.isRemoved) {
--- a/src/coordination/entry/quota_shares.ts
+++ b/src/coordination/entry/quota_shares.ts
@@ -11,8 +11,8 @@
   }
 
   /**
-   * Gets this entry's share of a limit: the limit divided by the live entries, rounded up; infinite when
-   * the settings state none.
+   * Gets this entry's share of a limit: the limit divided by the live entries,
+   * rounded up; infinite when the settings state none.
    * @param limit - Name of the limit.
    * @param customer - The customer.
    * @param team - One of its teams, for the team's own limit.
--- a/src/coordination/entry/retry_budgets.ts
+++ b/src/coordination/entry/retry_budgets.ts
@@ -4,10 +4,15 @@
 /** Retries that a customer earns a second without any start. */
 const RETRIES_PER_SECOND = 3;
 
-/** Largest number of saved retries: a long quiet time must not allow a storm. */
+/**
+ * Largest number of saved retries: a long quiet time must not allow a storm.
+ */
 const MAX_SAVED = 100;
 
-/** Customers that are remembered; the one without starts for the longest time is forgotten first. */
+/**
+ * Customers that are remembered; the one without starts for the longest time is
+ * forgotten first.
+ */
 const MAX_CUSTOMERS = 10_000;
 
 interface Budget {
@@ -20,7 +25,10 @@
   getTime?: () => number;
 }
 
-/** Limits the repeated attempts of each customer, so that a fault isn't answered with more load. */
+/**
+ * Limits the repeated attempts of each customer, so that a fault isn't answered
+ * with more load.
+ */
 export class RetryBudgets {
   readonly #getTime: () => number;
   readonly #budgets = new Map<string, Budget>();
--- a/src/coordination/entry/service_index.ts
+++ b/src/coordination/entry/service_index.ts
@@ -11,13 +11,17 @@
 export interface ServiceIndexOptions {
   view: ClusterView;
   getLinks: () => Iterable<AgentLink>;
-  /** Called for each linked agent that is out of service when the index is built. */
+  /**
+   * Called for each linked agent that is out of service when the index is
+   * built.
+   */
   onOut: (agentId: string) => void;
 }
 
 /**
- * The linked agents in service, by the services that they offer. It is built again only when the members,
- * the settings or the links change, so an agent that goes out of service gets no task from then on.
+ * The linked agents in service, by the services that they offer. It is built
+ * again only when the members, the settings or the links change, so an agent
+ * that goes out of service gets no task from then on.
  */
 export class ServiceIndex {
   readonly #options: ServiceIndexOptions;
@@ -34,12 +38,18 @@
     return this.#get(service).links;
   }
 
-  /** Gets the place of a link among those of a service, or undefined when it isn't one of them. */
+  /**
+   * Gets the place of a link among those of a service, or undefined when it
+   * isn't one of them.
+   */
   getPosition(service: string, link: AgentLink): number | undefined {
     return this.#get(service).positions.get(link);
   }
 
-  /** Gets, for each service of an agent, the ids of the agents in service that offer it. */
+  /**
+   * Gets, for each service of an agent, the ids of the agents in service that
+   * offer it.
+   */
   getPeers(agentId: string): string[][] {
     const services = this.#options.view.getMember(agentId)?.services ?? [];
     return services.map((service) =>
--- a/src/coordination/entry/submission.ts
+++ b/src/coordination/entry/submission.ts
@@ -2,7 +2,10 @@
 import type { JobOutcome } from "./job_outcome.ts";
 import type { TaskSpec } from "./task_spec.ts";
 
-/** One accepted request of a caller: a job, or a single request as a job of one task. */
+/**
+ * One accepted request of a caller: a job, or a single request as a job of one
+ * task.
+ */
 export interface Submission {
   /** Idempotency key with its customer as scope. */
   readonly key: string;
--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -23,12 +23,16 @@
 import type { TaskFailure } from "./task_failure.ts";
 import { TaskRun } from "./task_run.ts";
 
-/** Expected run time of a task while none is known, in milliseconds. It only weighs customers. */
+/**
+ * Expected run time of a task while none is known, in milliseconds. It only
+ * weighs customers.
+ */
 const DEFAULT_COST_MS = 100;
 
 /**
- * Weight of a job's size in its order. With one entry of several, a job gets a part of the slots only, so it
- * would take longer than its share of all slots says.
+ * Weight of a job's size in its order. With one entry of several, a job gets a
+ * part of the slots only, so it would take longer than its share of all slots
+ * says.
  */
 const ORDER_FACTOR = 3;
 
@@ -79,7 +83,8 @@
       index: pool.index,
       getWanted: () => waiting.getWantedByService(),
     });
-    // p-queue creates its queue itself; the constructor returns the one that this class also looks into.
+    // p-queue creates its queue itself; the constructor returns the one that
+    // this class also looks into.
     const queueClass = function () {
       return waiting;
     } as unknown as new () => DispatchQueue;
@@ -94,9 +99,10 @@
   }
 
   /**
-   * Gets the order of a job in the queue: the time now, plus the time in which the slots of this entry's
-   * agents could run the whole job. So a small job passes a large one that came shortly before, which keeps
-   * response times in proportion to the work, and no job is passed for ever.
+   * Gets the order of a job in the queue: the time now, plus the time in which
+   * the slots of this entry's agents could run the whole job. So a small job
+   * passes a large one that came shortly before, which keeps response times in
+   * proportion to the work, and no job is passed for ever.
    */
   getOrder(runKey: string, tasks: number): number {
     const costMs = this.runTimes.getMean(runKey) ?? DEFAULT_COST_MS;
@@ -120,7 +126,10 @@
     this.#selector.stop();
   }
 
-  /** Looks again which agents may be used, after links, the view or the health of an agent have changed. */
+  /**
+   * Looks again which agents may be used, after links, the view or the health
+   * of an agent have changed.
+   */
   handleChange(): void {
     this.#selector.removeUsable();
     this.startPlaceable();
@@ -202,13 +211,17 @@
         }
       }
     } catch {
-      // The signal has aborted, perhaps between the send and the queue's report of it. Then the attempt is on
-      // its way, and only its result says whether it ran.
+      // The signal has aborted, perhaps between the send and the queue's report
+      // of it. Then the attempt is on its way, and only its result says whether
+      // it ran.
       return sent;
     }
   }
 
-  /** Sends an attempt; gets undefined when the agent that the queue had seen can't take it any more. */
+  /**
+   * Sends an attempt; gets undefined when the agent that the queue had seen
+   * can't take it any more.
+   */
   #send(
     task: PlannedTask,
     options: { number: number; avoidId: string | undefined },
--- a/src/coordination/entry/task_run.ts
+++ b/src/coordination/entry/task_run.ts
@@ -13,7 +13,10 @@
 import type { TaskFailure } from "./task_failure.ts";
 import { waitDelay } from "./wait_delay.ts";
 
-/** Wait before a refused task is placed again, in milliseconds; it doubles with each refusal. */
+/**
+ * Wait before a refused task is placed again, in milliseconds; it doubles with
+ * each refusal.
+ */
 const FIRST_DELAY_MS = 5;
 
 /** Longest wait between two placements, in milliseconds. */
@@ -23,7 +26,9 @@
   task: PlannedTask;
   /** Aborts with a `DispatchError` as its reason. */
   signal: AbortSignal;
-  /** Waits for an agent and sends the attempt; gets undefined after an abort. */
+  /**
+   * Waits for an agent and sends the attempt; gets undefined after an abort.
+   */
   place: (options: {
     number: number;
     avoidId: string | undefined;
@@ -40,7 +45,10 @@
 /** Runs one task until it has an answer or has failed for good. */
 export class TaskRun {
   readonly #options: TaskRunOptions;
-  /** Number of the next attempt. One that certainly didn't run is placed again under its number. */
+  /**
+   * Number of the next attempt. One that certainly didn't run is placed again
+   * under its number.
+   */
   #number = 1;
   #avoidId: string | undefined;
   /** The last failure of an attempt that may have run. */
@@ -83,8 +91,9 @@
   }
 
   /**
-   * Waits for the answer of an attempt. A repeatable task gets a second attempt elsewhere while the first one
-   * runs, when it proves a straggler or the stream to its agent is broken, as far as the retry budget allows.
+   * Waits for the answer of an attempt. A repeatable task gets a second attempt
+   * elsewhere while the first one runs, when it proves a straggler or the
+   * stream to its agent is broken, as far as the retry budget allows.
    */
   async #waitForAnswer(first: SentAttempt): Promise<TaskAnswer | TaskFailure> {
     const { task, signal, budgets } = this.#options;
@@ -152,7 +161,10 @@
     return answer;
   }
 
-  /** A task that didn't start may always be placed again; one that may have run only if it is repeatable. */
+  /**
+   * A task that didn't start may always be placed again; one that may have run
+   * only if it is repeatable.
+   */
   #canRetry(failure: TaskFailure): boolean {
     const { task, budgets } = this.#options;
     if (failure.outcome === "not run") {
@@ -162,7 +174,10 @@
       budgets.grant(task.customer);
   }
 
-  /** Creates the failure of a task that was stopped while it waited; earlier attempts may have run. */
+  /**
+   * Creates the failure of a task that was stopped while it waited; earlier
+   * attempts may have run.
+   */
   #createStopped(): TaskFailure {
     if (this.#mayHaveRun !== undefined) {
       return this.#mayHaveRun;
@@ -174,7 +189,10 @@
   }
 }
 
-/** Selects the first answer of two attempts, or a failure that may have run when both failed. */
+/**
+ * Selects the first answer of two attempts, or a failure that may have run when
+ * both failed.
+ */
 async function selectAnswer(
   first: Promise<TaskAnswer | TaskFailure>,
   second: Promise<TaskAnswer | TaskFailure | undefined>,
--- a/src/coordination/follower/find_snapshot.ts
+++ b/src/coordination/follower/find_snapshot.ts
@@ -8,8 +8,9 @@
 type Snapshot = Extract<LogRecord, { type: "snapshot" }>;
 
 /**
- * Finds the newest snapshot that the log retains together with all records after its view. Searches from
- * the head backwards, since the newest one is near it.
+ * Finds the newest snapshot that the log retains together with all records
+ * after its view. Searches from the head backwards, since the newest one is
+ * near it.
  */
 export async function findSnapshot(
   log: LogService,
@@ -36,7 +37,10 @@
   return undefined;
 }
 
-/** Does the log retain all records after the snapshot, and can this version read it? */
+/**
+ * Does the log retain all records after the snapshot, and can this version read
+ * it?
+ */
 function isUsable(record: Snapshot, first: number): boolean {
   return record.at + 1 >= first &&
     ViewSnapshot.safeParse(record.view).data?.offset === record.at;
--- a/src/coordination/follower/heartbeats.ts
+++ b/src/coordination/follower/heartbeats.ts
@@ -4,12 +4,16 @@
 /** Records relayed in one heartbeat. */
 const MAX_RECORDS = 200;
 
-/** Largest age that a heartbeat can state; a larger one, or none, is stated as this. */
+/**
+ * Largest age that a heartbeat can state; a larger one, or none, is stated as
+ * this.
+ */
 const MAX_AGE_MS = 0xffffffff;
 
 /**
- * The heartbeats of one stream. The echo of the own sequence dates what the peer states: the peer made the
- * message after it had received the echoed heartbeat, hence after the local time when that one was sent.
+ * The heartbeats of one stream. The echo of the own sequence dates what the
+ * peer states: the peer made the message after it had received the echoed
+ * heartbeat, hence after the local time when that one was sent.
  */
 export class Heartbeats {
   readonly #follower: LogFollower;
@@ -25,7 +29,10 @@
     this.#receivedAt = follower.getTime();
   }
 
-  /** Gets the offset of the peer's view as last reported; -1 before the first heartbeat. */
+  /**
+   * Gets the offset of the peer's view as last reported; -1 before the first
+   * heartbeat.
+   */
   get peerOffset(): number {
     return this.#peerOffset;
   }
--- a/src/coordination/follower/known_snapshot.ts
+++ b/src/coordination/follower/known_snapshot.ts
@@ -4,6 +4,9 @@
   readonly offset: number;
   /** Offset after which it holds the view. */
   readonly at: number;
-  /** Local monotonic time when it was written, as far as clocks tell, in milliseconds. */
+  /**
+   * Local monotonic time when it was written, as far as clocks tell, in
+   * milliseconds.
+   */
   readonly time: number;
 }
--- a/src/coordination/follower/log_follower.ts
+++ b/src/coordination/follower/log_follower.ts
@@ -14,10 +14,16 @@
 /** Records read at one time. */
 const READ_LIMIT = 500;
 
-/** A process that starts skips to the newest snapshot when it would have to read more records than this. */
+/**
+ * A process that starts skips to the newest snapshot when it would have to read
+ * more records than this.
+ */
 const MAX_START_RECORDS = 2_000;
 
-/** Reads that may be open at one time: one for each read interval until a read is given up. */
+/**
+ * Reads that may be open at one time: one for each read interval until a read
+ * is given up.
+ */
 const MAX_OPEN_READS = Math.ceil(
   VIEW_LIMITS.logReadGiveUpMs / VIEW_LIMITS.readIntervalMs,
 );
@@ -27,16 +33,20 @@
   log: LogService;
   /** Availability zone of this process. */
   zone: string;
-  /** Agents get records by heartbeats, and read the log only when these leave their view old. */
+  /**
+   * Agents get records by heartbeats, and read the log only when these leave
+   * their view old.
+   */
   role?: "entry" | "agent";
   /** Monotonic clock in milliseconds. */
   getTime?: () => number;
 }
 
 /**
- * Follows the log and knows how old the view may be. A read that was sent at time t and came back with the
- * log's head proves that the view holds every record appended before t; a heartbeat of another process
- * relays such a proof. All times are those of the local monotonic clock, so no clocks are shared.
+ * Follows the log and knows how old the view may be. A read that was sent at
+ * time t and came back with the log's head proves that the view holds every
+ * record appended before t; a heartbeat of another process relays such a proof.
+ * All times are those of the local monotonic clock, so no clocks are shared.
  */
 export class LogFollower {
   readonly view: ClusterView;
@@ -69,7 +79,10 @@
     return this.#snapshot;
   }
 
-  /** Gets the current time of the monotonic clock that proofs refer to, in milliseconds. */
+  /**
+   * Gets the current time of the monotonic clock that proofs refer to, in
+   * milliseconds.
+   */
   getTime(): number {
     return this.#getTime();
   }
@@ -79,7 +92,10 @@
     return this.#getTime() - this.#proofTime;
   }
 
-  /** May work start under this view? True for a fresh view, and during an outage that most zones report. */
+  /**
+   * May work start under this view? True for a fresh view, and during an outage
+   * that most zones report.
+   */
   canStartWork(): boolean {
     if (this.getViewAgeMs() < VIEW_LIMITS.maxViewAgeMs) {
       return true;
@@ -93,7 +109,10 @@
     this.#listeners.add(listener);
   }
 
-  /** Gets the records after an offset, to relay them; undefined when they aren't kept any more. */
+  /**
+   * Gets the records after an offset, to relay them; undefined when they aren't
+   * kept any more.
+   */
   getRecordsAfter(offset: number, limit: number): RawLogRecord[] | undefined {
     if (offset >= this.view.offset) {
       return [];
@@ -105,7 +124,10 @@
     return this.#recent.slice(offset + 1 - first, offset + 1 - first + limit);
   }
 
-  /** Gets the interval of the log reads, in milliseconds; agents share a number of reads a second. */
+  /**
+   * Gets the interval of the log reads, in milliseconds; agents share a number
+   * of reads a second.
+   */
   getReadIntervalMs(): number {
     if (this.#role !== "agent") {
       return VIEW_LIMITS.readIntervalMs;
@@ -117,7 +139,10 @@
     );
   }
 
-  /** Reads the log at an interval until the signal aborts. A slow read doesn't delay the next one. */
+  /**
+   * Reads the log at an interval until the signal aborts. A slow read doesn't
+   * delay the next one.
+   */
   async run(signal: AbortSignal): Promise<void> {
     const readAfterMs = this.#role === "agent"
       ? VIEW_LIMITS.agentReadAfterMs
@@ -132,7 +157,10 @@
     }
   }
 
-  /** Overlapping reads of a process that starts would all fetch the same records. */
+  /**
+   * Overlapping reads of a process that starts would all fetch the same
+   * records.
+   */
   #canRead(): boolean {
     const isStart = this.#proofTime === -Infinity && this.#openReads > 0;
     const minWaitMs = isStart ? VIEW_LIMITS.logReadTimeoutMs : 0;
@@ -141,9 +169,9 @@
   }
 
   /**
-   * Reads the log up to its head. Returns false when the log can't be reached, or has a gap. A read without
-   * a reply in time counts as unreachable, but its reply is used all the same when it comes: a slow log
-   * still accepts changes.
+   * Reads the log up to its head. Returns false when the log can't be reached,
+   * or has a gap. A read without a reply in time counts as unreachable, but its
+   * reply is used all the same when it comes: a slow log still accepts changes.
    */
   async readOnce(): Promise<boolean> {
     this.#openReads++;
@@ -160,7 +188,8 @@
         clearTimeout(timer);
         const isInTime = this.#getTime() - sentAt <=
           VIEW_LIMITS.logReadTimeoutMs;
-        // A head below records that were read before means that the log has lost records.
+        // A head below records that were read before means that the log has
+        // lost records.
         if (page.isErr() || page.value.head < offset) {
           if (isInTime) {
             this.#outages.addOwnReport(this.#getTime());
@@ -196,7 +225,10 @@
     }
   }
 
-  /** Adds a proof that the view holds every record appended before a time of the local clock. */
+  /**
+   * Adds a proof that the view holds every record appended before a time of the
+   * local clock.
+   */
   addProof(time: number): void {
     this.#proofTime = Math.max(this.#proofTime, time);
   }
@@ -208,7 +240,8 @@
       this.view.skip(raw.offset);
     } else if (record.type === "snapshot") {
       this.#setSnapshot(raw.offset, record);
-      // Who gets the record by a heartbeat has every record before it; at target scale a view is some MB.
+      // Who gets the record by a heartbeat has every record before it; at
+      // target scale a view is some MB.
       json = JSON.stringify({ ...record, view: null });
     }
     const events = record === undefined
@@ -229,13 +262,19 @@
     }
   }
 
-  /** Have the records after the view passed out of retention, or are there too many of them at a start? */
+  /**
+   * Have the records after the view passed out of retention, or are there too
+   * many of them at a start?
+   */
   #isSnapshotNeeded(page: LogPage): boolean {
     const isStart = this.view.offset === 0 && page.head > MAX_START_RECORDS;
     return isStart || page.first > this.view.offset + 1;
   }
 
-  /** Goes on from the newest usable snapshot, unless other reads have brought the view further. */
+  /**
+   * Goes on from the newest usable snapshot, unless other reads have brought
+   * the view further.
+   */
   async #applySnapshot(page: LogPage): Promise<void> {
     const found = await findSnapshot(this.#log, page);
     if (found === undefined) {
@@ -253,8 +292,8 @@
     offset: number,
     record: Extract<LogRecord, { type: "snapshot" }>,
   ): void {
-    // The writer's clock may be wrong. The last proof limits the error: a record that is new to the view was
-    // appended after it.
+    // The writer's clock may be wrong. The last proof limits the error: a
+    // record that is new to the view was appended after it.
     const wallAgeMs = Math.max(0, Date.now() - (record.timeMs ?? 0));
     const ageMs = Math.min(wallAgeMs, this.getViewAgeMs());
     const time = this.#getTime() - ageMs;
--- a/src/coordination/follower/outage_reports.ts
+++ b/src/coordination/follower/outage_reports.ts
@@ -3,9 +3,10 @@
 import { VIEW_LIMITS } from "./view_limits.ts";
 
 /**
- * Reports that processes of the availability zones can't reach the log. A process that can't reach the log
- * may be cut off alone, and then an operator's change could have passed it by. It goes on working only
- * while most zones report the same.
+ * Reports that processes of the availability zones can't reach the log. A
+ * process that can't reach the log may be cut off alone, and then an operator's
+ * change could have passed it by. It goes on working only while most zones
+ * report the same.
  */
 export class OutageReports {
   readonly #zone: string;
@@ -29,7 +30,8 @@
   /**
    * Merges reports that another process sent.
    * @param reports - The reports.
-   * @param sentAfter - A local time that is certainly before the message was made.
+   * @param sentAfter - A local time that is certainly before the message was
+   * made.
    */
   mergeReports(reports: readonly OutageReport[], sentAfter: number): void {
     for (const report of reports) {
@@ -49,7 +51,10 @@
     return reports;
   }
 
-  /** Do most of the zones that have members in service report that they can't reach the log? */
+  /**
+   * Do most of the zones that have members in service report that they can't
+   * reach the log?
+   */
   isOutage(view: ClusterView, now: number): boolean {
     const zones = new Set<string>([this.#zone]);
     for (
--- a/src/coordination/follower/snapshot_writer.ts
+++ b/src/coordination/follower/snapshot_writer.ts
@@ -10,7 +10,10 @@
 /** Interval of the check, in milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 
-/** Time that each entry in the order of choice has to act before the next one does, in milliseconds. */
+/**
+ * Time that each entry in the order of choice has to act before the next one
+ * does, in milliseconds.
+ */
 const TURN_MS = 2_000;
 
 export interface SnapshotWriterOptions {
@@ -22,9 +25,10 @@
 }
 
 /**
- * Appends snapshots of the view, so that a process can start after the older records have passed out of
- * retention. In each round the entries take turns in an order that all derive from the last snapshot. A
- * second snapshot in a round is harmless.
+ * Appends snapshots of the view, so that a process can start after the older
+ * records have passed out of retention. In each round the entries take turns in
+ * an order that all derive from the last snapshot. A second snapshot in a round
+ * is harmless.
  */
 export class SnapshotWriter {
   readonly #options: SnapshotWriterOptions;
@@ -43,7 +47,10 @@
     }
   }
 
-  /** Appends a snapshot when one is due and it is this entry's turn. Returns whether it was appended. */
+  /**
+   * Appends a snapshot when one is due and it is this entry's turn. Returns
+   * whether it was appended.
+   */
   async writeIfDue(): Promise<boolean> {
     const { follower, log } = this.#options;
     const now = follower.getTime();
@@ -81,7 +88,10 @@
       now - snapshot.time >= intervalMs;
   }
 
-  /** Gets this entry's place in the order of the round; undefined when it isn't a live member. */
+  /**
+   * Gets this entry's place in the order of the round; undefined when it isn't
+   * a live member.
+   */
   #getTurn(): number | undefined {
     const { follower, memberId } = this.#options;
     const round = hasher.h32(String(follower.snapshot?.offset ?? 0));
--- a/src/coordination/links/upstream_caller.ts
+++ b/src/coordination/links/upstream_caller.ts
@@ -6,8 +6,9 @@
 /** Calls the upstream beside an agent. */
 export interface UpstreamCaller {
   /**
-   * Runs a request. `upstream_unreachable`, and an error of `checkStart`, mean that no byte of the request
-   * was written; every other error leaves open whether the upstream ran it.
+   * Runs a request. `upstream_unreachable`, and an error of `checkStart`, mean
+   * that no byte of the request was written; every other error leaves open
+   * whether the upstream ran it.
    */
   call(
     request: UpstreamRequest,
--- a/src/coordination/links/upstream_request.ts
+++ b/src/coordination/links/upstream_request.ts
@@ -13,8 +13,8 @@
   /** Aborts the call. */
   readonly signal: AbortSignal;
   /**
-   * Called once the connection stands, in the tick that writes the first byte. The call ends without a
-   * write when it returns an error.
+   * Called once the connection stands, in the tick that writes the first byte.
+   * The call ends without a write when it returns an error.
    */
   readonly checkStart: () => DispatchError | undefined;
 }
--- a/src/coordination/membership/announcer.ts
+++ b/src/coordination/membership/announcer.ts
@@ -10,8 +10,9 @@
 }
 
 /**
- * Writes this process's membership to the log. A lost reply is no problem: a second record of the same
- * content changes nothing, and the view tells whether the first one stands.
+ * Writes this process's membership to the log. A lost reply is no problem: a
+ * second record of the same content changes nothing, and the view tells whether
+ * the first one stands.
  */
 export class Announcer {
   readonly #log: LogService;
@@ -22,7 +23,10 @@
     this.#view = options.view;
   }
 
-  /** Announces a member until the record stands, and gets its offset; undefined when the signal aborts. */
+  /**
+   * Announces a member until the record stands, and gets its offset; undefined
+   * when the signal aborts.
+   */
   async announce(
     member: Member,
     signal: AbortSignal,
@@ -37,7 +41,10 @@
     return undefined;
   }
 
-  /** Writes that a member is leaving or has left. Gives up when the signal aborts. */
+  /**
+   * Writes that a member is leaving or has left. Gives up when the signal
+   * aborts.
+   */
   async leave(
     memberId: string,
     phase: "leaving" | "left",
--- a/src/coordination/membership/silence_watcher.ts
+++ b/src/coordination/membership/silence_watcher.ts
@@ -5,29 +5,42 @@
 /** Interval of the check, in milliseconds. */
 const CHECK_INTERVAL_MS = 250;
 
-/** A check that comes later than this after the one before means that this process was paused. */
+/**
+ * A check that comes later than this after the one before means that this
+ * process was paused.
+ */
 const PAUSE_MS = 1_000;
 
 /** Longest random wait before a suspicion is written, in milliseconds. */
 const MAX_JITTER_MS = 500;
 
-/** Wait after a failed append, in milliseconds. During an outage of the log every process would retry. */
+/**
+ * Wait after a failed append, in milliseconds. During an outage of the log
+ * every process would retry.
+ */
 const FAILED_APPEND_DELAY_MS = 2_000;
 
-/** Wait for each observer of a suspect: spreads the records, since the log takes few hundred a second. */
+/**
+ * Wait for each observer of a suspect: spreads the records, since the log takes
+ * few hundred a second.
+ */
 const JITTER_PER_OBSERVER_MS = 2.5;
 
 export interface SilenceWatcherOptions {
   memberId: string;
   follower: LogFollower;
   log: LogService;
-  /** Gets the watched members and the time since their last heartbeat, in milliseconds. */
+  /**
+   * Gets the watched members and the time since their last heartbeat, in
+   * milliseconds.
+   */
   getSilences: () => { memberId: string; silenceMs: number }[];
 }
 
 /**
- * Suspects members whose heartbeats stay away. A process that was paused finds all its peers silent by its
- * own fault, so it starts counting anew after a pause.
+ * Suspects members whose heartbeats stay away. A process that was paused finds
+ * all its peers silent by its own fault, so it starts counting anew after a
+ * pause.
  */
 export class SilenceWatcher {
   readonly #options: SilenceWatcherOptions;
--- a/src/coordination/messages/cancel.ts
+++ b/src/coordination/messages/cancel.ts
@@ -1,4 +1,7 @@
-/** Cancels a dispatch. It names the task, so that a dispatch that arrives later is refused. */
+/**
+ * Cancels a dispatch. It names the task, so that a dispatch that arrives later
+ * is refused.
+ */
 export interface Cancel {
   dispatchId: number;
   key: string;
--- a/src/coordination/messages/claim.ts
+++ b/src/coordination/messages/claim.ts
@@ -2,7 +2,9 @@
 export interface Claim {
   claimId: number;
   key: string;
-  /** Digest of the request: detects a key that is reused for another request. */
+  /**
+   * Digest of the request: detects a key that is reused for another request.
+   */
   fingerprint: string;
   viewOffset: number;
   clock: number;
--- a/src/coordination/messages/dispatch.ts
+++ b/src/coordination/messages/dispatch.ts
@@ -11,7 +11,10 @@
   customer: string;
   /** Tasks for which the sender wants slots of the receiver. */
   queued: number;
-  /** Does the dispatch use a credit of this stream? False for a push, and for a dispatch that is sent again. */
+  /**
+   * Does the dispatch use a credit of this stream? False for a push, and for a
+   * dispatch that is sent again.
+   */
   onCredit: boolean;
   clock: number;
 }
--- a/src/coordination/messages/gather_reply.ts
+++ b/src/coordination/messages/gather_reply.ts
@@ -7,7 +7,10 @@
   claims: KnownClaim[];
   /** The epoch of the home set that decided which claims are listed. */
   epoch: number;
-  /** False when the member's own takeovers weren't complete at a change since `since`. */
+  /**
+   * False when the member's own takeovers weren't complete at a change since
+   * `since`.
+   */
   isComplete: boolean;
   /** Position of the next page; 0 after the last one. */
   next: number;
--- a/src/coordination/messages/hello.ts
+++ b/src/coordination/messages/hello.ts
@@ -2,6 +2,8 @@
 export interface Hello {
   memberId: string;
   zone: string;
-  /** False when the opener uses the stream for claims only and wants no credits. */
+  /**
+   * False when the opener uses the stream for claims only and wants no credits.
+   */
   wantsCredits: boolean;
 }
--- a/src/coordination/messages/known_claim.ts
+++ b/src/coordination/messages/known_claim.ts
@@ -7,7 +7,9 @@
   coordinator: string;
   /** `running`, `done` or `lost`; other text is handled as lost. */
   state: string;
-  /** Absent while the submission runs, and when it was dropped to save memory. */
+  /**
+   * Absent while the submission runs, and when it was dropped to save memory.
+   */
   answer?: StoredAnswer | undefined;
   /** True when only a start record is known, so the fingerprint is empty. */
   fromStartRecord: boolean;
--- a/src/coordination/messages/peer_message.ts
+++ b/src/coordination/messages/peer_message.ts
@@ -13,8 +13,8 @@
 import type { Want } from "./want.ts";
 
 /**
- * The messages between processes. The fields match the generated frames, so a received frame is a message
- * as it is.
+ * The messages between processes. The fields match the generated frames, so a
+ * received frame is a message as it is.
  */
 export type PeerMessage =
   | { case: "hello"; value: Hello }
--- a/src/ctl/apply_settings.ts
+++ b/src/ctl/apply_settings.ts
@@ -15,7 +15,8 @@
 /**
  * Applies the edits of a file as one change: all of them or none.
  * @param context - The command.
- * @param path - Path of a file `{"edits": [{"path", "value"}]}`; a null value removes a node.
+ * @param path - Path of a file `{"edits": [{"path", "value"}]}`; a null value
+ * removes a node.
  * @param flags - The options.
  */
 export async function applySettings(
--- a/src/ctl/change_publisher.ts
+++ b/src/ctl/change_publisher.ts
@@ -15,8 +15,9 @@
 }
 
 /**
- * Publishes a change of the settings. The outcome comes from applying the log's records, never from the
- * reply to the append: the reply may be lost, and only the order of the log decides between operators.
+ * Publishes a change of the settings. The outcome comes from applying the log's
+ * records, never from the reply to the append: the reply may be lost, and only
+ * the order of the log decides between operators.
  */
 export class ChangePublisher {
   readonly #log: LogService;
@@ -31,8 +32,9 @@
   }
 
   /**
-   * Publishes a change and gets what became of it. `log_unreachable` means that it was not published,
-   * `publish_unknown` that it may stand or come to stand; publishing it again with the same id settles that.
+   * Publishes a change and gets what became of it. `log_unreachable` means that
+   * it was not published, `publish_unknown` that it may stand or come to stand;
+   * publishing it again with the same id settles that.
    */
   async publish(
     change: ChangeRecord,
@@ -40,7 +42,8 @@
     this.#deadline = performance.now() + this.#timeoutMs;
     let mayStand = false;
     for (;;) {
-      // A record with this id may stand after a lost reply, or from an earlier run of the command.
+      // A record with this id may stand after a lost reply, or from an earlier
+      // run of the command.
       const isRead = await this.#follower.readOnce();
       const known = this.#follower.view.getChangeOutcome(change.id);
       if (known !== undefined) {
--- a/src/ctl/create_ctl_context.ts
+++ b/src/ctl/create_ctl_context.ts
@@ -13,7 +13,10 @@
 import type { CtlFlags } from "./ctl_flags.ts";
 import { CtlSettings } from "./ctl_settings.ts";
 
-/** Creates what the commands share from the common options; an option takes precedence over the file. */
+/**
+ * Creates what the commands share from the common options; an option takes
+ * precedence over the file.
+ */
 export function createCtlContext(
   flags: CtlFlags,
 ): Result<CtlContext, DispatchError> {
--- a/src/ctl/ctl_flags.ts
+++ b/src/ctl/ctl_flags.ts
@@ -1,4 +1,7 @@
-/** The options that every command has. Empty text stands for an option that wasn't given. */
+/**
+ * The options that every command has. Empty text stands for an option that
+ * wasn't given.
+ */
 export interface CtlFlags {
   /** `host:port` of the log service. */
   log: string;
@@ -7,7 +10,10 @@
   operator: string;
   /** Whether the output is one JSON object. */
   json: boolean;
-  /** `host:port` of a process whose view is used in place of the log; only for commands that read. */
+  /**
+   * `host:port` of a process whose view is used in place of the log; only for
+   * commands that read.
+   */
   process?: string;
   /** Seconds until a command gives up on the log. */
   timeout: string;
--- a/src/ctl/read_process_views.ts
+++ b/src/ctl/read_process_views.ts
@@ -7,8 +7,8 @@
 const CONCURRENCY = 32;
 
 /**
- * Reads the views of members. A member that doesn't answer, or whose process is another incarnation by now,
- * is missing in the result.
+ * Reads the views of members. A member that doesn't answer, or whose process is
+ * another incarnation by now, is missing in the result.
  */
 export async function readProcessViews(
   members: readonly Member[],
--- a/src/ctl/read_settings.ts
+++ b/src/ctl/read_settings.ts
@@ -5,7 +5,8 @@
 import type { CtlContext } from "./ctl_context.ts";
 
 /**
- * Reads the settings at a path, or the rules of a service or job after inheritance.
+ * Reads the settings at a path, or the rules of a service or job after
+ * inheritance.
  * @param context - The command.
  * @param options - Dotted path, or `service` or `service/job` to resolve.
  */
--- a/src/ctl/read_status.ts
+++ b/src/ctl/read_status.ts
@@ -5,7 +5,10 @@
 import type { ProcessView } from "./process_view.ts";
 import { readProcessViews } from "./read_process_views.ts";
 
-/** Reads the members, the revision in force at each of them, the ages of their views, and the zones. */
+/**
+ * Reads the members, the revision in force at each of them, the ages of their
+ * views, and the zones.
+ */
 export async function readStatus(context: CtlContext): Promise<CtlAnswer> {
   const { view } = context.follower;
   const members = [...view.getMembers("entry"), ...view.getMembers("agent")];
--- a/src/ctl/read_view.ts
+++ b/src/ctl/read_view.ts
@@ -5,7 +5,10 @@
 /** Wait before a failed read is tried again, in milliseconds. */
 const RETRY_DELAY_MS = 250;
 
-/** Reads the log up to its head, and tries again until the command's time is over. */
+/**
+ * Reads the log up to its head, and tries again until the command's time is
+ * over.
+ */
 export async function readView(
   context: CtlContext,
 ): Promise<Result<void, DispatchError>> {
--- a/src/ctl/read_view_from_process.ts
+++ b/src/ctl/read_view_from_process.ts
@@ -13,8 +13,9 @@
 });
 
 /**
- * Reads the view of a process in place of the log's records, for use while the log is down. What decides
- * between racing operators isn't in it, so it is of no use for publishing.
+ * Reads the view of a process in place of the log's records, for use while the
+ * log is down. What decides between racing operators isn't in it, so it is of
+ * no use for publishing.
  */
 export async function readViewFromProcess(
   context: CtlContext,
--- a/src/ctl/send_cancel.ts
+++ b/src/ctl/send_cancel.ts
@@ -6,7 +6,8 @@
 import type { SubmitFlags } from "./submit_flags.ts";
 
 /**
- * Cancels a submission at the entry that runs it. Only that entry knows it, so all entries are asked.
+ * Cancels a submission at the entry that runs it. Only that entry knows it, so
+ * all entries are asked.
  * @param context - The command.
  * @param key - Idempotency key as the caller gave it.
  * @param flags - The options.
--- a/src/ctl/send_job.ts
+++ b/src/ctl/send_job.ts
@@ -14,12 +14,16 @@
 import { sendRequest, type SendRequestOptions } from "./send_request.ts";
 import type { SubmitFlags } from "./submit_flags.ts";
 
-/** Time that an entry may take for an answer, in milliseconds: the longest deadline that settings allow. */
+/**
+ * Time that an entry may take for an answer, in milliseconds: the longest
+ * deadline that settings allow.
+ */
 const ANSWER_TIMEOUT_MS = 3_600_000;
 
 /**
- * Submits a job from a file, or a single request, and waits for its answer. When an entry fails without an
- * answer, the same key is submitted to the next one; the key makes that safe.
+ * Submits a job from a file, or a single request, and waits for its answer.
+ * When an entry fails without an answer, the same key is submitted to the next
+ * one; the key makes that safe.
  * @param context - The command.
  * @param file - Path of the job; undefined for a single request.
  * @param flags - The options.
--- a/src/ctl/send_records.ts
+++ b/src/ctl/send_records.ts
@@ -6,8 +6,9 @@
 const MAX_RECORDS = 500;
 
 /**
- * Sends a process the records that its view lacks. The log may go down right after it has accepted a change;
- * without this, no process would know of the change until the log is back.
+ * Sends a process the records that its view lacks. The log may go down right
+ * after it has accepted a change; without this, no process would know of the
+ * change until the log is back.
  * @param context - The command, whose view holds the records.
  * @param member - The process.
  * @param offset - Offset of the process's view.
--- a/src/ctl/wait_for_confirmations.ts
+++ b/src/ctl/wait_for_confirmations.ts
@@ -9,13 +9,16 @@
 
 export interface WaitForConfirmationsOptions {
   offset: number;
-  /** Time after which no process may work under an older view, in milliseconds. */
+  /**
+   * Time after which no process may work under an older view, in milliseconds.
+   */
   ageLimitMs?: number;
 }
 
 /**
- * Waits until every live member has confirmed an offset, or until the view age limit has passed since the
- * record was seen to stand. Gets the ids of the members that didn't confirm.
+ * Waits until every live member has confirmed an offset, or until the view age
+ * limit has passed since the record was seen to stand. Gets the ids of the
+ * members that didn't confirm.
  */
 export async function waitForConfirmations(
   context: CtlContext,
@@ -46,8 +49,8 @@
 }
 
 /**
- * Asks the members that aren't confirmed yet, and takes what each knows of the others by heartbeats. Gets the
- * members whose view is behind, with its offset.
+ * Asks the members that aren't confirmed yet, and takes what each knows of the
+ * others by heartbeats. Gets the members whose view is behind, with its offset.
  */
 async function addConfirmed(
   confirmed: Set<string>,
--- a/src/load/create_jobs.ts
+++ b/src/load/create_jobs.ts
@@ -16,7 +16,10 @@
 /** Share of the jobs whose tasks may be repeated. */
 const REPEATABLE_SHARE = 0.5;
 
-/** Range of the factor by which the stated time limit of a task exceeds its run time. */
+/**
+ * Range of the factor by which the stated time limit of a task exceeds its run
+ * time.
+ */
 const TIMEOUT_FACTOR = [4, 100] as const;
 
 export interface CreateJobsOptions {
@@ -28,9 +31,10 @@
 }
 
 /**
- * Creates the jobs of a run. The same options give the same jobs. Jobs are drawn until their work reaches
- * the load times the capacity, and arrive at independent random times (a Poisson process of which the
- * amount of work is known), so that runs with different seeds offer the same load.
+ * Creates the jobs of a run. The same options give the same jobs. Jobs are
+ * drawn until their work reaches the load times the capacity, and arrive at
+ * independent random times (a Poisson process of which the amount of work is
+ * known), so that runs with different seeds offer the same load.
  */
 export function createJobs(options: CreateJobsOptions): PlannedJob[] {
   const { scenario, shape, seed, keyPrefix = "load" } = options;
--- a/src/load/create_load_report.ts
+++ b/src/load/create_load_report.ts
@@ -14,10 +14,16 @@
 import type { LoadShape } from "./load_shape.ts";
 import type { TaskRun } from "./task_run.ts";
 
-/** The goodput counts from this share of the run on, when the queues have filled. */
+/**
+ * The goodput counts from this share of the run on, when the queues have
+ * filled.
+ */
 const WINDOW_START_SHARE = 0.25;
 
-/** The work of a zone change counts until this long after the zone is back, in milliseconds. */
+/**
+ * The work of a zone change counts until this long after the zone is back, in
+ * milliseconds.
+ */
 const RETURN_MS = 5_000;
 
 export interface LoadReportOptions {
--- a/src/load/create_reference_schedule.ts
+++ b/src/load/create_reference_schedule.ts
@@ -14,10 +14,11 @@
 }
 
 /**
- * Creates a schedule for a reference and gets each job's response time, in milliseconds. It is not a bound:
- * another schedule may be better. List scheduling by a scheduler that knows all run times and pays nothing
- * for messages: whenever a slot is free, the waiting job with the least work gives its longest task to the
- * fastest free slot. Tasks are never interrupted.
+ * Creates a schedule for a reference and gets each job's response time, in
+ * milliseconds. It is not a bound: another schedule may be better. List
+ * scheduling by a scheduler that knows all run times and pays nothing for
+ * messages: whenever a slot is free, the waiting job with the least work gives
+ * its longest task to the fastest free slot. Tasks are never interrupted.
  * @param jobs - The jobs, in order of arrival.
  * @param shape - The cluster.
  */
--- a/src/load/get_allowed_work.ts
+++ b/src/load/get_allowed_work.ts
@@ -11,9 +11,10 @@
 }
 
 /**
- * Gets the work that could be done in each second at most, in milliseconds at speed 1: all work that has
- * arrived is served by all slots in service, as a fluid. A zone counts as out and in from the moment of
- * the operator's change, so a delay of the cluster is not allowed for.
+ * Gets the work that could be done in each second at most, in milliseconds at
+ * speed 1: all work that has arrived is served by all slots in service, as a
+ * fluid. A zone counts as out and in from the moment of the operator's change,
+ * so a delay of the cluster is not allowed for.
  */
 export function getAllowedWork(
   jobs: readonly PlannedJob[],
--- a/src/load/get_delay_parts.ts
+++ b/src/load/get_delay_parts.ts
@@ -5,8 +5,9 @@
 import type { TaskRun } from "./task_run.ts";
 
 /**
- * Gets where the time of complete jobs went, by the task of each job that ended last: waiting for its
- * start, running longer than on the fastest worker, and the way of its result to the client.
+ * Gets where the time of complete jobs went, by the task of each job that ended
+ * last: waiting for its start, running longer than on the fastest worker, and
+ * the way of its result to the client.
  */
 export function getDelayParts(
   results: readonly JobResult[],
--- a/src/load/get_fair_shares.ts
+++ b/src/load/get_fair_shares.ts
@@ -5,8 +5,8 @@
 }
 
 /**
- * Gets what each customer is entitled to: the capacity is divided by weight, and what a customer doesn't
- * need is divided among the others in the same way.
+ * Gets what each customer is entitled to: the capacity is divided by weight,
+ * and what a customer doesn't need is divided among the others in the same way.
  * @param demands - Demands by customer.
  * @param capacity - Work that can be done.
  */
--- a/src/load/get_message_figures.ts
+++ b/src/load/get_message_figures.ts
@@ -2,7 +2,10 @@
 import type { LoadReport } from "./load_report.ts";
 import type { TaskRun } from "./task_run.ts";
 
-/** Beginnings of the names of the counters of sent and of wasted messages between the processes. */
+/**
+ * Beginnings of the names of the counters of sent and of wasted messages
+ * between the processes.
+ */
 const SENT_PREFIX = "cranberrybank_messages_sent";
 const WASTED_PREFIX = "cranberrybank_messages_wasted";
 
@@ -13,8 +16,9 @@
 }
 
 /**
- * Gets the message figures of a run. A wasted message led to no start, answer or confirmed state. Processes
- * that don't count messages leave them undefined, never 0.
+ * Gets the message figures of a run. A wasted message led to no start, answer
+ * or confirmed state. Processes that don't count messages leave them undefined,
+ * never 0.
  */
 export function getMessageFigures(
   options: MessageFiguresOptions,
--- a/src/load/get_percentiles.ts
+++ b/src/load/get_percentiles.ts
@@ -4,7 +4,10 @@
 /** Values are kept in thousandths, since the histogram takes whole numbers. */
 const SCALE = 1_000;
 
-/** Gets the percentiles of values that are at least 0, to three significant digits. */
+/**
+ * Gets the percentiles of values that are at least 0, to three significant
+ * digits.
+ */
 export function getPercentiles(values: readonly number[]): Percentiles {
   const histogram = build({ numberOfSignificantValueDigits: 3 });
   for (const value of values) {
--- a/src/load/load_run.ts
+++ b/src/load/load_run.ts
@@ -6,7 +6,9 @@
 import type { PlannedJob } from "./planned_job.ts";
 import { Random } from "./random.ts";
 
-/** Time after a job's deadline for which its answer is awaited, in milliseconds. */
+/**
+ * Time after a job's deadline for which its answer is awaited, in milliseconds.
+ */
 const ANSWER_GRACE_MS = 5_000;
 
 export interface LoadRunOptions {
@@ -24,8 +26,9 @@
 }
 
 /**
- * Sends the jobs of a run at their intended times, whatever the cluster does (open loop). Response times
- * count from the intended times, so a late tool or a slow cluster hides nothing.
+ * Sends the jobs of a run at their intended times, whatever the cluster does
+ * (open loop). Response times count from the intended times, so a late tool or
+ * a slow cluster hides nothing.
  */
 export class LoadRun {
   readonly #options: LoadRunOptions;
--- a/src/load/load_scenario.ts
+++ b/src/load/load_scenario.ts
@@ -7,7 +7,10 @@
   readonly load: number;
   /** Time during which jobs arrive, in milliseconds. */
   readonly durationMs: number;
-  /** Bursts, during which arrivals are more frequent by a factor; the load over the whole run stays. */
+  /**
+   * Bursts, during which arrivals are more frequent by a factor; the load over
+   * the whole run stays.
+   */
   readonly bursts?: {
     readonly everyMs: number;
     readonly lengthMs: number;
--- a/src/load/load_scenarios.ts
+++ b/src/load/load_scenarios.ts
@@ -7,7 +7,8 @@
   "steady-70": createSteady("steady-70", 0.7),
   "steady-100": createSteady("steady-100", 1),
   "overload-150": createSteady("overload-150", 1.5),
-  // With 90% load the workers that remain have more work than they can do while the zone is out.
+  // With 90% load the workers that remain have more work than they can do while
+  // the zone is out.
   "zone-change": {
     name: "zone-change",
     load: 0.9,
--- a/src/load/load_services.ts
+++ b/src/load/load_services.ts
@@ -10,7 +10,10 @@
   readonly longMs: readonly [number, number];
 }
 
-/** The services of a run. Most tasks take 50 ms to 1 s, a few take several seconds. */
+/**
+ * The services of a run. Most tasks take 50 ms to 1 s, a few take several
+ * seconds.
+ */
 export const LOAD_SERVICES: readonly LoadService[] = [
   createService("stamp", 0.4, { runMs: [50, 150], longShare: 0 }),
   createService("preview", 0.4, { runMs: [80, 500], longShare: 0.01 }),
--- a/src/load/load_shape.ts
+++ b/src/load/load_shape.ts
@@ -11,6 +11,9 @@
   readonly slots: number;
   /** Connections of one agent to its upstream. */
   readonly maxConnections: number;
-  /** Network time between a client and an entry, one way, in milliseconds. The tool adds it. */
+  /**
+   * Network time between a client and an entry, one way, in milliseconds. The
+   * tool adds it.
+   */
   readonly clientLatencyMs: number;
 }
--- a/src/load/load_shapes.ts
+++ b/src/load/load_shapes.ts
@@ -1,8 +1,9 @@
 import type { LoadShape } from "./load_shape.ts";
 
 /**
- * The two clusters of section 1.6 of the design page as they are today. The speeds are unequal and add up
- * to the number of agents, so the capacity is that of agents of speed 1.
+ * The two clusters of section 1.6 of the design page as they are today. The
+ * speeds are unequal and add up to the number of agents, so the capacity is
+ * that of agents of speed 1.
  */
 export const LOAD_SHAPES = {
   groupement: {
--- a/src/load/parse_answer.ts
+++ b/src/load/parse_answer.ts
@@ -18,7 +18,10 @@
   error: z.object({ kind: z.string(), outcome: z.string().optional() }),
 });
 
-/** Parses an entry's answer to a job, and checks that a complete answer is whole and belongs to the job. */
+/**
+ * Parses an entry's answer to a job, and checks that a complete answer is whole
+ * and belongs to the job.
+ */
 export function parseAnswer(
   job: PlannedJob,
   body: string,
--- a/src/load/planned_job.ts
+++ b/src/load/planned_job.ts
@@ -10,6 +10,9 @@
   readonly entry: number;
   /** Run time of each task on a worker of speed 1, in milliseconds. */
   readonly runMs: readonly number[];
-  /** Time limit that the job states for each of its tasks; far above the run times. */
+  /**
+   * Time limit that the job states for each of its tasks; far above the run
+   * times.
+   */
   readonly timeoutMs: readonly number[];
 }
--- a/src/load/publish_event.ts
+++ b/src/load/publish_event.ts
@@ -1,7 +1,8 @@
 import type { LoadEvent } from "./load_event.ts";
 
 /**
- * Publishes a zone's change of state as an operator does, by a change record in the log.
+ * Publishes a zone's change of state as an operator does, by a change record in
+ * the log.
  * @param logAddress - `host:port` of the log service.
  * @param event - The event.
  * @param options - Unique id of the change.
--- a/src/load/read_counters.ts
+++ b/src/load/read_counters.ts
@@ -1,4 +1,7 @@
-/** Reads the counters from the metrics of some processes, and gets their sums by name. */
+/**
+ * Reads the counters from the metrics of some processes, and gets their sums by
+ * name.
+ */
 export async function readCounters(
   addresses: readonly string[],
 ): Promise<Map<string, number>> {
--- a/src/load/run_load.ts
+++ b/src/load/run_load.ts
@@ -23,7 +23,10 @@
   /** `host:port` of other processes whose counters are read. */
   agentAddresses?: readonly string[];
   applyEvent: (event: LoadEvent) => Promise<void>;
-  /** Reads what the workers ran, when their records can be read; `startedAt` is a wall-clock time. */
+  /**
+   * Reads what the workers ran, when their records can be read; `startedAt` is
+   * a wall-clock time.
+   */
   readRuns?: (startedAt: number) => Promise<TaskRun[]>;
 }
 
--- a/src/load/task_run.ts
+++ b/src/load/task_run.ts
@@ -1,4 +1,7 @@
-/** One run of a task at a worker. Times are from the start of the load, in milliseconds. */
+/**
+ * One run of a task at a worker. Times are from the start of the load, in
+ * milliseconds.
+ */
 export interface TaskRun {
   readonly key: string;
   readonly index: number;
--- a/src/processes/agent_incarnation.ts
+++ b/src/processes/agent_incarnation.ts
@@ -28,10 +28,15 @@
 /** Longest wait for what the entries have received, in milliseconds. */
 const CONFIRM_TIMEOUT_MS = 5_000;
 
-/** Interval at which a leaving agent looks for confirmations, in milliseconds. */
+/**
+ * Interval at which a leaving agent looks for confirmations, in milliseconds.
+ */
 const CHECK_INTERVAL_MS = 20;
 
-/** Longest wait until the homes that gain this agent's keys have got its claims, in milliseconds. */
+/**
+ * Longest wait until the homes that gain this agent's keys have got its claims,
+ * in milliseconds.
+ */
 const HANDOVER_TIMEOUT_MS = 10_000;
 
 export interface AgentIncarnationOptions {
@@ -45,7 +50,10 @@
   isReturn: boolean;
 }
 
-/** One membership of an agent, from its announcement until it leaves or is removed. */
+/**
+ * One membership of an agent, from its announcement until it leaves or is
+ * removed.
+ */
 export class AgentIncarnation {
   readonly memberId: string;
   readonly timeline: Timeline;
@@ -188,7 +196,10 @@
     this.close();
   }
 
-  /** Waits until the entries know that this agent is leaving; then no dispatch is on its way any more. */
+  /**
+   * Waits until the entries know that this agent is leaving; then no dispatch
+   * is on its way any more.
+   */
   async #waitForEntries(): Promise<void> {
     const { view } = this.#options.context.follower;
     await waitUntil(() => view.getMember(this.memberId)?.phase !== "live");
--- a/src/processes/agent_process.ts
+++ b/src/processes/agent_process.ts
@@ -15,12 +15,16 @@
 import { UpstreamAnnouncement } from "./upstream_announcement.ts";
 import { waitForView } from "./wait_for_view.ts";
 
-/** Interval at which the process looks whether its member still stands, in milliseconds. */
+/**
+ * Interval at which the process looks whether its member still stands, in
+ * milliseconds.
+ */
 const CHECK_INTERVAL_MS = 200;
 
 /**
- * The agent's process. It outlives its memberships: an agent that was removed while it was paused, or whose
- * upstream left and came back, is announced as a new member.
+ * The agent's process. It outlives its memberships: an agent that was removed
+ * while it was paused, or whose upstream left and came back, is announced as a
+ * new member.
  */
 export class AgentProcess {
   readonly #context: ProcessContext;
@@ -42,7 +46,10 @@
     context.metrics.setGauge("start_records", () => this.#records.size);
   }
 
-  /** Starts the HTTP server and the log follower. The upstream's announcement starts the rest. */
+  /**
+   * Starts the HTTP server and the log follower. The upstream's announcement
+   * starts the rest.
+   */
   async start(): Promise<void> {
     const { settings, follower, logger } = this.#context;
     const port = await this.#httpServer.start();
--- a/src/processes/create_logger.ts
+++ b/src/processes/create_logger.ts
@@ -3,7 +3,9 @@
 
 const LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
-/** Creates the logger of a process. It writes JSON lines to the standard output. */
+/**
+ * Creates the logger of a process. It writes JSON lines to the standard output.
+ */
 export function createLogger(
   settings: ProcessSettings,
 ): Logger<Record<string, unknown>> {
--- a/src/processes/entry_incarnation.ts
+++ b/src/processes/entry_incarnation.ts
@@ -20,10 +20,16 @@
 /** Longest wait for the log when an entry stops, in milliseconds. */
 const LEAVE_TIMEOUT_MS = 5_000;
 
-/** Longest wait, when an entry stops, for homes that have not stored its answers, in milliseconds. */
+/**
+ * Longest wait, when an entry stops, for homes that have not stored its
+ * answers, in milliseconds.
+ */
 const STORE_TIMEOUT_MS = 10_000;
 
-/** Interval at which a stopping entry looks for running submissions, in milliseconds. */
+/**
+ * Interval at which a stopping entry looks for running submissions, in
+ * milliseconds.
+ */
 const CHECK_INTERVAL_MS = 20;
 
 export interface EntryIncarnationOptions {
@@ -31,7 +37,10 @@
   httpAddress: string;
 }
 
-/** One membership of an entry, from its announcement until it leaves or is removed. */
+/**
+ * One membership of an entry, from its announcement until it leaves or is
+ * removed.
+ */
 export class EntryIncarnation {
   readonly memberId: string;
   readonly timeline: Timeline;
@@ -161,7 +170,10 @@
     void snapshots.run(signal);
   }
 
-  /** Finishes the submissions without an answer and leaves. No new one may come in any more. */
+  /**
+   * Finishes the submissions without an answer and leaves. No new one may come
+   * in any more.
+   */
   async stop(): Promise<void> {
     const { log, follower } = this.#options.context;
     this.coordinator.startDraining();
--- a/src/processes/entry_process.ts
+++ b/src/processes/entry_process.ts
@@ -21,13 +21,22 @@
 
 const SUBMIT_ROUTES = ["POST /v1/jobs", "POST /v1/requests"];
 
-/** Interval at which the process looks whether its member still stands, in milliseconds. */
+/**
+ * Interval at which the process looks whether its member still stands, in
+ * milliseconds.
+ */
 const CHECK_INTERVAL_MS = 200;
 
-/** Time between "not ready" and the first refusal, so that the balancer can react, in milliseconds. */
+/**
+ * Time between "not ready" and the first refusal, so that the balancer can
+ * react, in milliseconds.
+ */
 const STOP_DELAY_MS = 1_000;
 
-/** The entry's process. An entry that was removed while it was paused is announced as a new member. */
+/**
+ * The entry's process. An entry that was removed while it was paused is
+ * announced as a new member.
+ */
 export class EntryProcess {
   readonly #context: ProcessContext;
   readonly #abort = new AbortController();
@@ -50,7 +59,10 @@
     return this.#httpAddress;
   }
 
-  /** Starts the HTTP server and the log follower; the rest follows once the log was read. */
+  /**
+   * Starts the HTTP server and the log follower; the rest follows once the log
+   * was read.
+   */
   async start(): Promise<void> {
     const { settings, follower, logger } = this.#context;
     const port = await this.#httpServer.start();
@@ -98,7 +110,8 @@
         incarnation.close();
       } else {
         await new Promise((resolve) => setTimeout(resolve, STOP_DELAY_MS));
-        // A submission that comes after the links are closed couldn't be told "not run".
+        // A submission that comes after the links are closed couldn't be told
+        // "not run".
         incarnation.coordinator.startDraining();
         this.#httpServer.stopListening();
         await incarnation.stop();
--- a/src/processes/event_recorder.ts
+++ b/src/processes/event_recorder.ts
@@ -2,7 +2,10 @@
 import type { TimelineEvent } from "../state/timeline/mod.ts";
 import type { LogLimiter } from "./log_limiter.ts";
 
-/** Beginnings that are kept until their end; those of lost attempts would otherwise pile up. */
+/**
+ * Beginnings that are kept until their end; those of lost attempts would
+ * otherwise pile up.
+ */
 const MAX_OPEN = 50_000;
 
 export interface EventRecorderOptions {
@@ -11,8 +14,8 @@
 }
 
 /**
- * Derives metrics and warnings from the events of the timeline, so that the code that records events needs
- * no other calls.
+ * Derives metrics and warnings from the events of the timeline, so that the
+ * code that records events needs no other calls.
  */
 export class EventRecorder {
   readonly #metrics: Metrics;
@@ -85,7 +88,10 @@
     }
   }
 
-  /** The queue time of a task's first attempt begins when the whole submission was granted. */
+  /**
+   * The queue time of a task's first attempt begins when the whole submission
+   * was granted.
+   */
   #recordQueueTime(event: TimelineEvent): void {
     const since = this.#openSince.get(`queue/${event.key}`);
     if (event.attempt === 1 && since !== undefined) {
--- a/src/processes/handle_status_request.ts
+++ b/src/processes/handle_status_request.ts
@@ -10,11 +10,16 @@
   memberId: string | undefined;
   timeline: Timeline | undefined;
   isReady: boolean;
-  /** Offsets that other members have confirmed to this process, by member id. */
+  /**
+   * Offsets that other members have confirmed to this process, by member id.
+   */
   confirmed: { [memberId: string]: number };
 }
 
-/** Handles the requests that entries and agents answer alike; undefined when it is another request. */
+/**
+ * Handles the requests that entries and agents answer alike; undefined when it
+ * is another request.
+ */
 export function handleStatusRequest(
   request: HttpRequest,
   options: StatusOptions,
@@ -45,7 +50,10 @@
   }
 }
 
-/** Applies records that ctl has read from the log; only those that follow the view have an effect. */
+/**
+ * Applies records that ctl has read from the log; only those that follow the
+ * view have an effect.
+ */
 function applyRecords(
   request: HttpRequest,
   context: ProcessContext,
@@ -58,7 +66,10 @@
   return createJsonAnswer(200, { offset: context.follower.view.offset });
 }
 
-/** The view; at target scale the settings and members are some MB, so `?brief=true` leaves them out. */
+/**
+ * The view; at target scale the settings and members are some MB, so
+ * `?brief=true` leaves them out.
+ */
 function createViewBody(
   request: HttpRequest,
   options: StatusOptions,
--- a/src/processes/log_limiter.ts
+++ b/src/processes/log_limiter.ts
@@ -10,8 +10,8 @@
 }
 
 /**
- * Writes log lines whose number grows with the load. Of each message a limited number is written in a
- * second; the next one states how many were left out.
+ * Writes log lines whose number grows with the load. Of each message a limited
+ * number is written in a second; the next one states how many were left out.
  */
 export class LogLimiter {
   readonly #logger: Logger<Record<string, unknown>>;
@@ -27,7 +27,8 @@
   }
 
   /**
-   * Writes a line unless too many with this message were written in this second.
+   * Writes a line unless too many with this message were written in this
+   * second.
    * @param level - Level of the line.
    * @param message - A constant text.
    * @param fields - What the line is about.
--- a/src/processes/run_process.ts
+++ b/src/processes/run_process.ts
@@ -20,7 +20,9 @@
   create: (context: ProcessContext) => RunnableProcess;
 }
 
-/** Runs an entry or an agent until SIGTERM or SIGINT asks for a graceful stop. */
+/**
+ * Runs an entry or an agent until SIGTERM or SIGINT asks for a graceful stop.
+ */
 export async function runProcess(options: RunProcessOptions): Promise<void> {
   const settings = readProcessSettings(options.settingsPath);
   if (settings.isErr()) {
--- a/src/processes/start_peer_server.ts
+++ b/src/processes/start_peer_server.ts
@@ -5,8 +5,9 @@
 const RETRY_DELAY_MS = 500;
 
 /**
- * Starts the server for streams, and gets its port. A port that is taken may be free a moment later, when
- * the process before has ended; until then this one isn't announced. Gets undefined after an abort.
+ * Starts the server for streams, and gets its port. A port that is taken may be
+ * free a moment later, when the process before has ended; until then this one
+ * isn't announced. Gets undefined after an abort.
  */
 export async function startPeerServer(
   context: ProcessContext,
--- a/src/processes/upstream_announcement.ts
+++ b/src/processes/upstream_announcement.ts
@@ -1,6 +1,9 @@
 import { z } from "zod";
 
-/** The body of `PUT /v1/upstream`, by which an upstream announces itself to its agent. */
+/**
+ * The body of `PUT /v1/upstream`, by which an upstream announces itself to its
+ * agent.
+ */
 export const UpstreamAnnouncement = z.strictObject({
   /** Services that the upstream offers. */
   services: z.array(z.string().regex(/^[A-Za-z0-9_-]{1,64}$/)).min(1).max(256),
--- a/src/processes/view_monitor.ts
+++ b/src/processes/view_monitor.ts
@@ -42,7 +42,9 @@
     }
   }
 
-  /** Records the age of the view, and writes a line when its state has changed. */
+  /**
+   * Records the age of the view, and writes a line when its state has changed.
+   */
   check(): void {
     const { follower, metrics, limiter } = this.#options;
     const ageMs = follower.getViewAgeMs();
--- a/src/processes/wait_for_view.ts
+++ b/src/processes/wait_for_view.ts
@@ -3,10 +3,16 @@
 /** Interval of the check, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
 
-/** Time until the first log line about a log that can't be reached, in milliseconds. */
+/**
+ * Time until the first log line about a log that can't be reached, in
+ * milliseconds.
+ */
 const FIRST_WARN_MS = 1_000;
 
-/** Time between two log lines about a log that can't be reached, in milliseconds. */
+/**
+ * Time between two log lines about a log that can't be reached, in
+ * milliseconds.
+ */
 const WARN_INTERVAL_MS = 5_000;
 
 /**
--- a/src/protocol/http/format_request_answer.ts
+++ b/src/protocol/http/format_request_answer.ts
@@ -3,7 +3,8 @@
 import { formatJobAnswer } from "./format_job_answer.ts";
 
 /**
- * Formats the outcome of a single request as the answer of `POST /v1/requests/{service}`.
+ * Formats the outcome of a single request as the answer of `POST
+ * /v1/requests/{service}`.
  * @param key - Idempotency key as the caller gave it.
  * @param outcome - Outcome of the job of one task.
  */
--- a/src/protocol/http/parse_context.ts
+++ b/src/protocol/http/parse_context.ts
@@ -30,7 +30,8 @@
   }
   const customer = String(headers["x-customer"] ?? "default");
   const team = headers["x-team"];
-  // Keys are scoped as customer/key. A customer "a/b" could otherwise reach into the keys of "a".
+  // Keys are scoped as customer/key. A customer "a/b" could otherwise reach
+  // into the keys of "a".
   for (const [path, name] of [["X-Customer", customer], ["X-Team", team]]) {
     if (name !== undefined && !NAME.test(String(name))) {
       const message = `${path} must be 1 to 64 letters, digits, _ or -`;
--- a/src/stand_in/log_faults.ts
+++ b/src/stand_in/log_faults.ts
@@ -1,6 +1,9 @@
 import { z } from "zod";
 
-/** The faults that the log stand-in can show. Each stays in force until it is changed. */
+/**
+ * The faults that the log stand-in can show. Each stays in force until it is
+ * changed.
+ */
 export const LogFaults = z.strictObject({
   /** Refuses all connections' requests by closing them without an answer. */
   isDown: z.boolean().default(false),
--- a/src/stand_in/log_stand_in.ts
+++ b/src/stand_in/log_stand_in.ts
@@ -20,7 +20,10 @@
   readonly record: unknown;
 }
 
-/** A stand-in for the platform's append-only log service. It keeps its records in memory. */
+/**
+ * A stand-in for the platform's append-only log service. It keeps its records
+ * in memory.
+ */
 export class LogStandIn {
   readonly #options: Required<LogStandInOptions>;
   readonly #server: http.Server;
--- a/src/stand_in/upstream_stand_in.ts
+++ b/src/stand_in/upstream_stand_in.ts
@@ -17,18 +17,24 @@
   host?: string;
   /** 0 takes a free port. */
   port?: number;
-  /** `host:port` of the agent's HTTP server; without it the upstream doesn't announce itself. */
+  /**
+   * `host:port` of the agent's HTTP server; without it the upstream doesn't
+   * announce itself.
+   */
   agentAddress?: string | undefined;
   services: string[];
   slots?: number;
   behavior?: UpstreamBehavior;
-  /** File that every start is appended to as a line of JSON, so that it survives a kill. */
+  /**
+   * File that every start is appended to as a line of JSON, so that it survives
+   * a kill.
+   */
   startsPath?: string | undefined;
 }
 
 /**
- * A stand-in for a back end. A task's body may be JSON with `runMs`; the answer repeats the body. It records
- * every start, so that tests can count them.
+ * A stand-in for a back end. A task's body may be JSON with `runMs`; the answer
+ * repeats the body. It records every start, so that tests can count them.
  */
 export class UpstreamStandIn {
   readonly #options: UpstreamStandInOptions;
@@ -63,7 +69,10 @@
     this.#server.closeAllConnections();
   }
 
-  /** Announces the upstream to its agent again and again, since the agent may restart. */
+  /**
+   * Announces the upstream to its agent again and again, since the agent may
+   * restart.
+   */
   async #announce(): Promise<void> {
     const { agentAddress, services, slots = 8 } = this.#options;
     while (agentAddress !== undefined && !this.#isStopped) {
--- a/src/state/claims/claim_table.ts
+++ b/src/state/claims/claim_table.ts
@@ -1,15 +1,18 @@
 import type { Claim } from "./claim.ts";
 import type { ClaimDecision } from "./claim_decision.ts";
 
-/** Time that a claim is remembered after it was granted or completed, in milliseconds. */
+/**
+ * Time that a claim is remembered after it was granted or completed, in
+ * milliseconds.
+ */
 const IDEMPOTENCY_WINDOW_MS = 600_000;
 
 /** Memory for stored answers, in bytes. An agent may use 256 MB in total. */
 const MAX_ANSWER_BYTES = 64 * 1_048_576;
 
 /**
- * Claims that one table holds. At 180,000 single requests a second and 704 homes, a home holds about
- * 153,000 claims in a window.
+ * Claims that one table holds. At 180,000 single requests a second and 704
+ * homes, a home holds about 153,000 claims in a window.
  */
 const MAX_CLAIMS = 250_000;
 
@@ -24,9 +27,10 @@
 }
 
 /**
- * Claims by key: those of one home, or those that one entry coordinates. A key is granted once; later
- * claims of the same key find the running submission or its stored answer. When the answers take too much
- * memory, the oldest are dropped; their claims stay, so that no task starts again.
+ * Claims by key: those of one home, or those that one entry coordinates. A key
+ * is granted once; later claims of the same key find the running submission or
+ * its stored answer. When the answers take too much memory, the oldest are
+ * dropped; their claims stay, so that no task starts again.
  */
 export class ClaimTable<Answer> {
   readonly #options: Required<ClaimTableOptions<Answer>>;
@@ -53,7 +57,10 @@
     return this.#claims.size;
   }
 
-  /** Is the table full? A full table grants no new key, since it couldn't remember it. */
+  /**
+   * Is the table full? A full table grants no new key, since it couldn't
+   * remember it.
+   */
   get isFull(): boolean {
     return this.#claims.size >= this.#options.maxClaims;
   }
@@ -100,7 +107,10 @@
     }
   }
 
-  /** Stores the final answer of a claim. Another coordinator's claim is left as it is. */
+  /**
+   * Stores the final answer of a claim. Another coordinator's claim is left as
+   * it is.
+   */
   complete(
     key: string,
     fingerprint: string,
@@ -120,7 +130,10 @@
     }
   }
 
-  /** Adds a claim that another member knew; a known answer is never replaced by less. */
+  /**
+   * Adds a claim that another member knew; a known answer is never replaced by
+   * less.
+   */
   merge(claim: Omit<Claim<Answer>, "expiresAt">): void {
     const known = this.#claims.get(claim.key);
     const isBetter = known === undefined ||
@@ -132,7 +145,10 @@
     }
   }
 
-  /** Marks the running claims of a removed coordinator as lost, and gets their keys. */
+  /**
+   * Marks the running claims of a removed coordinator as lost, and gets their
+   * keys.
+   */
   loseCoordinator(coordinator: string): string[] {
     const keys = [...this.#running.get(coordinator) ?? []];
     for (const key of keys) {
@@ -157,8 +173,8 @@
   }
 
   /**
-   * Forgets expired claims, and gets their keys. Claims are kept in order of expiry, so this stops at the
-   * first live one.
+   * Forgets expired claims, and gets their keys. Claims are kept in order of
+   * expiry, so this stops at the first live one.
    */
   removeExpired(): string[] {
     const now = this.#options.getTime();
@@ -174,7 +190,8 @@
   }
 
   #set(claim: Omit<Claim<Answer>, "expiresAt">): void {
-    // Removing first moves the key to the end, which keeps the map in order of expiry.
+    // Removing first moves the key to the end, which keeps the map in order of
+    // expiry.
     this.remove(claim.key);
     const { windowMs, getTime, getBytes } = this.#options;
     const expiresAt = getTime() + windowMs;
--- a/src/state/errors/create_schema_error.ts
+++ b/src/state/errors/create_schema_error.ts
@@ -4,7 +4,8 @@
 import type { ErrorKind } from "./error_kind.ts";
 
 /**
- * Creates an error from the first issue of a failed schema check, with the path of the bad value.
+ * Creates an error from the first issue of a failed schema check, with the path
+ * of the bad value.
  * @param kind - Kind to report.
  * @param error - The schema library's error.
  */
--- a/src/state/errors/error_answers.ts
+++ b/src/state/errors/error_answers.ts
@@ -2,8 +2,8 @@
 import type { ErrorKind } from "./error_kind.ts";
 
 /**
- * The answer for each error kind. An entry may say "not run" only when no task of the submission can have
- * started and none can start later.
+ * The answer for each error kind. An entry may say "not run" only when no task
+ * of the submission can have started and none can start later.
  */
 export const ERROR_ANSWERS: Readonly<Record<ErrorKind, ErrorAnswer>> = {
   invalid_request: { status: 400, outcome: "not run" },
--- a/src/state/errors/error_kind.ts
+++ b/src/state/errors/error_kind.ts
@@ -1,6 +1,7 @@
 /**
- * The closed list of error kinds. Every refusal and failure that a caller, an operator or another process
- * can see has one of these kinds; `ERROR_ANSWERS` maps each to its answer.
+ * The closed list of error kinds. Every refusal and failure that a caller, an
+ * operator or another process can see has one of these kinds; `ERROR_ANSWERS`
+ * maps each to its answer.
  */
 export type ErrorKind =
   | "invalid_request"
--- a/src/state/hashing/get_rank.ts
+++ b/src/state/hashing/get_rank.ts
@@ -1,6 +1,7 @@
 /**
- * Gets the rendezvous rank of a candidate for a key: the candidate with the highest rank wins. Both are
- * hashed beforehand, so one rank costs a few integer operations.
+ * Gets the rendezvous rank of a candidate for a key: the candidate with the
+ * highest rank wins. Both are hashed beforehand, so one rank costs a few
+ * integer operations.
  * @param keyHash - 32-bit hash of the key.
  * @param candidateHash - 32-bit hash of the candidate.
  */
--- a/src/state/homes/home_finder.ts
+++ b/src/state/homes/home_finder.ts
@@ -3,15 +3,19 @@
 import type { HomeCandidate } from "./home_candidate.ts";
 import { HomeSet } from "./home_set.ts";
 
-/** Agents of a zone that serve as homes where the settings don't say otherwise. */
+/**
+ * Agents of a zone that serve as homes where the settings don't say otherwise.
+ */
 const DEFAULT_HOMES_PER_ZONE = 64;
 
 /**
- * Finds the home of an idempotency key: the agent that keeps the key's claim. Homes are derived from the
- * members, so every process with the same view finds the same home without a message. The key first
- * chooses a zone and then one of the zone's home agents, so a key costs a few dozen ranks also with
- * thousands of agents. The derived home follows "Cluster record locks: the Phase 1 substrate, with
- * Ricart–Agrawala superseded by amortized ownership"; the epoch here is an offset of the log.
+ * Finds the home of an idempotency key: the agent that keeps the key's claim.
+ * Homes are derived from the members, so every process with the same view finds
+ * the same home without a message. The key first chooses a zone and then one of
+ * the zone's home agents, so a key costs a few dozen ranks also with thousands
+ * of agents. The derived home follows "Cluster record locks: the Phase 1
+ * substrate, with Ricart–Agrawala superseded by amortized ownership"; the epoch
+ * here is an offset of the log.
  */
 export class HomeFinder {
   readonly #view: ClusterView;
@@ -34,7 +38,10 @@
     return this.getSet().find(key);
   }
 
-  /** Gets the homes under the current view; the same object as long as they don't change. */
+  /**
+   * Gets the homes under the current view; the same object as long as they
+   * don't change.
+   */
   getSet(): HomeSet {
     const limit = this.#view.settings.homesPerZone ?? DEFAULT_HOMES_PER_ZONE;
     if (this.#memberEpoch !== this.#view.epoch || this.#limit !== limit) {
@@ -65,7 +72,10 @@
     );
   }
 
-  /** Gets the hash of a member id. Hashing all ids again at each change would take most of its time. */
+  /**
+   * Gets the hash of a member id. Hashing all ids again at each change would
+   * take most of its time.
+   */
   #getHash(id: string): number {
     let hash = this.#hashes.get(id);
     if (hash === undefined) {
@@ -76,7 +86,10 @@
   }
 }
 
-/** Adds a candidate to those with the highest hashes, which are sorted; most of many are dropped at once. */
+/**
+ * Adds a candidate to those with the highest hashes, which are sorted; most of
+ * many are dropped at once.
+ */
 function addHighest(
   candidates: HomeCandidate<MemberState>[],
   candidate: HomeCandidate<MemberState>,
--- a/src/state/homes/home_set.ts
+++ b/src/state/homes/home_set.ts
@@ -2,12 +2,18 @@
 import type { MemberState } from "../view/mod.ts";
 import type { HomeCandidate } from "./home_candidate.ts";
 
-/** The homes under one view. It doesn't change, so the homes before and after a change can be compared. */
+/**
+ * The homes under one view. It doesn't change, so the homes before and after a
+ * change can be compared.
+ */
 export class HomeSet {
   readonly #zones: HomeCandidate<HomeCandidate<MemberState>[]>[];
   readonly #homes = new Map<string, MemberState>();
 
-  /** @param zones - The home agents of each availability zone, with hashes of the ids. */
+  /**
+   * @param zones - The home agents of each availability zone, with hashes of
+   * the ids.
+   */
   constructor(zones: HomeCandidate<HomeCandidate<MemberState>[]>[]) {
     this.#zones = zones;
     for (const { value } of zones) {
@@ -39,7 +45,10 @@
     return this.#homes.has(memberId);
   }
 
-  /** Do both sets hold the same agents? Then every key has the same home in both. */
+  /**
+   * Do both sets hold the same agents? Then every key has the same home in
+   * both.
+   */
   isSame(other: HomeSet): boolean {
     return this.#homes.size === other.#homes.size &&
       [...this.#homes.keys()].every((id) => other.has(id));
--- a/src/state/metrics/message_counts.ts
+++ b/src/state/metrics/message_counts.ts
@@ -1,8 +1,8 @@
 import type { Metrics } from "./metrics.ts";
 
 /**
- * Counts the messages between processes by kind. A wasted message led to no start, no answer and no
- * confirmed state.
+ * Counts the messages between processes by kind. A wasted message led to no
+ * start, no answer and no confirmed state.
  */
 export class MessageCounts {
   readonly #metrics: Metrics;
--- a/src/state/metrics/metrics.ts
+++ b/src/state/metrics/metrics.ts
@@ -1,6 +1,9 @@
 import { build, type Histogram } from "hdr-histogram-js";
 
-/** Quantiles that are reported for each histogram, with the percentiles that the library takes. */
+/**
+ * Quantiles that are reported for each histogram, with the percentiles that the
+ * library takes.
+ */
 const QUANTILES = [
   ["0.5", 50],
   ["0.9", 90],
@@ -43,7 +46,8 @@
   /**
    * Records a time in a histogram.
    * @param name - Name of the histogram.
-   * @param timeMs - Time in milliseconds; kept with a resolution of a microsecond.
+   * @param timeMs - Time in milliseconds; kept with a resolution of a
+   * microsecond.
    */
   recordTime(name: string, timeMs: number): void {
     let histogram = this.#histograms.get(name);
@@ -54,7 +58,9 @@
     histogram.recordValue(Math.max(0, Math.round(timeMs * 1_000)));
   }
 
-  /** Gets the text of all metrics, one per line, in the usual exposition format. */
+  /**
+   * Gets the text of all metrics, one per line, in the usual exposition format.
+   */
   format(): string {
     const lines: string[] = [];
     for (const [name, values] of this.#counters) {
--- a/src/state/process_settings/process_settings.ts
+++ b/src/state/process_settings/process_settings.ts
@@ -24,7 +24,10 @@
   httpPort: Port,
   /** Port for streams from other processes; 0 takes a free one. */
   peerPort: Port,
-  /** Address that other processes use for streams, where it differs from the one listened on. */
+  /**
+   * Address that other processes use for streams, where it differs from the one
+   * listened on.
+   */
   announcedPeerAddress: Address.optional(),
   /** Address of the platform's log service. */
   logAddress: Address,
@@ -33,7 +36,9 @@
   /** Agents only: connections that may be open to the upstream. */
   maxConnections: z.int().min(1).max(1024).default(64),
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
-  /** Entries only: a snapshot is appended at least this often, in milliseconds. */
+  /**
+   * Entries only: a snapshot is appended at least this often, in milliseconds.
+   */
   snapshotIntervalMs: z.int().min(1_000).default(300_000),
 });
 
--- a/src/state/settings/check_settings.ts
+++ b/src/state/settings/check_settings.ts
@@ -5,8 +5,8 @@
 import { SettingsTree } from "./settings_tree.ts";
 
 /**
- * Checks a whole settings tree. Every process runs this check on the same tree when it applies a change, so
- * it depends on nothing but the tree.
+ * Checks a whole settings tree. Every process runs this check on the same tree
+ * when it applies a change, so it depends on nothing but the tree.
  */
 export function checkSettings(
   value: unknown,
--- a/src/state/settings/create_settings_error.ts
+++ b/src/state/settings/create_settings_error.ts
@@ -8,7 +8,8 @@
 ];
 
 /**
- * Creates the error of a tree that doesn't match its schema: the path, and what an operator probably meant.
+ * Creates the error of a tree that doesn't match its schema: the path, and what
+ * an operator probably meant.
  * @param error - The schema library's error.
  * @param schema - The schema.
  * @param value - The checked value.
@@ -49,7 +50,10 @@
   return createError("invalid_settings", message, { path });
 }
 
-/** Formats the unit of a number for which something else was given, such as `"5s"`. */
+/**
+ * Formats the unit of a number for which something else was given, such as
+ * `"5s"`.
+ */
 function formatUnit(path: readonly PropertyKey[], value: unknown): string {
   const unit = findUnit(String(path[path.length - 1] ?? ""));
   let given = value;
--- a/src/state/settings/find_contradiction.ts
+++ b/src/state/settings/find_contradiction.ts
@@ -5,8 +5,8 @@
 const QUOTAS = ["maxRunning", "maxQueued"] as const;
 
 /**
- * Finds a rule of a well-formed tree that can never be met, such as a timeout above the deadline that is in
- * force at the same node after inheritance.
+ * Finds a rule of a well-formed tree that can never be met, such as a timeout
+ * above the deadline that is in force at the same node after inheritance.
  */
 export function findContradiction(
   tree: SettingsTree,
--- a/src/state/settings/find_nearest_name.ts
+++ b/src/state/settings/find_nearest_name.ts
@@ -1,5 +1,6 @@
 /**
- * Finds the known name that takes the fewest edits to reach, to suggest it for a misspelt one.
+ * Finds the known name that takes the fewest edits to reach, to suggest it for
+ * a misspelt one.
  * @param name - The unknown name.
  * @param known - The known names.
  */
@@ -12,7 +13,8 @@
   let smallest = Infinity;
   for (const candidate of known) {
     const lower = candidate.toLowerCase();
-    // "timeout" for "timeoutMs" counts as near: leaving out the unit is the most common slip.
+    // "timeout" for "timeoutMs" counts as near: leaving out the unit is the
+    // most common slip.
     const distance = lower.startsWith(wanted) || wanted.startsWith(lower)
       ? 1
       : getDistance(wanted, lower);
--- a/src/state/settings/resolve_quotas.ts
+++ b/src/state/settings/resolve_quotas.ts
@@ -2,7 +2,8 @@
 import type { SettingsTree } from "./settings_tree.ts";
 
 /**
- * Resolves the quotas of a customer or a team. A team inherits from its customer what it doesn't state.
+ * Resolves the quotas of a customer or a team. A team inherits from its
+ * customer what it doesn't state.
  * @param tree - The operators' settings.
  * @param customer - Name of the customer.
  * @param options - Name of the team, when the submission names one.
--- a/src/state/settings/resolve_rule_sources.ts
+++ b/src/state/settings/resolve_rule_sources.ts
@@ -5,9 +5,10 @@
 import type { SettingsTree } from "./settings_tree.ts";
 
 /**
- * Resolves the rules of a node by inheritance (job, then service, then root, then the built-in defaults) and
- * tells which node states each. A built-in timeout never exceeds the deadline that operators state, so that
- * a shorter deadline alone is a valid change.
+ * Resolves the rules of a node by inheritance (job, then service, then root,
+ * then the built-in defaults) and tells which node states each. A built-in
+ * timeout never exceeds the deadline that operators state, so that a shorter
+ * deadline alone is a valid change.
  * @param tree - The operators' settings.
  * @param service - Name of the service; undefined for the root.
  * @param options - Name of the job below the service, when it has one.
--- a/src/state/settings/resolve_rules.ts
+++ b/src/state/settings/resolve_rules.ts
@@ -3,7 +3,8 @@
 import type { SettingsTree } from "./settings_tree.ts";
 
 /**
- * Resolves the rules of a job by inheritance: job, then service, then root, then the built-in defaults.
+ * Resolves the rules of a job by inheritance: job, then service, then root,
+ * then the built-in defaults.
  * @param tree - The operators' settings.
  * @param service - Name of the service.
  * @param options - Name of the job below the service, when it has one.
--- a/src/state/settings/rule_source.ts
+++ b/src/state/settings/rule_source.ts
@@ -1,6 +1,9 @@
 /** The value of a rule at a node and the node that states it. */
 export interface RuleSource {
   readonly value: number | boolean;
-  /** Path of the stating node's rules; "built-in" when no operator states the rule. */
+  /**
+   * Path of the stating node's rules; "built-in" when no operator states the
+   * rule.
+   */
   readonly from: string;
 }
--- a/src/state/settings/rules.ts
+++ b/src/state/settings/rules.ts
@@ -1,8 +1,8 @@
 import { z } from "zod";
 
 /**
- * The rules that tasks run under. Each node of the settings tree may state any of them; a rule that a node
- * doesn't state is inherited from its parent.
+ * The rules that tasks run under. Each node of the settings tree may state any
+ * of them; a rule that a node doesn't state is inherited from its parent.
  */
 export const Rules = z.strictObject({
   /** Longest time for one task at its upstream, in milliseconds. */
@@ -15,9 +15,14 @@
   maxTasks: z.int().min(1).max(150).optional(),
   /** Attempts for a repeatable task, the first one included. */
   maxAttempts: z.int().min(1).max(10).optional(),
-  /** Whether slow repeatable tasks get a second attempt while the first one runs. */
+  /**
+   * Whether slow repeatable tasks get a second attempt while the first one
+   * runs.
+   */
   hedging: z.boolean().optional(),
-  /** Tasks with a higher priority leave the queue first, within one customer. */
+  /**
+   * Tasks with a higher priority leave the queue first, within one customer.
+   */
   priority: z.int().min(0).max(9).optional(),
 });
 
--- a/src/state/settings/settings_tree.ts
+++ b/src/state/settings/settings_tree.ts
@@ -22,8 +22,8 @@
 const Customer = Team.extend({ teams: z.record(Name, Team).optional() });
 
 /**
- * The operators' tree of settings. Services hold jobs and customers hold teams; a child inherits from its
- * parent unless it states otherwise.
+ * The operators' tree of settings. Services hold jobs and customers hold teams;
+ * a child inherits from its parent unless it states otherwise.
  */
 export const SettingsTree = z.strictObject({
   rules: Rules.optional(),
@@ -31,7 +31,9 @@
   customers: z.record(Name, Customer).optional(),
   zones: z.record(Name, Placed).optional(),
   upstreams: z.record(Name, Placed).optional(),
-  /** Largest number of agents of a zone that serve as homes of idempotency keys. */
+  /**
+   * Largest number of agents of a zone that serve as homes of idempotency keys.
+   */
   homesPerZone: z.int().min(1).max(1024).optional(),
   /** Number of entries that hold a stream to one agent. */
   entriesPerAgent: z.int().min(1).max(1024).optional(),
--- a/src/state/starts/start_records.ts
+++ b/src/state/starts/start_records.ts
@@ -1,6 +1,9 @@
 import type { StartRecord } from "./start_record.ts";
 
-/** Time that a record is kept, in milliseconds. Not shorter than the idempotency window of claims. */
+/**
+ * Time that a record is kept, in milliseconds. Not shorter than the idempotency
+ * window of claims.
+ */
 const RETENTION_MS = 600_000;
 
 interface Kept<Result> {
@@ -15,7 +18,9 @@
   getTime?: () => number;
 }
 
-/** The attempts that one agent started, is about to start, or must never start. */
+/**
+ * The attempts that one agent started, is about to start, or must never start.
+ */
 export class StartRecords<Result> {
   readonly #retentionMs: number;
   readonly #getTime: () => number;
@@ -55,7 +60,9 @@
     }
   }
 
-  /** Removes the record of an attempt that was refused and may be sent again. */
+  /**
+   * Removes the record of an attempt that was refused and may be sent again.
+   */
   remove(key: string, index: number, attempt: number): void {
     this.#records.delete(getId(key, index, attempt));
   }
--- a/src/state/timeline/timeline.ts
+++ b/src/state/timeline/timeline.ts
@@ -11,8 +11,9 @@
 }
 
 /**
- * The bounded buffer of a process's events, stamped with a Lamport clock. Every message between processes
- * carries the clock, so events of different processes can be merged in an order that respects causes.
+ * The bounded buffer of a process's events, stamped with a Lamport clock. Every
+ * message between processes carries the clock, so events of different processes
+ * can be merged in an order that respects causes.
  */
 export class Timeline {
   readonly #memberId: string;
--- a/src/state/timeline/timeline_event.ts
+++ b/src/state/timeline/timeline_event.ts
@@ -2,7 +2,10 @@
 export interface TimelineEvent {
   /** Lamport clock: an event that another one caused has a higher clock. */
   readonly clock: number;
-  /** Wall-clock time of the process, in milliseconds. For people; never used to order events. */
+  /**
+   * Wall-clock time of the process, in milliseconds. For people; never used to
+   * order events.
+   */
   readonly timeMs: number;
   readonly memberId: string;
   readonly type: string;
--- a/src/state/view/apply_edits.ts
+++ b/src/state/view/apply_edits.ts
@@ -39,7 +39,10 @@
   setOwn(node, last, value);
 }
 
-/** Removes a node. Missing parents aren't created, since an empty service would be a new service. */
+/**
+ * Removes a node. Missing parents aren't created, since an empty service would
+ * be a new service.
+ */
 function removePath(tree: Record<string, unknown>, path: string[]): void {
   const last = path[path.length - 1] as string;
   let node: Record<string, unknown> | undefined = tree;
@@ -61,7 +64,10 @@
     : undefined;
 }
 
-/** Sets an own property. A plain assignment to "__proto__" would change the prototype. */
+/**
+ * Sets an own property. A plain assignment to "__proto__" would change the
+ * prototype.
+ */
 function setOwn(
   node: Record<string, unknown>,
   name: string,
--- a/src/state/view/change_outcome.ts
+++ b/src/state/view/change_outcome.ts
@@ -1,6 +1,9 @@
 import type { DispatchError } from "../errors/mod.ts";
 
-/** What became of a change: every process reaches the same outcome for the same record. */
+/**
+ * What became of a change: every process reaches the same outcome for the same
+ * record.
+ */
 export type ChangeOutcome =
   | { readonly type: "accepted"; readonly revision: number }
   | {
--- a/src/state/view/cluster_view.ts
+++ b/src/state/view/cluster_view.ts
@@ -8,8 +8,9 @@
 import { ViewSnapshot } from "./view_snapshot.ts";
 
 /**
- * The result of applying the log's records in order: settings, members, and what is out of service. Two
- * processes that applied the same records hold the same view.
+ * The result of applying the log's records in order: settings, members, and
+ * what is out of service. Two processes that applied the same records hold the
+ * same view.
  */
 export class ClusterView {
   #offset = 0;
@@ -77,7 +78,8 @@
   /**
    * Applies the record that follows the last applied one.
    * @param record - The record.
-   * @param offset - Its offset; records at or below the view's offset are ignored.
+   * @param offset - Its offset; records at or below the view's offset are
+   * ignored.
    */
   apply(record: LogRecord, offset: number): ViewEvent[] {
     if (offset <= this.#offset) {
@@ -120,8 +122,9 @@
   }
 
   /**
-   * Sets the view from a snapshot, and gets what that changed. Gets undefined, and changes nothing, when the
-   * snapshot is unreadable or would take the view back.
+   * Sets the view from a snapshot, and gets what that changed. Gets undefined,
+   * and changes nothing, when the snapshot is unreadable or would take the view
+   * back.
    */
   setSnapshot(value: unknown): ViewEvent[] | undefined {
     const snapshot = ViewSnapshot.safeParse(value);
--- a/src/state/view/log_record.ts
+++ b/src/state/view/log_record.ts
@@ -29,7 +29,10 @@
     type: z.literal("suspect"),
     observerId: z.string(),
     memberIds: z.array(z.string()).min(1).max(10_000),
-    /** Wall-clock time of the observer. Only used to age suspicions; a wrong clock is harmless. */
+    /**
+     * Wall-clock time of the observer. Only used to age suspicions; a wrong
+     * clock is harmless.
+     */
     timeMs: z.number(),
   }),
   z.strictObject({
@@ -37,7 +40,10 @@
     /** The snapshot holds the view after this offset. */
     at: z.int().min(0),
     view: z.json(),
-    /** Wall-clock time of the writer. Only used to tell whether a new snapshot is due. */
+    /**
+     * Wall-clock time of the writer. Only used to tell whether a new snapshot
+     * is due.
+     */
     timeMs: z.number().optional(),
   }),
 ]);
--- a/src/state/view/member.ts
+++ b/src/state/view/member.ts
@@ -1,15 +1,18 @@
 import { z } from "zod";
 
 /**
- * One incarnation of an entry or an agent. A restarted process is a new member: its id carries a random
- * suffix made at start.
+ * One incarnation of an entry or an agent. A restarted process is a new member:
+ * its id carries a random suffix made at start.
  */
 export const Member = z.strictObject({
   id: z.string().min(1).max(128),
   /** Name from the process's settings file; stays the same over restarts. */
   name: z.string().min(1).max(96),
   role: z.enum(["entry", "agent"]),
-  /** Id of the process, which is the same for all its incarnations: it keeps the start records. */
+  /**
+   * Id of the process, which is the same for all its incarnations: it keeps the
+   * start records.
+   */
   processId: z.string().max(64).optional(),
   zone: z.string().min(1).max(64),
   rack: z.string().max(64).optional(),
--- a/src/state/view/member_table.ts
+++ b/src/state/view/member_table.ts
@@ -4,7 +4,10 @@
 import { StreamSubset } from "./stream_subset.ts";
 import type { ViewEvent } from "./view_event.ts";
 
-/** Suspicions of several observers count together when they are at most this far apart, in milliseconds. */
+/**
+ * Suspicions of several observers count together when they are at most this far
+ * apart, in milliseconds.
+ */
 const SUSPICION_WINDOW_MS = 10_000;
 
 /** Entries that use one agent where the settings don't say otherwise. */
@@ -16,9 +19,10 @@
 }
 
 /**
- * The members of the cluster. A member is removed when a majority of the processes that watch it suspect
- * it. A smaller number would let one rack, or the smaller side of a network partition, remove members that
- * the others still reach.
+ * The members of the cluster. A member is removed when a majority of the
+ * processes that watch it suspect it. A smaller number would let one rack, or
+ * the smaller side of a network partition, remove members that the others still
+ * reach.
  */
 export class MemberTable {
   #members = new Map<string, MemberState>();
@@ -55,7 +59,10 @@
     return this.#subset.get(agentId);
   }
 
-  /** Adds a member. An older incarnation with the same name is removed, since its process was replaced. */
+  /**
+   * Adds a member. An older incarnation with the same name is removed, since
+   * its process was replaced.
+   */
   announce(member: Member, offset: number): ViewEvent[] {
     const events: ViewEvent[] = [];
     const known = this.#members.get(member.id);
@@ -103,7 +110,10 @@
     return [{ type: "leaving", member: leaving }];
   }
 
-  /** Records an observer's suspicion of some members, and removes those that enough observers suspect. */
+  /**
+   * Records an observer's suspicion of some members, and removes those that
+   * enough observers suspect.
+   */
   suspect(
     observerId: string,
     ids: string[],
@@ -137,7 +147,10 @@
     };
   }
 
-  /** Sets the state from a part of a snapshot, and gets what that changes for those who follow events. */
+  /**
+   * Sets the state from a part of a snapshot, and gets what that changes for
+   * those who follow events.
+   */
   setSnapshot(snapshot: MembersSnapshot): ViewEvent[] {
     const before = this.#members;
     this.#members = new Map(
@@ -151,7 +164,8 @@
     const events: ViewEvent[] = [];
     for (const member of before.values()) {
       if (!this.#members.has(member.id)) {
-        // The records are gone, so a clean leave can't be told from a removal; this is the safe reading.
+        // The records are gone, so a clean leave can't be told from a removal;
+        // this is the safe reading.
         events.push({ type: "removed", member });
       }
     }
@@ -180,9 +194,10 @@
 
   /**
    * Removes suspected members until none is left that enough observers suspect.
-   * @param ids - Members whose suspicions have changed; all of them when the membership has changed. The
-   * loss of a zone brings a record from thousands of observers, and looking at everybody for each took
-   * minutes of processor time.
+   * @param ids - Members whose suspicions have changed; all of them when the
+   * membership has changed. The loss of a zone brings a record from thousands
+   * of observers, and looking at everybody for each took minutes of processor
+   * time.
    */
   #removeSuspected(
     ids: Iterable<string> = this.#suspicions.keys(),
@@ -194,7 +209,8 @@
         events.push(this.#remove(member, "removed"));
       }
     }
-    // A removed member observes no more, so others may now have a majority against them.
+    // A removed member observes no more, so others may now have a majority
+    // against them.
     return events.length === 0 ? [] : [...events, ...this.#removeSuspected()];
   }
 
--- a/src/state/view/settings_snapshot.ts
+++ b/src/state/view/settings_snapshot.ts
@@ -1,7 +1,10 @@
 import { z } from "zod";
 import { SettingsTree } from "../settings/mod.ts";
 
-/** The part of a snapshot that holds the settings and what decides later conflicts. */
+/**
+ * The part of a snapshot that holds the settings and what decides later
+ * conflicts.
+ */
 export const SettingsSnapshot = z.strictObject({
   tree: SettingsTree,
   revision: z.int().min(0),
--- a/src/state/view/settings_store.ts
+++ b/src/state/view/settings_store.ts
@@ -5,12 +5,16 @@
 import type { ChangeRecord } from "./change_record.ts";
 import type { SettingsSnapshot } from "./settings_snapshot.ts";
 
-/** Outcomes that are kept so that a writer whose reply was lost finds its change. */
+/**
+ * Outcomes that are kept so that a writer whose reply was lost finds its
+ * change.
+ */
 const MAX_OUTCOMES = 1_000;
 
 /**
- * The settings tree with the rule that decides between racing operators. A change conflicts when a path
- * that equals, contains or lies below an edited path was changed after the change's base revision.
+ * The settings tree with the rule that decides between racing operators. A
+ * change conflicts when a path that equals, contains or lies below an edited
+ * path was changed after the change's base revision.
  */
 export class SettingsStore {
   #tree: SettingsTree = {};
@@ -93,7 +97,10 @@
     return { type: "accepted", revision: offset };
   }
 
-  /** An edit of a node also stands for all nodes below it, so their older revisions are dropped. */
+  /**
+   * An edit of a node also stands for all nodes below it, so their older
+   * revisions are dropped.
+   */
   #setPathRevision(path: string, revision: number): void {
     for (const other of this.#pathRevisions.keys()) {
       if (other.startsWith(`${path}.`)) {
@@ -103,7 +110,10 @@
     this.#pathRevisions.set(path, revision);
   }
 
-  /** Finds the newest change after the base revision that touched the same nodes. */
+  /**
+   * Finds the newest change after the base revision that touched the same
+   * nodes.
+   */
   #findWinner(
     change: ChangeRecord,
   ): { path: string; revision: number } | undefined {
