--- a/src/state/view/stream_subset.ts
+++ b/src/state/view/stream_subset.ts
@@ -14,14 +14,18 @@
 }
 
 /**
- * The entries that hold a stream with credits to an agent, and so watch it. They are chosen by rendezvous
- * hashing, so a change of one entry moves few streams, and spread over the zones of the entries, so that
- * the loss of a zone leaves an agent in use.
+ * The entries that hold a stream with credits to an agent, and so watch it.
+ * They are chosen by rendezvous hashing, so a change of one entry moves few
+ * streams, and spread over the zones of the entries, so that the loss of a zone
+ * leaves an agent in use.
  */
 export class StreamSubset {
   readonly #options: StreamSubsetOptions;
   readonly #byAgent = new Map<string, ReadonlySet<string>>();
-  /** The agents by entry; made when it is first asked for after a change of the entries. */
+  /**
+   * The agents by entry; made when it is first asked for after a change of the
+   * entries.
+   */
   #byEntry: Map<string, Set<string>> | undefined;
   #zones: readonly Zone[] | undefined;
   #limit = 0;
@@ -105,7 +109,10 @@
   }));
 }
 
-/** Selects from each zone in turn its entry with the highest rank that isn't chosen yet. */
+/**
+ * Selects from each zone in turn its entry with the highest rank that isn't
+ * chosen yet.
+ */
 function selectEntries(
   agentHash: number,
   zones: readonly Zone[],
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -5,10 +5,16 @@
 import type { HttpAnswer } from "./http_answer.ts";
 import type { HttpRequest } from "./http_request.ts";
 
-/** Largest body of a request, in bytes: a job of 150 tasks of the largest size allowed by default. */
+/**
+ * Largest body of a request, in bytes: a job of 150 tasks of the largest size
+ * allowed by default.
+ */
 const MAX_BODY_BYTES = 33_554_432;
 
-/** Time for a client to read the refusal of a body that is too large, in milliseconds. */
+/**
+ * Time for a client to read the refusal of a body that is too large, in
+ * milliseconds.
+ */
 const REFUSED_BODY_MS = 2_000;
 
 export interface HttpServerOptions {
@@ -29,7 +35,8 @@
     this.#server = http.createServer((request, response) => {
       void this.#serve(request, response);
     });
-    // Behind a balancer that keeps connections, a shorter time than the balancer's would cut off requests.
+    // Behind a balancer that keeps connections, a shorter time than the
+    // balancer's would cut off requests.
     this.#server.keepAliveTimeout = 75_000;
   }
 
@@ -111,7 +118,8 @@
   }
   const chunks: Buffer[] = [];
   let size = 0;
-  // Destroying the request would close the connection before the client has read the refusal.
+  // Destroying the request would close the connection before the client has
+  // read the refusal.
   for await (const chunk of request.iterator({ destroyOnReturn: false })) {
     size += chunk.length;
     if (size > maxBytes) {
@@ -122,7 +130,10 @@
   return Buffer.concat(chunks);
 }
 
-/** Refuses a body that is too large. The rest is read and dropped for a limited time. */
+/**
+ * Refuses a body that is too large. The rest is read and dropped for a limited
+ * time.
+ */
 function refuseBody(request: http.IncomingMessage): HttpAnswer {
   request.resume();
   const timer = setTimeout(() => {
@@ -136,7 +147,10 @@
   );
 }
 
-/** Creates the request for the handler; undefined when its path isn't validly encoded. */
+/**
+ * Creates the request for the handler; undefined when its path isn't validly
+ * encoded.
+ */
 function createRequest(
   request: http.IncomingMessage,
   response: http.ServerResponse,
--- a/src/transport/log/http_log_service.ts
+++ b/src/transport/log/http_log_service.ts
@@ -44,7 +44,8 @@
     if (reply.value.status !== 200 || !appended.success) {
       const message =
         `the log answered an append with status ${reply.value.status}`;
-      // Only a refusal of the request itself (4xx, such as too many appends) excludes that it took effect.
+      // Only a refusal of the request itself (4xx, such as too many appends)
+      // excludes that it took effect.
       const isRefused = reply.value.status >= 400 && reply.value.status < 500;
       const kind = isRefused ? "log_unreachable" : "publish_unknown";
       return err(createError(kind, message));
@@ -98,7 +99,8 @@
           : { "content-type": "application/json" },
       });
       const fail = (message: string) => {
-        // Once the record may have been written, a lost reply says nothing about the append.
+        // Once the record may have been written, a lost reply says nothing
+        // about the append.
         const kind = method === "POST" && isConnected
           ? "publish_unknown"
           : "log_unreachable";
--- a/src/transport/peer/connect_peer_caller.ts
+++ b/src/transport/peer/connect_peer_caller.ts
@@ -18,7 +18,10 @@
 /** Longest time for a gather call, in milliseconds. */
 const GATHER_TIMEOUT_MS = 2_000;
 
-/** Time after which the connection of a gather call closes: a home may call thousands of members. */
+/**
+ * Time after which the connection of a gather call closes: a home may call
+ * thousands of members.
+ */
 const IDLE_TIMEOUT_MS = 1_000;
 
 /** Reaches other processes over HTTP/2 with the Connect protocol. */
@@ -26,9 +29,11 @@
   open(address: string): PeerStream {
     const client = createPeerClient(address);
     const abort = new AbortController();
-    // The client needs the frames to send, which only exist once the stream does.
+    // The client needs the frames to send, which only exist once the stream
+    // does.
     const stream: FrameStream = new FrameStream(receive(), {
-      // Aborting at once could cut off the last frames; the server ends its side after them.
+      // Aborting at once could cut off the last frames; the server ends its
+      // side after them.
       onClose: () => setTimeout(() => abort.abort(), 1_000).unref(),
     });
     return stream;
--- a/src/transport/peer/peer_server.ts
+++ b/src/transport/peer/peer_server.ts
@@ -35,7 +35,8 @@
           router.service(Peer, {
             async *connect(frames) {
               const stream = new FrameStream(frames);
-              // The session ends with an error when the stream breaks; the frames sent just stop.
+              // The session ends with an error when the stream breaks; the
+              // frames sent just stop.
               const served = serve(stream).catch(() => {}).finally(() =>
                 stream.close()
               );
--- a/src/transport/upstream/http_upstream_caller.ts
+++ b/src/transport/upstream/http_upstream_caller.ts
@@ -89,8 +89,9 @@
       port: this.#port,
       method: "POST",
       path: `/${encodeURIComponent(request.service)}`,
-      // A kept connection may have been closed by the upstream; a write into it leaves open whether the
-      // request ran. A fresh connection that can't be opened is a certain "not run".
+      // A kept connection may have been closed by the upstream; a write into it
+      // leaves open whether the request ran. A fresh connection that can't be
+      // opened is a certain "not run".
       agent: request.repeatable ? this.#agent : false,
       headers: {
         "content-type": "application/octet-stream",
@@ -137,8 +138,9 @@
 }
 
 /**
- * Does the answer state where it ends? One that ends with its connection can't be told from a truncated
- * one: the kernel of an upstream that was killed closes the connection in the same way.
+ * Does the answer state where it ends? One that ends with its connection can't
+ * be told from a truncated one: the kernel of an upstream that was killed
+ * closes the connection in the same way.
  */
 function isEndMarked(response: http.IncomingMessage): boolean {
   const { headers, statusCode } = response;
--- a/tests/cluster/claims_test.ts
+++ b/tests/cluster/claims_test.ts
@@ -17,7 +17,8 @@
   after(() => cluster.stop());
 
   it("keeps claims when an agent joins", async () => {
-    // Guards against a new home that grants keys which are running or done under the former home.
+    // Guards against a new home that grants keys which are running or done
+    // under the former home.
     const done = Array.from({ length: 60 }, (_, n) => `done-${n}`);
     const running = Array.from({ length: 40 }, (_, n) => `running-${n}`);
     const doneAnswers = await submit(0, done);
@@ -51,7 +52,8 @@
   });
 
   it("keeps claims when their home is killed, and serves fresh keys", async () => {
-    // Guards against a home whose claims die with it, and against keys held back without need.
+    // Guards against a home whose claims die with it, and against keys held
+    // back without need.
     const home = cluster.agents[2] as ClusterProcess;
     const keys = await findKeys(cluster, home, "kill");
     const [fresh = "", done = "", ...running] = keys;
@@ -107,7 +109,8 @@
   });
 
   it("answers unknown when the entry was killed", async () => {
-    // Guards against a second run in place of a lost coordinator, and against an endless wait for it.
+    // Guards against a second run in place of a lost coordinator, and against
+    // an endless wait for it.
     const first = submit(0, ["entry"], { runMs: 1_500 });
     await sleep(300);
     await cluster.kill(cluster.entries[0] as ClusterProcess);
@@ -156,7 +159,10 @@
   return answer?.status === "failed" ? answer.error.kind : answer?.status;
 }
 
-/** Gets the function that finds the name of a key's home under the view of the second entry. */
+/**
+ * Gets the function that finds the name of a key's home under the view of the
+ * second entry.
+ */
 async function getHomes(
   cluster: Cluster,
 ): Promise<(key: string) => string | undefined> {
--- a/tests/cluster/complete_or_failed_test.ts
+++ b/tests/cluster/complete_or_failed_test.ts
@@ -20,7 +20,10 @@
     await cluster.stop();
   });
 
-  /** Runs jobs of many tasks while a fault comes and goes, and gets the share of complete ones. */
+  /**
+   * Runs jobs of many tasks while a fault comes and goes, and gets the share of
+   * complete ones.
+   */
   async function check(
     title: string,
     fault: () => Promise<void>,
@@ -41,7 +44,8 @@
   }
 
   it("is complete or failed when an upstream resets in the middle of its bodies", async () => {
-    // Guards against a job that is answered without the tasks whose answers were cut off.
+    // Guards against a job that is answered without the tasks whose answers
+    // were cut off.
     const [upstream] = cluster.upstreams as [ClusterProcess];
     await check("resetting", async () => {
       await cluster.setBehavior(upstream, { mode: "resetting" });
@@ -61,8 +65,9 @@
   });
 
   it("belongs to its own request when answers are delayed and callers give up and resubmit", async () => {
-    // Guards against an answer that goes to the next request on a connection or in a stream, and against a
-    // resubmission that gets another answer than the first submission.
+    // Guards against an answer that goes to the next request on a connection or
+    // in a stream, and against a resubmission that gets another answer than the
+    // first submission.
     const [delayed] = cluster.agents as [ClusterProcess];
     delayed.peerRelay?.setMode({ type: "delay", delayMs: 60 });
     const jobs = await Promise.all(
--- a/tests/cluster/fuzz_test.ts
+++ b/tests/cluster/fuzz_test.ts
@@ -68,7 +68,9 @@
     pending.push(caller.submit({ ...options, ...limits, key, entry }));
   }
 
-  /** Gets the shape of a key's submission: a resubmission has to be the same. */
+  /**
+   * Gets the shape of a key's submission: a resubmission has to be the same.
+   */
   function getShape(key: string) {
     const n = Number(key.split("-").at(-1));
     return {
@@ -208,7 +210,10 @@
     }
   }
 
-  /** Ends all faults, and waits until the cluster works and every submission has ended. */
+  /**
+   * Ends all faults, and waits until the cluster works and every submission has
+   * ended.
+   */
   async function repair(model: FuzzModel): Promise<void> {
     await cluster.setLogFaults({});
     for (const process of all()) {
@@ -253,7 +258,8 @@
         throw new Error(violations.join("\n"));
       }
     });
-    // A run on a cluster that other runs have used isn't repeatable exactly, so nothing is shrunk.
+    // A run on a cluster that other runs have used isn't repeatable exactly, so
+    // nothing is shrunk.
     await fc.assert(property, {
       seed: SEED,
       numRuns: RUNS,
--- a/tests/cluster/log_outage_test.ts
+++ b/tests/cluster/log_outage_test.ts
@@ -2,13 +2,22 @@
 import { Cluster, type ClusterProcess } from "../../scripts/lib/cluster.ts";
 import { Caller, printCompletedShare, sleep } from "../lib/caller.ts";
 
-/** A cut-off process starts tasks at most this long: the view age limit, in milliseconds. */
+/**
+ * A cut-off process starts tasks at most this long: the view age limit, in
+ * milliseconds.
+ */
 const BOUND_MS = 5_000;
 
-/** Time from the agent's write to the upstream's record of the start on a busy machine, in milliseconds. */
+/**
+ * Time from the agent's write to the upstream's record of the start on a busy
+ * machine, in milliseconds.
+ */
 const RECORD_SLACK_MS = 200;
 
-/** Outage in the tests: longer than the view age limit and several report ages, in milliseconds. */
+/**
+ * Outage in the tests: longer than the view age limit and several report ages,
+ * in milliseconds.
+ */
 const OUTAGE_MS = 10_000;
 
 describe("an outage of the log", function () {
@@ -24,7 +33,9 @@
   before(() => cluster.start());
   after(() => cluster.stop());
 
-  /** Runs load for the time of the outage, and gets the share of complete jobs. */
+  /**
+   * Runs load for the time of the outage, and gets the share of complete jobs.
+   */
   async function check(
     title: string,
     entries = cluster.entries,
@@ -41,7 +52,8 @@
 
   for (const fault of ["isDown", "isHanging"]) {
     it(`stops no work (${fault})`, async () => {
-      // Guards against stopping all work when views age, though most zones report the outage.
+      // Guards against stopping all work when views age, though most zones
+      // report the outage.
       await cluster.setLogFaults({ [fault]: true });
       expect(await check(fault)).to.be.above(0.95);
       await cluster.setLogFaults({});
@@ -50,8 +62,9 @@
   }
 
   it("isn't taken from a single agent that is cut off from everything but its entry's tasks", async () => {
-    // Guards against a cut-off process that takes its own view of the log for an outage: the streams to it
-    // are held, so that tasks which were sent before arrive when its view is old.
+    // Guards against a cut-off process that takes its own view of the log for
+    // an outage: the streams to it are held, so that tasks which were sent
+    // before arrive when its view is old.
     const [, , agent] = cluster.agents as ClusterProcess[];
     const cutAt = Date.now();
     agent?.logRelay?.setMode({ type: "refuse" });
@@ -76,7 +89,8 @@
     const [, entry] = cluster.entries as [ClusterProcess, ClusterProcess];
     const [, agent] = cluster.agents as [ClusterProcess, ClusterProcess];
     const others = cluster.agents.filter((other) => other !== agent);
-    // Entry 2 keeps only its link to agent 2, and entry 1 loses its one: streams are told apart by pausing.
+    // Entry 2 keeps only its link to agent 2, and entry 1 loses its one:
+    // streams are told apart by pausing.
     entry.logRelay?.setMode({ type: "refuse" });
     agent.logRelay?.setMode({ type: "refuse" });
     cluster.pause(cluster.entries[0] as ClusterProcess);
--- a/tests/cluster/naive_comparison_test.ts
+++ b/tests/cluster/naive_comparison_test.ts
@@ -17,7 +17,10 @@
   before(() => cluster.start());
   after(() => cluster.stop());
 
-  /** Submits jobs at a fixed interval during a schedule of upstream faults; every fourth is resubmitted. */
+  /**
+   * Submits jobs at a fixed interval during a schedule of upstream faults;
+   * every fourth is resubmitted.
+   */
   async function run(
     prefix: string,
     submit: (
@@ -49,7 +52,10 @@
     await Promise.all(running);
   }
 
-  /** Counts the broken guarantees by kind, and prints them beside the completed work. */
+  /**
+   * Counts the broken guarantees by kind, and prints them beside the completed
+   * work.
+   */
   async function report(title: string, oracle: Oracle): Promise<string[]> {
     const starts = await cluster.getStarts();
     const own = starts.filter(({ key }) => key.includes(`/${title}-`));
@@ -68,7 +74,8 @@
   }
 
   it("break no guarantee here, and several with the naive version", async () => {
-    // Guards against an oracle that sees nothing: the naive version has to fail it.
+    // Guards against an oracle that sees nothing: the naive version has to fail
+    // it.
     const naive = new Oracle();
     const dispatcher = new NaiveDispatcher(cluster.upstreams, naive);
     await run("naive", (job) => dispatcher.submit(job));
--- a/tests/cluster/not_run_test.ts
+++ b/tests/cluster/not_run_test.ts
@@ -22,7 +22,10 @@
   before(() => cluster.start());
   after(() => cluster.stop());
 
-  /** Starts jobs a few milliseconds apart, checks all words, and gets the share of complete answers. */
+  /**
+   * Starts jobs a few milliseconds apart, checks all words, and gets the share
+   * of complete answers.
+   */
   async function check(
     prefix: string,
     submit: (key: string, entry: ClusterProcess) => Promise<unknown>,
@@ -43,7 +46,8 @@
   }
 
   it("are true when deadlines pass about when tasks start or end", async () => {
-    // Guards against a deadline that reports "not run" while the dispatch is on its way.
+    // Guards against a deadline that reports "not run" while the dispatch is on
+    // its way.
     const share = await check("deadline", (key, entry) => {
       const deadlineMs = random.getInt(1, 200);
       return caller.submit({ key, entry, tasks: 6, runMs: 40, deadlineMs });
@@ -74,7 +78,8 @@
   });
 
   it("are true when a failed task cancels the tasks that are just sent", async () => {
-    // Guards against an abort that comes between the send of a task and the queue's report of it.
+    // Guards against an abort that comes between the send of a task and the
+    // queue's report of it.
     await cluster.setBehavior(getUpstream(0), { mode: "failing" });
     await check(
       "failing",
@@ -100,7 +105,8 @@
       (key, entry) =>
         caller.submit({ key, entry, tasks: 4, deadlineMs: 3_000 }),
     );
-    // A refused connection is tried on another agent, so the work is done all the same.
+    // A refused connection is tried on another agent, so the work is done all
+    // the same.
     expect(share).to.be.above(0.9);
     cluster.restart(getUpstream(1));
   });
--- a/tests/cluster/operators_test.ts
+++ b/tests/cluster/operators_test.ts
@@ -32,7 +32,8 @@
   after(() => cluster.stop());
 
   it("lets one of two racing operators win, and tells the other which revision won", async () => {
-    // Guards against two operators who are both told that their value is in force.
+    // Guards against two operators who are both told that their value is in
+    // force.
     const { value } = await runCtl(cluster, "settings", "get");
     const base = ["--base", String(value["revision"])];
     const runs = await Promise.all(
@@ -68,7 +69,8 @@
   });
 
   it("puts a change in force that no process can read from the log", async () => {
-    // Guards against outage mode with the older settings when the log goes down right after the append.
+    // Guards against outage mode with the older settings when the log goes down
+    // right after the append.
     const members = [...cluster.entries, ...cluster.agents];
     members.forEach(({ logRelay }) => logRelay?.setMode({ type: "refuse" }));
     const { code, value } = await runCtl(cluster, "zone", "out", "c");
@@ -78,7 +80,8 @@
   });
 
   it("reports a zone out as in force once every member has applied it", async () => {
-    // Guards against "in force" while an agent of the zone may still start tasks.
+    // Guards against "in force" while an agent of the zone may still start
+    // tasks.
     const { code, value } = await runCtl(cluster, "zone", "out", "b");
     expect(code).to.equal(0);
     for (const member of [...cluster.entries, ...cluster.agents]) {
@@ -113,7 +116,8 @@
   });
 
   it("refuses an unknown service, and metrics count it", async () => {
-    // Guards against a refusal without its status, or one that operators can't see.
+    // Guards against a refusal without its status, or one that operators can't
+    // see.
     const address = cluster.entries[0]!.httpAddress;
     const response = await fetch(`http://${address}/v1/requests/nothing`, {
       method: "POST",
@@ -152,7 +156,10 @@
   before(() => cluster.start());
   after(() => cluster.stop());
 
-  /** Publishes many changes at a pace that running processes follow, and gets the last revision. */
+  /**
+   * Publishes many changes at a pace that running processes follow, and gets
+   * the last revision.
+   */
   async function publishMany(count: number): Promise<number> {
     let revision = 0;
     for (let n = 0; n < count; n++) {
@@ -170,7 +177,8 @@
   }
 
   it("lets an instance start after the first records have passed out of retention", async () => {
-    // Guards against a replaced instance that serves older settings, or never becomes ready.
+    // Guards against a replaced instance that serves older settings, or never
+    // becomes ready.
     const revision = await publishMany(100);
     const late = await cluster.addEntry("b");
     await cluster.waitUntilReady();
@@ -182,7 +190,8 @@
   });
 
   it("lets a paused agent go on after retention has passed it", async () => {
-    // Guards against a process that waits for records that are gone, or works under the settings before.
+    // Guards against a process that waits for records that are gone, or works
+    // under the settings before.
     const paused = cluster.agents[1]!;
     const before = await cluster.getView(paused);
     cluster.pause(paused);
--- a/tests/cluster/planned_stop_test.ts
+++ b/tests/cluster/planned_stop_test.ts
@@ -3,10 +3,16 @@
 import { Caller, printCompletedShare, sleep } from "../lib/caller.ts";
 import type { OracleSubmission } from "../lib/oracle.ts";
 
-/** Longest time for a change to reach every process: the view age limit, in milliseconds. */
+/**
+ * Longest time for a change to reach every process: the view age limit, in
+ * milliseconds.
+ */
 const BOUND_MS = 5_000;
 
-/** Time from the agent's write to the upstream's record of the start on a busy machine, in milliseconds. */
+/**
+ * Time from the agent's write to the upstream's record of the start on a busy
+ * machine, in milliseconds.
+ */
 const RECORD_SLACK_MS = 200;
 
 describe("a planned stop", function () {
@@ -29,7 +35,10 @@
     return await fetch(url).then(({ ok }) => ok, () => false);
   }
 
-  /** Submits like a balancer: to a ready entry, to the next one on a refused connection or "not run". */
+  /**
+   * Submits like a balancer: to a ready entry, to the next one on a refused
+   * connection or "not run".
+   */
   async function submitBalanced(
     key: string,
     first: number,
@@ -52,7 +61,10 @@
     }
   }
 
-  /** Runs an action under load, and checks that every submission gets a complete answer. */
+  /**
+   * Runs an action under load, and checks that every submission gets a complete
+   * answer.
+   */
   async function check(
     title: string,
     action: () => Promise<void>,
@@ -83,7 +95,8 @@
   }
 
   it("of an entry and an agent with slow links between them cuts off nothing", async () => {
-    // Guards against leaving while claims, dispatches or results are still on their way.
+    // Guards against leaving while claims, dispatches or results are still on
+    // their way.
     const setDelay = (delayMs: number) =>
       cluster.agents.forEach(({ peerRelay }) =>
         peerRelay?.setMode({ type: "delay", delayMs })
@@ -106,7 +119,10 @@
     });
   });
 
-  /** Checks that nothing starts at the first upstream after the bound, and that what runs there ends. */
+  /**
+   * Checks that nothing starts at the first upstream after the bound, and that
+   * what runs there ends.
+   */
   async function checkLeaving(
     title: string,
     leave: () => Promise<unknown>,
--- a/tests/cluster/run_once_test.ts
+++ b/tests/cluster/run_once_test.ts
@@ -22,7 +22,8 @@
   before(async () => {
     await cluster.start();
     await cluster.publish([{ path: "services.cut", value: {} }]);
-    // The cutting upstream takes the place of the first one, and alone offers the service "cut".
+    // The cutting upstream takes the place of the first one, and alone offers
+    // the service "cut".
     const [upstream] = cluster.upstreams as [ClusterProcess];
     const [agent] = cluster.agents as [ClusterProcess];
     await cluster.kill(upstream);
@@ -87,7 +88,8 @@
   });
 
   it("starts once and gets its answer when the upstream closes idle connections", async () => {
-    // Guards against a write into a kept connection that the upstream has closed.
+    // Guards against a write into a kept connection that the upstream has
+    // closed.
     for (let n = 0; n < 50; n++) {
       const job = { key: `idle-${n}`, entry: getEntry(n), service: "cut" };
       const closing = sleep(n % 5).then(() => {
@@ -127,7 +129,8 @@
   });
 
   it("starts once when its entry is killed and the caller resubmits", async () => {
-    // Guards against a resubmission that runs again what a dead entry has started.
+    // Guards against a resubmission that runs again what a dead entry has
+    // started.
     const load = { deadlineMs: 6_000, tasks: 3, runMs: 60, prefix: "entry" };
     const running = caller.runLoad({
       ...{ ...load, entries: cluster.entries, intervalMs: 25 },
@@ -149,7 +152,8 @@
   });
 
   it("starts once when its entry, then an agent is killed and the caller resubmits", async () => {
-    // Guards against a resubmission that runs again what two dead processes have claimed and started.
+    // Guards against a resubmission that runs again what two dead processes
+    // have claimed and started.
     const load = { deadlineMs: 6_000, tasks: 3, runMs: 60, prefix: "both" };
     const running = caller.runLoad({
       ...{ ...load, entries: cluster.entries, intervalMs: 25 },
@@ -169,7 +173,8 @@
     cluster.restart(entry);
     cluster.restart(agent as ClusterProcess);
     expect(await findViolations()).to.deep.equal([]);
-    // Keys of the killed home are held back when an entry and another agent went away before.
+    // Keys of the killed home are held back when an entry and another agent
+    // went away before.
     const jobs = caller.oracle.submissions.slice(-120);
     expect(printCompletedShare("both killed", jobs)).to.be.above(0.25);
   });
--- a/tests/cluster/zone_out_test.ts
+++ b/tests/cluster/zone_out_test.ts
@@ -6,10 +6,16 @@
 } from "../../scripts/lib/cluster.ts";
 import { Caller, printCompletedShare, sleep } from "../lib/caller.ts";
 
-/** A task starts at most this long after the accepted append, in milliseconds: the view age limit. */
+/**
+ * A task starts at most this long after the accepted append, in milliseconds:
+ * the view age limit.
+ */
 const BOUND_MS = 5_000;
 
-/** Time from the agent's write to the upstream's record of the start on a busy machine, in milliseconds. */
+/**
+ * Time from the agent's write to the upstream's record of the start on a busy
+ * machine, in milliseconds.
+ */
 const RECORD_SLACK_MS = 200;
 
 /** Time for which starts are watched after the append, in milliseconds. */
@@ -35,8 +41,9 @@
   after(() => cluster.stop());
 
   /**
-   * Publishes edits under load, runs the disturbance, and checks that nothing starts at the zone's upstreams
-   * after the bound. Gets the share of complete jobs.
+   * Publishes edits under load, runs the disturbance, and checks that nothing
+   * starts at the zone's upstreams after the bound. Gets the share of complete
+   * jobs.
    */
   async function check(options: {
     title: string;
@@ -70,7 +77,10 @@
     return printCompletedShare(title, jobs);
   }
 
-  /** Puts the zone in again, and waits until tasks start there: refusing for ever is no proof. */
+  /**
+   * Puts the zone in again, and waits until tasks start there: refusing for
+   * ever is no proof.
+   */
   async function putIn(): Promise<void> {
     await cluster.setLogFaults({});
     const sentAt = Date.now();
@@ -97,7 +107,8 @@
   afterEach(putIn);
 
   it("starts nothing after the bound when the log goes down once the first entry has the change", async () => {
-    // Guards against outage mode that goes on with settings older than the bound.
+    // Guards against outage mode that goes on with settings older than the
+    // bound.
     const share = await check({
       title: "outage",
       after: async (offset) => {
@@ -112,7 +123,8 @@
   });
 
   it("starts nothing after the bound at agents that were cut off or paused", async () => {
-    // Guards against work that waits in a paused agent or in a held link, and against views that age.
+    // Guards against work that waits in a paused agent or in a held link, and
+    // against views that age.
     const share = await check({
       title: "agents",
       before: () => {
@@ -149,8 +161,9 @@
   });
 
   it("starts nothing after the bound in a zone whose processes reach only each other", async () => {
-    // Guards against a start gate that trusts a view of any age: no record reaches the zone. One relay
-    // stands before each agent, so the other entry is paused to cut its streams to the zone.
+    // Guards against a start gate that trusts a view of any age: no record
+    // reaches the zone. One relay stands before each agent, so the other entry
+    // is paused to cut its streams to the zone.
     const [entry, other] = cluster.entries as [ClusterProcess, ClusterProcess];
     const inside = [entry, ...cluster.agents.slice(0, 2)];
     const outside = cluster.agents.slice(2);
@@ -172,7 +185,8 @@
   });
 
   it("starts nothing after the bound while the log is slow", async () => {
-    // Guards against taking a slow log, which still accepts changes, for an outage.
+    // Guards against taking a slow log, which still accepts changes, for an
+    // outage.
     const share = await check({
       title: "slow log",
       before: async () => {
--- a/tests/coordination/agent/capacity_control_test.ts
+++ b/tests/coordination/agent/capacity_control_test.ts
@@ -40,7 +40,8 @@
 describe("CapacityControl", () => {
   describe("apply", () => {
     it("withdraws the credits when the zone goes out and ramps up when it returns", async () => {
-      // Guards against placements in a zone that is out, and a rush to cold back ends after its return.
+      // Guards against placements in a zone that is out, and a rush to cold
+      // back ends after its return.
       const { apply } = createControl();
       expect(await apply(0)).to.equal(8);
       expect(await apply(10, "zone_out")).to.equal(0);
@@ -50,7 +51,8 @@
     });
 
     it("opens all slots at once after the view was too old", async () => {
-      // Guards against lost capacity after each pause of the process or the log.
+      // Guards against lost capacity after each pause of the process or the
+      // log.
       const { apply } = createControl();
       expect(await apply(0, "view_stale")).to.equal(0);
       expect(await apply(100)).to.equal(8);
--- a/tests/coordination/agent/credit_ledger_test.ts
+++ b/tests/coordination/agent/credit_ledger_test.ts
@@ -77,7 +77,8 @@
 
 describe("CreditLedger", () => {
   it("never promises a slot twice and loses none, wherever streams break", () => {
-    // Guards against over-commitment and leaks: a task that finds no slot, or a slot nobody can use.
+    // Guards against over-commitment and leaks: a task that finds no slot, or a
+    // slot nobody can use.
     const types: Step["type"][] = [
       ...["queue", "deliver", "end", "deliver", "end"] as const,
       ...["break", "open", "slots", "closed"] as const,
@@ -95,7 +96,8 @@
 
   describe("setQueued", () => {
     it("moves all idle credits to the entry that queues, within two round trips", () => {
-      // Guards against a burst at one entry that leaves the slots promised to idle entries unused.
+      // Guards against a burst at one entry that leaves the slots promised to
+      // idle entries unused.
       const ledger = new CreditLedger(8);
       const busy = new FakeEntry(ledger, "busy");
       const idle = new FakeEntry(ledger, "idle");
--- a/tests/coordination/agent/fake_entry.ts
+++ b/tests/coordination/agent/fake_entry.ts
@@ -1,7 +1,10 @@
 import type { CreditAccount } from "../../../src/coordination/agent/credit_account.ts";
 import type { CreditLedger } from "../../../src/coordination/agent/mod.ts";
 
-/** An entry at the other end of a stream whose messages arrive in order and only when `deliver` is called. */
+/**
+ * An entry at the other end of a stream whose messages arrive in order and only
+ * when `deliver` is called.
+ */
 export class FakeEntry {
   readonly #ledger: CreditLedger;
   readonly #id: string;
--- a/tests/coordination/claims/claim_service_test.ts
+++ b/tests/coordination/claims/claim_service_test.ts
@@ -5,7 +5,10 @@
 /** Several steps of a takeover, in milliseconds. */
 const STEPS_MS = 250;
 
-/** Longest wait until a member that wasn't ready is asked again, in milliseconds. */
+/**
+ * Longest wait until a member that wasn't ready is asked again, in
+ * milliseconds.
+ */
 const MAX_RETRY_MS = 400;
 
 describe("ClaimService", () => {
@@ -34,7 +37,8 @@
 
   describe("handleClaim", () => {
     it("asks only the former homes when an agent joins", async () => {
-      // Guards against a new home that grants a key which is running, and against calls to everybody.
+      // Guards against a new home that grants a key which is running, and
+      // against calls to everybody.
       await settle();
       expect(cluster.claim("k", "e1")).to.deep.equal(["granted"]);
       const watcher = cluster.claim("k", "e2");
@@ -51,7 +55,8 @@
     });
 
     it("waits for every member after a removal, also past the view age limit", async () => {
-      // Guards against a grant while a removed home or a slow member may still know of another one.
+      // Guards against a grant while a removed home or a slow member may still
+      // know of another one.
       await settle();
       cluster.claim("k", "e1");
       const fresh = removeHome("k", { late: ["e1"] });
@@ -67,12 +72,14 @@
     });
 
     it("decides without a wait when only agents were removed and all members have answered", async () => {
-      // Guards against keys that stay unusable for seconds after each loss of an agent.
+      // Guards against keys that stay unusable for seconds after each loss of
+      // an agent.
       await settle();
       cluster.now += 2 * VIEW_LIMITS.maxViewAgeMs;
       const fresh = removeHome("k");
       const other = cluster.claim(fresh, "e2");
-      // The clock stands still, so only the answers can decide; they come in real time.
+      // The clock stands still, so only the answers can decide; they come in
+      // real time.
       for (let tries = 0; tries < 100 && other.length === 0; tries++) {
         await sleep(50);
       }
@@ -80,7 +87,8 @@
     });
 
     it("doesn't answer before the view age limit when an entry was removed too", async () => {
-      // Guards against a removed entry and a removed agent, both paused, that go on together.
+      // Guards against a removed entry and a removed agent, both paused, that
+      // go on together.
       await settle();
       cluster.now += 2 * VIEW_LIMITS.maxViewAgeMs;
       cluster.remove(["e1"]);
@@ -109,7 +117,8 @@
     });
 
     it("finds a lost submission by its start records", async () => {
-      // Guards against a second run after the entry and the home were lost, and against needless holds.
+      // Guards against a second run after the entry and the home were lost, and
+      // against needless holds.
       await settle();
       cluster.claim("k", "e1");
       const home = cluster.findHome("k");
@@ -124,7 +133,8 @@
     });
 
     it("holds keys back after the loss of an entry, the home and an agent", async () => {
-      // Guards against a second run when all three places that knew the claim are lost.
+      // Guards against a second run when all three places that knew the claim
+      // are lost.
       await settle();
       cluster.claim("k", "e1");
       const kept = findKeys(cluster.findHome("k")).length;
@@ -142,7 +152,8 @@
     });
 
     it("holds nothing back when the further agent has come back", async () => {
-      // Guards against needless holds: a process that is announced anew keeps its start records.
+      // Guards against needless holds: a process that is announced anew keeps
+      // its start records.
       const runner = ["a1", "a2"].find((id) => id !== cluster.findHome("k"));
       await settle();
       cluster.remove(["e1"]);
@@ -169,7 +180,8 @@
     });
 
     it("asks everybody when the former home hadn't completed its own takeover", async () => {
-      // Guards against a chain of homes in which the one in between knows nothing.
+      // Guards against a chain of homes in which the one in between knows
+      // nothing.
       await settle();
       cluster.claim("k", "e1");
       const first = cluster.findHome("k");
@@ -187,7 +199,8 @@
     });
 
     it("doesn't use the answer of a member that is ahead", async () => {
-      // Guards against a home that grants a key under an old view, while the answer leaves the key out.
+      // Guards against a home that grants a key under an old view, while the
+      // answer leaves the key out.
       await settle();
       cluster.claim("k", "e1");
       const first = cluster.findHome("k");
@@ -203,7 +216,8 @@
     });
 
     it("asks again when an entry is removed before it has answered", async () => {
-      // Guards against starts for that entry at agents that had answered before its removal.
+      // Guards against starts for that entry at agents that had answered before
+      // its removal.
       await settle();
       cluster.claim("k", "e1");
       const home = cluster.findHome("k");
@@ -220,7 +234,8 @@
     });
 
     it("doesn't bring back a claim that was released during the takeover", async () => {
-      // Guards against a key that runs for ever because a member answered before the release.
+      // Guards against a key that runs for ever because a member answered
+      // before the release.
       await settle();
       cluster.claim("k", "e1");
       removeHome("k");
@@ -277,7 +292,8 @@
 
   describe("waitForHandover", () => {
     it("waits until the homes that gain the keys have got the claims", async () => {
-      // Guards against a planned stop that costs the view age limit, or loses claims.
+      // Guards against a planned stop that costs the view age limit, or loses
+      // claims.
       await settle();
       const home = cluster.findHome("k");
       cluster.unreachable.add(home);
--- a/tests/coordination/claims/fake_cluster.ts
+++ b/tests/coordination/claims/fake_cluster.ts
@@ -32,7 +32,10 @@
   headers: {},
 };
 
-/** Claim services and entries' claim tables that follow one list of records, on one fake clock. */
+/**
+ * Claim services and entries' claim tables that follow one list of records, on
+ * one fake clock.
+ */
 export class FakeCluster implements Pick<PeerCaller, "gather"> {
   now = 1_000_000;
   /** Gather calls as "home>member". */
@@ -87,7 +90,10 @@
     this.#announce(id, "agent", options.processId ?? id);
   }
 
-  /** Appends a record. Members listed in `late` get it with a later record that they aren't listed for. */
+  /**
+   * Appends a record. Members listed in `late` get it with a later record that
+   * they aren't listed for.
+   */
   append(record: LogRecord, options: { late?: string[] } = {}): void {
     const offset = this.#records.length + 1;
     this.#records.push({ offset, json: JSON.stringify(record) });
@@ -127,7 +133,9 @@
     return this.#homes.find(key)?.id ?? "";
   }
 
-  /** Adds agents, one after the other, until the home of a key is another one. */
+  /**
+   * Adds agents, one after the other, until the home of a key is another one.
+   */
   async moveByJoin(key: string): Promise<string> {
     const before = this.findHome(key);
     while (this.findHome(key) === before) {
@@ -137,7 +145,10 @@
     return this.findHome(key);
   }
 
-  /** Claims a key at its home, and gets the list that the outcomes of the replies are added to. */
+  /**
+   * Claims a key at its home, and gets the list that the outcomes of the
+   * replies are added to.
+   */
   claim(
     key: string,
     entryId: string,
--- a/tests/coordination/entry/admission_test.ts
+++ b/tests/coordination/entry/admission_test.ts
@@ -113,14 +113,15 @@
     });
 
     it("refuses a deadline that the queue makes unreachable, by the customer's share of it", () => {
-      // Guards against work that is started and thrown away under overload, and against a queue of one
-      // customer that shuts the others out.
+      // Guards against work that is started and thrown away under overload, and
+      // against a queue of one customer that shuts the others out.
       const { add, find, runTimes } = createAdmission();
       for (let n = 0; n < 20; n++) {
         runTimes.record("s", "a", 100);
       }
       add("big", 1_000);
-      // 10 slots end 100 tasks a second; the small customer gets a quarter of them.
+      // 10 slots end 100 tasks a second; the small customer gets a quarter of
+      // them.
       expect(find("big", 1, { deadlineMs: 9_000 }))
         .to.equal("deadline_unreachable");
       expect(find("big", 1, { deadlineMs: 11_000 })).to.equal(undefined);
--- a/tests/coordination/entry/claim_client_test.ts
+++ b/tests/coordination/entry/claim_client_test.ts
@@ -77,7 +77,8 @@
 
   describe("claim", () => {
     it("releases a claim that is granted after the deadline", async () => {
-      // Guards against a key that its home counts as running though no entry runs it.
+      // Guards against a key that its home counts as running though no entry
+      // runs it.
       expect(await claim(20)).to.equal(undefined);
       await sleep(10);
       link.completes.length = 0;
@@ -87,7 +88,8 @@
     });
 
     it("takes a grant up whose reply was lost, once only", async () => {
-      // Guards against an entry that waits for itself, and against two runs in one entry.
+      // Guards against an entry that waits for itself, and against two runs in
+      // one entry.
       const first = claim();
       link.receivers[0]?.(undefined);
       await sleep(80);
@@ -101,7 +103,8 @@
     });
 
     it("doesn't run a key again that its home has forgotten", async () => {
-      // Guards against a home that was rebuilt without the claims of this entry.
+      // Guards against a home that was rebuilt without the claims of this
+      // entry.
       const first = claim();
       link.reply("granted");
       await first;
@@ -125,7 +128,8 @@
 
   describe("waitForStores", () => {
     it("waits until the home has the answer", async () => {
-      // Guards against a planned stop after which a done submission counts as lost.
+      // Guards against a planned stop after which a done submission counts as
+      // lost.
       const first = claim();
       link.reply("granted");
       await first;
@@ -144,7 +148,8 @@
 
   describe("complete", () => {
     it("stores the answer at the new home when the home has moved", async () => {
-      // Guards against an answer that stays at a home which nobody asks any more.
+      // Guards against an answer that stays at a home which nobody asks any
+      // more.
       const first = claim();
       link.reply("granted");
       await first;
--- a/tests/coordination/entry/dispatch_queue_test.ts
+++ b/tests/coordination/entry/dispatch_queue_test.ts
@@ -59,7 +59,8 @@
 describe("DispatchQueue", () => {
   describe("dequeue", () => {
     it("shares slot time by weight between customers, and then between teams", () => {
-      // Guards against a customer with a long queue or long tasks that pushes the others out.
+      // Guards against a customer with a long queue or long tasks that pushes
+      // the others out.
       const { add, start } = createQueue();
       addMany(add, 500, { customer: "a", weight: 3, team: "x", teamWeight: 2 });
       addMany(add, 500, { customer: "a", weight: 3, team: "y" });
@@ -71,13 +72,15 @@
             task[name as keyof Started] === value
           )
         ).length;
-      // Weight 3 with tasks of 100 ms against weight 1 with 200 ms: six tasks to one.
+      // Weight 3 with tasks of 100 ms against weight 1 with 200 ms: six tasks
+      // to one.
       expect(count({ customer: "b" })).to.be.within(29, 31);
       expect(count({ team: "x" })).to.be.within(119, 121);
     });
 
     it("gives no credit for an idle time", () => {
-      // Guards against a customer that returns after an hour and gets every slot for a while.
+      // Guards against a customer that returns after an hour and gets every
+      // slot for a while.
       const { add, start } = createQueue();
       addMany(add, 1_000, { customer: "busy" });
       start(500);
@@ -101,7 +104,8 @@
     });
 
     it("lets tasks pass others that no agent can take now", () => {
-      // Guards against head-of-line blocking by a service without capacity, and by the home's exclusion.
+      // Guards against head-of-line blocking by a service without capacity, and
+      // by the home's exclusion.
       const { add, start, queue } = createQueue({
         isReady: (service) => service !== "full",
         canPlace: ({ homeId }) => homeId !== "only-agent",
@@ -128,7 +132,8 @@
 
   describe("getWantedByService", () => {
     it("counts only tasks that the quotas let run", () => {
-      // Guards against an entry that takes credits from others for tasks that it must not start.
+      // Guards against an entry that takes credits from others for tasks that
+      // it must not start.
       const { add, start, queue } = createQueue({
         getMaxRunning: (_, team) => team === undefined ? 5 : 4,
       });
--- a/tests/coordination/entry/placement/agent_health_test.ts
+++ b/tests/coordination/entry/placement/agent_health_test.ts
@@ -29,7 +29,8 @@
     });
 
     it("lets one probe through after a delay that doubles", () => {
-      // Guards against a failing agent that gets a burst of tasks whenever its ejection ends.
+      // Guards against a failing agent that gets a burst of tasks whenever its
+      // ejection ends.
       const { clock, health, fail } = createHealth(["a", "b"]);
       fail("a", 5);
       clock.time = 1_000;
@@ -46,7 +47,8 @@
     });
 
     it("allows another probe when the first one was refused", () => {
-      // Guards against an agent that stays ejected because its probe never ended.
+      // Guards against an agent that stays ejected because its probe never
+      // ended.
       const { clock, health, fail } = createHealth(["a", "b"]);
       fail("a", 5);
       clock.time = 1_000;
@@ -56,7 +58,8 @@
     });
 
     it("never ejects more than half of the agents of a service", () => {
-      // Guards against tasks that fail everywhere and take the whole service down.
+      // Guards against tasks that fail everywhere and take the whole service
+      // down.
       const { health, fail } = createHealth(["a", "b", "c", "d"]);
       ["a", "b", "c", "d"].forEach((id) => fail(id, 20));
       expect(["a", "b", "c", "d"].filter((id) => !health.canPlace(id)))
--- a/tests/coordination/entry/placement/placement_selector_test.ts
+++ b/tests/coordination/entry/placement/placement_selector_test.ts
@@ -57,7 +57,8 @@
     });
 
     it("takes turns between agents whose run times differ by chance", () => {
-      // Guards against one agent that gets all tasks at low load, and others that are never learned again.
+      // Guards against one agent that gets all tasks at low load, and others
+      // that are never learned again.
       const known = agents();
       const { runTimes, select } = createSelector(known);
       runTimes.record("s", "a", 105);
@@ -79,7 +80,8 @@
     });
 
     it("leaves out the home and the agent that refused while another agent remains", () => {
-      // Guards against a refused task that goes straight back, and against one that waits for ever.
+      // Guards against a refused task that goes straight back, and against one
+      // that waits for ever.
       expect(createSelector(agents()).select({ homeId: "a", avoidId: "b" }))
         .to.equal("c");
       const two = createSelector(agents().slice(0, 2));
--- a/tests/coordination/entry/task_run_test.ts
+++ b/tests/coordination/entry/task_run_test.ts
@@ -36,7 +36,10 @@
   return { ...ANSWER, errorKind: kind };
 }
 
-/** Runs a task whose attempts end as the steps say; a hanging one ends only by its cancellation. */
+/**
+ * Runs a task whose attempts end as the steps say; a hanging one ends only by
+ * its cancellation.
+ */
 function createRun(
   steps: Step[],
   options: { task?: Partial<PlannedTask>; signal?: AbortSignal } = {},
@@ -137,7 +140,8 @@
     });
 
     it("tries a repeatable task elsewhere while its agent's stream is broken, others not", async () => {
-      // Guards against waiting for the agent's removal, and against a second start.
+      // Guards against waiting for the agent's removal, and against a second
+      // start.
       const { run } = createRun(["break", ANSWER]);
       expect(await run()).to.include({ status: 200 });
       const controller = new AbortController();
--- a/tests/coordination/follower/heartbeats_test.ts
+++ b/tests/coordination/follower/heartbeats_test.ts
@@ -23,7 +23,10 @@
   resolve: (page: LogPage) => void;
 }
 
-/** Processes with clocks of their own, whose messages and log reads take as long as the test wants. */
+/**
+ * Processes with clocks of their own, whose messages and log reads take as long
+ * as the test wants.
+ */
 class World {
   /** The time that no process knows. */
   time = 0;
@@ -87,7 +90,10 @@
     await new Promise((resolve) => setImmediate(resolve));
   }
 
-  /** A process may believe its view fresh up to a time only when it holds every record before it. */
+  /**
+   * A process may believe its view fresh up to a time only when it holds every
+   * record before it.
+   */
   check(): void {
     for (const [n, follower] of this.followers.entries()) {
       const provenAt = this.time - follower.getViewAgeMs();
@@ -137,7 +143,8 @@
 
 describe("Heartbeats", () => {
   it("never make a view look fresher than it is, whatever their order and delay", async () => {
-    // Guards against a task that starts under settings or a membership that changed more than 5 s ago.
+    // Guards against a task that starts under settings or a membership that
+    // changed more than 5 s ago.
     const names = ["wait", "append", "read", "serve", "return", "send"];
     const action = fc.record({
       name: fc.constantFrom(...names, "send", "deliver", "deliver", "wait"),
@@ -164,7 +171,8 @@
   });
 
   it("date a relayed proof by the echo, not by the arrival", async () => {
-    // Guards against a heartbeat that was delayed for minutes and passes for fresh.
+    // Guards against a heartbeat that was delayed for minutes and passes for
+    // fresh.
     const world = new World();
     const [fresh, stale] = [0, 1];
     const run = (name: string, a: number, b = 0) => world.run({ name, a, b });
@@ -177,12 +185,14 @@
     await run("send", fresh);
     world.time += 60_000;
     await run("deliver", 0);
-    // 60,000 ms on the way, 100 ms since the echo was sent, and 100 ms that the sender stated.
+    // 60,000 ms on the way, 100 ms since the echo was sent, and 100 ms that the
+    // sender stated.
     expect(world.followers[stale]!.getViewAgeMs()).to.equal(60_200);
   });
 
   it("prove nothing to a peer that doesn't hold the relayed records yet", async () => {
-    // Guards against a proof that is counted when one heartbeat can't carry all missing records.
+    // Guards against a proof that is counted when one heartbeat can't carry all
+    // missing records.
     const world = new World();
     const run = (name: string, a: number, b = 0) => world.run({ name, a, b });
     for (let n = 0; n < 300; n++) {
--- a/tests/coordination/follower/log_follower_test.ts
+++ b/tests/coordination/follower/log_follower_test.ts
@@ -51,7 +51,8 @@
   });
 
   it("takes a log that has lost records for unreachable", async () => {
-    // Guards against a fresh view whose log gives the same offsets to other records.
+    // Guards against a fresh view whose log gives the same offsets to other
+    // records.
     const log = new MemoryLog();
     const follower = createFollower(log);
     await log.change(1);
@@ -64,7 +65,8 @@
   });
 
   it("tells a process that lagged behind retention which members are gone", async () => {
-    // Guards against links and claims that outlive their member when its records were never read.
+    // Guards against links and claims that outlive their member when its
+    // records were never read.
     const log = new MemoryLog();
     const writer = createFollower(log);
     const lagging = createFollower(log);
@@ -86,7 +88,8 @@
   });
 
   it("lets agents share 2,000 reads a second", async () => {
-    // Guards against 8,800 agents that read the log every 400 ms when the heartbeats stop.
+    // Guards against 8,800 agents that read the log every 400 ms when the
+    // heartbeats stop.
     const log = new MemoryLog();
     const agent = createFollower(log, "agent");
     expect(agent.getReadIntervalMs()).to.equal(400);
@@ -98,7 +101,8 @@
   });
 
   it("never goes back, whatever is read, retained and written as a snapshot", async () => {
-    // Guards against a revision that goes down because of an old snapshot or an old page.
+    // Guards against a revision that goes down because of an old snapshot or an
+    // old page.
     const action = fc.oneof(
       fc.constantFrom("change", "announce", "retain"),
       fc.tuple(fc.constantFrom("read", "snapshot"), fc.nat(2)),
--- a/tests/coordination/follower/memory_log.ts
+++ b/tests/coordination/follower/memory_log.ts
@@ -6,7 +6,10 @@
 import { createError } from "../../../src/state/errors/mod.ts";
 import type { LogRecord, Member } from "../../../src/state/view/mod.ts";
 
-/** A log in memory that answers within the same tick, for tests with a fake clock. */
+/**
+ * A log in memory that answers within the same tick, for tests with a fake
+ * clock.
+ */
 export class MemoryLog implements LogService {
   readonly records: { offset: number; json: string }[] = [];
   first = 1;
--- a/tests/coordination/follower/outage_test.ts
+++ b/tests/coordination/follower/outage_test.ts
@@ -8,7 +8,10 @@
 import { ClusterView } from "../../../src/state/view/mod.ts";
 import { MemoryLog } from "./memory_log.ts";
 
-/** Step of the simulated time; the heartbeat and read intervals are multiples of it. */
+/**
+ * Step of the simulated time; the heartbeat and read intervals are multiples of
+ * it.
+ */
 const STEP_MS = 100;
 
 /** One entry in each zone, all linked to each other. */
@@ -91,7 +94,8 @@
 }
 
 describe("outage mode", () => {
-  // Each case guards against work that stops without need, or goes on while a change may pass it by.
+  // Each case guards against work that stops without need, or goes on while a
+  // change may pass it by.
   const cases: [string, string, string[], string][] = [
     ["goes on while nobody reaches the log", "abc", ["abc"], "abc"],
     ["goes on while nobody reaches the log", "abcd", ["abcd"], "abcd"],
@@ -101,7 +105,8 @@
     ["stops the half without the log", "abcd", ["ab+", "cd"], "ab"],
     ["stops the smaller part in a log outage", "abcd", ["abc", "d"], "abc"],
     ["stops both halves in a log outage", "abcd", ["ab", "cd"], ""],
-    // The stated exception: the majority can't tell that the log is up for the others.
+    // The stated exception: the majority can't tell that the log is up for the
+    // others.
     ["goes on in a majority without the log", "abc", ["a+", "bc"], "abc"],
     ["goes on in a majority without the log", "abcd", ["a+", "bcd"], "abcd"],
   ];
@@ -133,7 +138,8 @@
   });
 
   it("doesn't count a zone that is out of service", async () => {
-    // Guards against a zone that was taken out and still decides whether the others work.
+    // Guards against a zone that was taken out and still decides whether the
+    // others work.
     const world = new Zones(["a", "b", "c"]);
     await world.start();
     const edits = [{ path: "zones.c", value: { state: "out" } }];
@@ -147,7 +153,8 @@
   });
 
   it("never starts without having read the log", async () => {
-    // Guards against an instance that starts in an outage and works under no settings.
+    // Guards against an instance that starts in an outage and works under no
+    // settings.
     const world = new Zones(["a", "b", "c"]);
     world.groups = [["a", "b", "c"]];
     await world.run(10_000);
--- a/tests/coordination/follower/snapshot_writer_test.ts
+++ b/tests/coordination/follower/snapshot_writer_test.ts
@@ -70,7 +70,8 @@
   });
 
   it("lets the next entry act when the chosen one doesn't", async () => {
-    // Guards against a chosen entry that was killed or paused, and a log without snapshots.
+    // Guards against a chosen entry that was killed or paused, and a log
+    // without snapshots.
     now += 300_000;
     const chosen = await findChosen();
     expect(await runRound(chosen)).to.have.length(0);
@@ -79,7 +80,8 @@
   });
 
   it("writes nothing from an old view, and a snapshot soon after an outage", async () => {
-    // Guards against a log whose retention passes the last snapshot because of an outage.
+    // Guards against a log whose retention passes the last snapshot because of
+    // an outage.
     log.isDown = true;
     now += 400_000;
     expect(await runRound()).to.have.length(0);
--- a/tests/ctl/change_publisher_test.ts
+++ b/tests/ctl/change_publisher_test.ts
@@ -37,7 +37,8 @@
   }
 
   it("finds a change whose reply was lost, and appends it only once", async () => {
-    // Guards against a second append without looking, and against a false "unknown".
+    // Guards against a second append without looking, and against a false
+    // "unknown".
     await setFaults({ lostReplies: 1 });
     const outcome = await createPublisher().publish(createChange("a"));
     expect(outcome._unsafeUnwrap()).to.deep.equal({
@@ -64,7 +65,8 @@
   });
 
   it("gives a repeated command the outcome of the first", async () => {
-    // Guards against a retry after "unknown" that is refused as a conflict with itself.
+    // Guards against a retry after "unknown" that is refused as a conflict with
+    // itself.
     await createPublisher().publish(createChange("a"));
     const again = await createPublisher().publish(createChange("a"));
     expect(again._unsafeUnwrap()).to.include({ type: "accepted", revision: 1 });
--- a/tests/ctl/wait_for_confirmations_test.ts
+++ b/tests/ctl/wait_for_confirmations_test.ts
@@ -8,7 +8,8 @@
 
 describe("waitForConfirmations", () => {
   it("counts what entries know by heartbeats, and lists who didn't confirm", async () => {
-    // Guards against a member that is cut off, or was replaced, and is taken for confirmed.
+    // Guards against a member that is cut off, or was replaced, and is taken
+    // for confirmed.
     const standIn = new LogStandIn();
     const log = new HttpLogService(`127.0.0.1:${await standIn.start()}`);
     const server = new HttpServer({
--- a/tests/docs/operators_page_test.ts
+++ b/tests/docs/operators_page_test.ts
@@ -16,7 +16,8 @@
 
 describe("the operators' page", () => {
   it("lists every error kind with its status and outcome", () => {
-    // Guards against a refusal that an operator can't look up, or finds described wrongly.
+    // Guards against a refusal that an operator can't look up, or finds
+    // described wrongly.
     const page = readDoc("operators.md");
     for (const [kind, { status, outcome }] of Object.entries(ERROR_ANSWERS)) {
       const row = new RegExp(
--- a/tests/lib/caller.ts
+++ b/tests/lib/caller.ts
@@ -26,7 +26,10 @@
   prefix: string;
   entries: readonly ClusterProcess[];
   intervalMs: number;
-  /** Called with the number of the next job; ends the load when it returns false. */
+  /**
+   * Called with the number of the next job; ends the load when it returns
+   * false.
+   */
   isGoingOn: (count: number) => boolean;
 }
 
@@ -34,7 +37,10 @@
 export class Caller {
   readonly oracle = new Oracle();
 
-  /** Submits a job and waits for its answer. The answer is missing when the connection broke. */
+  /**
+   * Submits a job and waits for its answer. The answer is missing when the
+   * connection broke.
+   */
   async submit(options: JobOptions): Promise<OracleSubmission> {
     const { key, tasks = 1, runMs = 20, repeatable = false } = options;
     const bodies = Array.from(
@@ -62,7 +68,10 @@
     return submission;
   }
 
-  /** Submits jobs at a fixed interval to the entries in turn, and waits for all their answers. */
+  /**
+   * Submits jobs at a fixed interval to the entries in turn, and waits for all
+   * their answers.
+   */
   async runLoad(options: LoadOptions): Promise<OracleSubmission[]> {
     const { prefix, entries, intervalMs, isGoingOn, ...job } = options;
     const running: Promise<OracleSubmission>[] = [];
@@ -79,7 +88,10 @@
     await send({ entry, key }, { method: "DELETE" }).catch(() => {});
   }
 
-  /** Finds the broken guarantees against the starts that a cluster's upstreams have counted. */
+  /**
+   * Finds the broken guarantees against the starts that a cluster's upstreams
+   * have counted.
+   */
   async findViolations(cluster: Cluster): Promise<string[]> {
     return this.oracle.findViolations(await cluster.getStarts());
   }
--- a/tests/lib/cutting_upstream.ts
+++ b/tests/lib/cutting_upstream.ts
@@ -8,17 +8,26 @@
 
 /** Where an exchange is cut off. */
 export interface Cut {
-  /** `request` counts the bytes that were read, `response` those that were written. */
+  /**
+   * `request` counts the bytes that were read, `response` those that were
+   * written.
+   */
   side: "request" | "response";
   bytes: number;
-  /** `reset` sends RST; `end` sends FIN, as the kernel does for a process that was killed. */
+  /**
+   * `reset` sends RST; `end` sends FIN, as the kernel does for a process that
+   * was killed.
+   */
   how: "reset" | "end";
 }
 
 /** How the answer marks its end. */
 export type Framing = "length" | "chunked" | "close";
 
-/** An upstream on a plain TCP socket that repeats the body and cuts exchanges off at any byte. */
+/**
+ * An upstream on a plain TCP socket that repeats the body and cuts exchanges
+ * off at any byte.
+ */
 export class CuttingUpstream {
   readonly starts: TaskStart[] = [];
   /** Applies to the following exchanges. */
@@ -51,7 +60,10 @@
     this.#sockets.forEach((socket) => socket.destroy());
   }
 
-  /** Closes the connections on which no exchange is open, as a server with a short keep-alive time does. */
+  /**
+   * Closes the connections on which no exchange is open, as a server with a
+   * short keep-alive time does.
+   */
   closeIdleConnections(): void {
     this.#idle.forEach((socket) => socket.destroy());
   }
@@ -109,7 +121,8 @@
     const answer = this.createAnswer(body);
     const { cut } = this;
     if (cut?.side === "response") {
-      // The bytes before the cut must reach the agent before a reset discards what is not read yet.
+      // The bytes before the cut must reach the agent before a reset discards
+      // what is not read yet.
       socket.write(answer.subarray(0, cut.bytes));
       setTimeout(() => this.#close(socket), 2);
       return;
@@ -129,7 +142,10 @@
     this.cut?.how === "reset" ? socket.resetAndDestroy() : socket.end();
   }
 
-  /** A request counts as started once its headers are here: a back end may begin before the body's end. */
+  /**
+   * A request counts as started once its headers are here: a back end may begin
+   * before the body's end.
+   */
   #recordStart(read: string): void {
     if (read.includes("\r\n\r\n")) {
       this.starts.push({
--- a/tests/lib/naive_dispatcher.ts
+++ b/tests/lib/naive_dispatcher.ts
@@ -16,9 +16,9 @@
 }
 
 /**
- * A dispatcher without the product's mechanisms, to compare with: it picks a random upstream, claims
- * nothing, waits for a fixed time, tries again after every error, and reports a task without an answer as
- * "not run".
+ * A dispatcher without the product's mechanisms, to compare with: it picks a
+ * random upstream, claims nothing, waits for a fixed time, tries again after
+ * every error, and reports a task without an answer as "not run".
  */
 export class NaiveDispatcher {
   readonly #upstreams: readonly ClusterProcess[];
--- a/tests/lib/oracle.ts
+++ b/tests/lib/oracle.ts
@@ -1,7 +1,10 @@
 import type { TaskStart } from "../../src/stand_in/mod.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 
-/** Failures that state nothing but that this entry doesn't know; they agree with every other answer. */
+/**
+ * Failures that state nothing but that this entry doesn't know; they agree with
+ * every other answer.
+ */
 const IGNORANT_KINDS = [
   "home_unreachable",
   "held_back",
@@ -9,7 +12,9 @@
   "not_ready",
 ];
 
-/** One submission by a caller. A resubmission is another one with the same key. */
+/**
+ * One submission by a caller. A resubmission is another one with the same key.
+ */
 export interface OracleSubmission {
   readonly key: string;
   readonly bodies: readonly string[];
@@ -22,7 +27,10 @@
   isRefused?: boolean;
 }
 
-/** Knows what callers sent and got, and checks it against the task starts that the upstreams counted. */
+/**
+ * Knows what callers sent and got, and checks it against the task starts that
+ * the upstreams counted.
+ */
 export class Oracle {
   readonly submissions: OracleSubmission[] = [];
 
@@ -42,7 +50,10 @@
     return new Set(complete.map(({ key }) => key)).size / keys.size;
   }
 
-  /** Finds every broken guarantee. Call it after all work has ended, since "not run" covers later starts. */
+  /**
+   * Finds every broken guarantee. Call it after all work has ended, since "not
+   * run" covers later starts.
+   */
   findViolations(starts: readonly TaskStart[]): string[] {
     return [
       ...this.findDoubleStarts(starts),
@@ -53,7 +64,10 @@
     ];
   }
 
-  /** Finds tasks that started twice, and attempts that did where the task is repeatable. */
+  /**
+   * Finds tasks that started twice, and attempts that did where the task is
+   * repeatable.
+   */
   findDoubleStarts(starts: readonly TaskStart[]): string[] {
     const repeatable = new Set(
       this.submissions.filter((submission) => submission.repeatable).map((
@@ -124,7 +138,10 @@
     return isUntrue ? [`${key}/${index}: untrue "not run" (${kind})`] : [];
   }
 
-  /** Can a start belong to another submission of the key, such as a resubmission after "not run"? */
+  /**
+   * Can a start belong to another submission of the key, such as a resubmission
+   * after "not run"?
+   */
   #isExplained(submission: OracleSubmission, start: TaskStart): boolean {
     return this.submissions.some((other) =>
       other !== submission && other.key === submission.key &&
@@ -135,7 +152,10 @@
     );
   }
 
-  /** Finds callers that got another answer after somebody had got a complete one. */
+  /**
+   * Finds callers that got another answer after somebody had got a complete
+   * one.
+   */
   #findDisagreements(): string[] {
     return this.submissions.flatMap((first) =>
       first.answer?.status !== "complete"
@@ -152,7 +172,10 @@
   }
 }
 
-/** Gets the key as the caller gave it; upstreams see it with the customer as scope. */
+/**
+ * Gets the key as the caller gave it; upstreams see it with the customer as
+ * scope.
+ */
 function getCallerKey(key: string): string {
   return key.slice(key.indexOf("/") + 1);
 }
--- a/tests/load/create_jobs_test.ts
+++ b/tests/load/create_jobs_test.ts
@@ -19,7 +19,8 @@
   });
 
   it("offers the stated load with valid jobs in order of arrival", () => {
-    // Guards against seeds that offer different loads, and jobs that an entry refuses as malformed.
+    // Guards against seeds that offer different loads, and jobs that an entry
+    // refuses as malformed.
     for (const seed of [1, 2, 3]) {
       const jobs = createJobs({ scenario, shape, seed });
       const work = jobs.flatMap((job) => job.runMs).reduce((a, b) => a + b, 0);
--- a/tests/load/create_reference_schedule_test.ts
+++ b/tests/load/create_reference_schedule_test.ts
@@ -27,7 +27,8 @@
 
 describe("createReferenceSchedule", () => {
   it("never beats the lower bound of a job", () => {
-    // Guards against a bound that some scheduler can beat, which would make every figure look too good.
+    // Guards against a bound that some scheduler can beat, which would make
+    // every figure look too good.
     fc.assert(
       fc.property(shapes, jobs, (shape, list) => {
         createReferenceSchedule(list, shape).forEach((timeMs, position) => {
@@ -40,7 +41,8 @@
   });
 
   it("reaches the bound when one job fits the slots exactly", () => {
-    // Guards against a schedule that leaves slots unused, which would make the reference too easy to beat.
+    // Guards against a schedule that leaves slots unused, which would make the
+    // reference too easy to beat.
     const shape = { slots: 2, speeds: [1, 2], clientLatencyMs: 3 };
     const list = [{ arrivalMs: 10, runMs: [200, 100, 200, 100] }];
     expect(createReferenceSchedule(list, shape)).to.deep.equal([106]);
@@ -48,7 +50,8 @@
   });
 
   it("lets a job of less work overtake one that waits", () => {
-    // Guards against a first-come reference, which long jobs would make too easy to beat.
+    // Guards against a first-come reference, which long jobs would make too
+    // easy to beat.
     const shape = { slots: 1, speeds: [1], clientLatencyMs: 0 };
     const list = [
       { arrivalMs: 0, runMs: [100, 100] },
--- a/tests/load/report_arithmetic_test.ts
+++ b/tests/load/report_arithmetic_test.ts
@@ -50,7 +50,8 @@
 
 describe("getAllowedWork", () => {
   it("allows no more than has arrived and the slots in service can do", () => {
-    // Guards against a share of work that is measured against capacity that isn't there.
+    // Guards against a share of work that is measured against capacity that
+    // isn't there.
     const jobs = [createJob({ runMs: [2_000, 2_000] })];
     const events = [
       { type: "zone", atMs: 1_000, zone: "a", state: "out" },
@@ -64,7 +65,8 @@
 
 describe("getWorkBySecond", () => {
   it("divides a run among the seconds and multiplies by the worker's speed", () => {
-    // Guards against work that is counted where the task ended, or in wall-clock time of a slow worker.
+    // Guards against work that is counted where the task ended, or in
+    // wall-clock time of a slow worker.
     const runs = [
       { key: "k", index: 0, worker: 1, startMs: 500, endMs: 2_250 },
       { key: "x", index: 0, worker: 0, startMs: 0, endMs: 1_000 },
@@ -80,7 +82,8 @@
 
 describe("getFairShares", () => {
   it("divides by weight what a satisfied customer leaves", () => {
-    // Guards against blaming a policy for a customer that asked for less than its share.
+    // Guards against blaming a policy for a customer that asked for less than
+    // its share.
     const demands = new Map([
       ["press", { work: 40, weight: 3 }],
       ["archive", { work: 90, weight: 1 }],
@@ -99,7 +102,8 @@
 
 describe("getMessageFigures", () => {
   it("counts starts beyond one for a task, and leaves open what isn't counted", () => {
-    // Guards against a process without counters that is reported as one without waste.
+    // Guards against a process without counters that is reported as one without
+    // waste.
     const results = [createResult({ job: createJob({ runMs: [1, 1] }) })];
     const run = { key: "k", index: 0, worker: 0, startMs: 0, endMs: 1 };
     const runs = [run, { ...run, startMs: 5 }, { ...run, index: 1 }];
@@ -111,7 +115,8 @@
 
 describe("getDelayParts", () => {
   it("divides the time of the task that ended last", () => {
-    // Guards against blaming the queue for a slow worker, or the worker for a slow answer.
+    // Guards against blaming the queue for a slow worker, or the worker for a
+    // slow answer.
     const run = { key: "k", index: 0, worker: 0, startMs: 100, endMs: 300 };
     const runs = [run, { ...run, worker: 1, startMs: 200, endMs: 600 }];
     const results = [createResult({ answeredMs: 650 })];
@@ -150,7 +155,8 @@
   };
 
   it("counts complete work in the window, and ratios of complete jobs only", () => {
-    // Guards against goodput and response times that count failed or late answers.
+    // Guards against goodput and response times that count failed or late
+    // answers.
     const report = createLoadReport({
       ...base,
       results: [
@@ -173,7 +179,8 @@
   });
 
   it("counts tasks lost to a failing worker after its first second", () => {
-    // Guards against losses of the first second that hide or inflate those after it.
+    // Guards against losses of the first second that hide or inflate those
+    // after it.
     const lost = { kind: "upstream_failed", taskKinds: ["upstream_failed"] };
     const report = createLoadReport({
       ...base,
--- a/tests/processes/event_recorder_test.ts
+++ b/tests/processes/event_recorder_test.ts
@@ -18,7 +18,8 @@
 
 describe("EventRecorder", () => {
   it("counts refusals by kind, and names the task in the log line", () => {
-    // Guards against a refusal that operators can neither count nor trace to its submission.
+    // Guards against a refusal that operators can neither count nor trace to
+    // its submission.
     const lines: Record<string, unknown>[] = [];
     const metrics = new Metrics();
     const limiter = new LogLimiter({ logger: createLogger(lines) });
--- a/tests/state/claims/claim_table_test.ts
+++ b/tests/state/claims/claim_table_test.ts
@@ -21,7 +21,8 @@
 
   describe("complete", () => {
     it("drops the oldest answers beyond the limit, and keeps their claims", () => {
-      // Guards against unbounded memory, and against a second run of a key whose answer was dropped.
+      // Guards against unbounded memory, and against a second run of a key
+      // whose answer was dropped.
       complete("a", "123456");
       complete("b", "1234");
       complete("c", "12");
@@ -54,7 +55,8 @@
 
   describe("removeExpired", () => {
     it("counts the window from the last change, and frees the memory", () => {
-      // Guards against a completed claim that is forgotten at the end of the first window.
+      // Guards against a completed claim that is forgotten at the end of the
+      // first window.
       table.claim("a", "f", { coordinator: "e1" });
       table.claim("b", "f", { coordinator: "e1" });
       now = 50;
--- a/tests/state/settings/check_settings_test.ts
+++ b/tests/state/settings/check_settings_test.ts
@@ -11,7 +11,8 @@
 }
 
 describe("checkSettings", () => {
-  // Each guards against a change that is accepted and then has no effect, or one that nobody can meet.
+  // Each guards against a change that is accepted and then has no effect, or
+  // one that nobody can meet.
   const refused: [string, unknown, string][] = [
     ["an unknown key", { rules: { timeoutsMs: 5 } }, '"rules.timeoutMs"'],
     ["a key without its unit", { rules: { timeout: 5 } }, "in milliseconds"],
@@ -58,7 +59,8 @@
   }
 
   it("accepts a shorter deadline alone, and shortens the built-in timeout", () => {
-    // Guards against an operator who must state a timeout only to shorten a deadline.
+    // Guards against an operator who must state a timeout only to shorten a
+    // deadline.
     const tree = { services: { a: { rules: { deadlineMs: 2_000 } } } };
     expect(getMessage(tree)).to.equal("accepted");
     expect(resolveRules(tree, "a").timeoutMs).to.equal(2_000);
--- a/tests/state/view/member_table_test.ts
+++ b/tests/state/view/member_table_test.ts
@@ -34,7 +34,8 @@
 describe("MemberTable", () => {
   describe("announce", () => {
     it("removes the older incarnation of the same name", () => {
-      // Guards against a restarted process whose predecessor keeps its claims and its share of the keys.
+      // Guards against a restarted process whose predecessor keeps its claims
+      // and its share of the keys.
       const table = createTable(1, 1);
       const events = table.announce(createMember("agent-1", "agent", "2"), 9);
       expect(events.map(({ type }) => type)).to.deep.equal([
@@ -49,7 +50,8 @@
     });
 
     it("keeps a leaving member leaving when its announcement is repeated", () => {
-      // Guards against a retried append, after a lost reply, that takes a planned stop back.
+      // Guards against a retried append, after a lost reply, that takes a
+      // planned stop back.
       const table = createTable(1, 1);
       table.leave("agent-1#1", "leaving", { offset: 5 });
       table.announce(createMember("agent-1", "agent"), 6);
@@ -59,7 +61,8 @@
 
   describe("suspect", () => {
     it("removes a member only when a majority of its observers suspects it", () => {
-      // Guards against one broken link, or the smaller side of a partition, that removes live members.
+      // Guards against one broken link, or the smaller side of a partition,
+      // that removes live members.
       const table = createTable(4, 2);
       const suspect = (entry: number) =>
         table.suspect(`entry-${entry}#1`, ["agent-1#1"], {
@@ -73,7 +76,8 @@
     });
 
     it("doesn't add up suspicions that are far apart in time", () => {
-      // Guards against two short breaks at different times that together remove a live member.
+      // Guards against two short breaks at different times that together remove
+      // a live member.
       const table = createTable(2, 1);
       table.suspect("entry-1#1", ["agent-1#1"], { offset: 10, timeMs: 0 });
       table.suspect("entry-2#1", ["agent-1#1"], { offset: 11, timeMs: 60_000 });
@@ -81,7 +85,8 @@
     });
 
     it("counts again when an observer is gone", () => {
-      // Guards against a dead agent that stays a member because one of its two observers died with it.
+      // Guards against a dead agent that stays a member because one of its two
+      // observers died with it.
       const table = createTable(2, 3);
       table.suspect("entry-1#1", ["agent-1#1"], { offset: 10, timeMs: 0 });
       const events = table.leave("entry-2#1", "left", { offset: 11 });
--- a/tests/state/view/settings_store_test.ts
+++ b/tests/state/view/settings_store_test.ts
@@ -18,7 +18,8 @@
 describe("SettingsStore", () => {
   describe("apply", () => {
     it("accepts a change and rejects a racing one that touches the same node", () => {
-      // Guards against two operators both being told that their change is in force.
+      // Guards against two operators both being told that their change is in
+      // force.
       const store = new SettingsStore();
       expect(
         store.apply(createChange("a", 0, "zones.a", { state: "out" }), 1).type,
@@ -40,7 +41,8 @@
     });
 
     it("gives a repeated record the outcome of the first", () => {
-      // Guards against a retried append, after a lost reply, that undoes a later change.
+      // Guards against a retried append, after a lost reply, that undoes a
+      // later change.
       const store = new SettingsStore();
       const first = createChange("a", 0, "zones.a", { state: "out" });
       store.apply(first, 1);
@@ -62,14 +64,16 @@
     });
 
     it("removes nothing, and adds nothing, for a path that doesn't exist", () => {
-      // Guards against a removal that creates an empty service on the way to its path.
+      // Guards against a removal that creates an empty service on the way to
+      // its path.
       const store = new SettingsStore();
       store.apply(createChange("a", 0, "services.x.rules", null), 1);
       expect(store.tree).to.deep.equal({});
     });
 
     it("rejects a racing edit below a node that was replaced", () => {
-      // Guards against a dropped revision of a child that its replaced parent doesn't stand for.
+      // Guards against a dropped revision of a child that its replaced parent
+      // doesn't stand for.
       const store = new SettingsStore();
       store.apply(createChange("a", 0, "services.x.rules.priority", 1), 1);
       store.apply(createChange("b", 1, "services.x", {}), 2);
--- a/tests/state/view/stream_subset_agents_test.ts
+++ b/tests/state/view/stream_subset_agents_test.ts
@@ -24,8 +24,8 @@
 describe("StreamSubset", () => {
   describe("getAgents", () => {
     it("gets exactly the agents that use an entry, whatever joins and leaves", () => {
-      // Guards against an index that is out of step: a majority of the wrong observers would remove an
-      // entry, or never remove it.
+      // Guards against an index that is out of step: a majority of the wrong
+      // observers would remove an entry, or never remove it.
       fc.assert(
         fc.property(actions, (list) => {
           const members = new Map<string, Member>();
@@ -75,8 +75,9 @@
 describe("MemberTable", () => {
   describe("suspect", () => {
     it("removes whoever has a majority against it once an observer is gone", () => {
-      // Guards against looking only at the members that a record names: here entry 1 is suspected by two of
-      // four agents, and the removal of a third agent makes that a majority.
+      // Guards against looking only at the members that a record names: here
+      // entry 1 is suspected by two of four agents, and the removal of a third
+      // agent makes that a majority.
       const table = new MemberTable();
       let offset = 0;
       for (let n = 0; n < 2; n++) {
--- a/tests/state/view/stream_subset_test.ts
+++ b/tests/state/view/stream_subset_test.ts
@@ -38,7 +38,8 @@
     });
 
     it("gives each entry its part of the agents", () => {
-      // Guards against entries without agents, and against one that gets far too many streams.
+      // Guards against entries without agents, and against one that gets far
+      // too many streams.
       const table = createTable(40, 500);
       const counts = new Map<string, number>();
       for (let n = 0; n < 500; n++) {
@@ -72,7 +73,8 @@
 describe("MemberTable", () => {
   describe("suspect", () => {
     it("counts the entries that watch the agent and no others", () => {
-      // Guards against dead agents that stay members because most entries don't watch them.
+      // Guards against dead agents that stay members because most entries don't
+      // watch them.
       const table = createTable(40, 1);
       const watching = table.getEntriesOf("a0#1");
       const others = Array.from({ length: 40 }, (_, n) => `e${n}#1`)
--- a/tests/transport/http/http_server_test.ts
+++ b/tests/transport/http/http_server_test.ts
@@ -25,7 +25,10 @@
   after(() => server.stop());
   beforeEach(() => received.length = 0);
 
-  /** Sends the head and some bytes of a request that never ends, and gets the answer. */
+  /**
+   * Sends the head and some bytes of a request that never ends, and gets the
+   * answer.
+   */
   function sendOpenEnded(
     headers: http.OutgoingHttpHeaders,
     bytes: number,
--- a/tests/transport/upstream/http_upstream_caller_test.ts
+++ b/tests/transport/upstream/http_upstream_caller_test.ts
@@ -37,8 +37,9 @@
 
   describe("call", () => {
     it("never takes an exchange that was cut off for an answer or for not run", async () => {
-      // Guards against a truncated answer that passes as whole, and an untrue "not run". An end of the
-      // connection that the upstream's kernel closes is no proof that the answer was whole.
+      // Guards against a truncated answer that passes as whole, and an untrue
+      // "not run". An end of the connection that the upstream's kernel closes
+      // is no proof that the answer was whole.
       const framings: Framing[] = ["length", "chunked", "close"];
       for (const framing of framings) {
         upstream.framing = framing;
