Probe ejected workers with repeatable tasks only

Ruled out: a longer first ejection, which would also keep a recovered worker out. Change: such a task probes only an agent that nobody has probed for 30 s. The home is used when nothing else remains, so no task starves.

--- a/src/coordination/entry/placement/agent_health.ts
+++ b/src/coordination/entry/placement/agent_health.ts
@@ -56,6 +56,17 @@
       (!health.isProbing && this.#getTime() >= health.ejectedUntil);
   }
 
+  /**
+   * May a task be the probe of the agent? A probe that fails costs its job when
+   * the task isn't repeatable, so such a task probes only an agent that no
+   * other one has probed for a long time. True for agents that aren't ejected.
+   */
+  canProbe(agentId: string, isRepeatable: boolean): boolean {
+    const ejectedUntil = this.#agents.get(agentId)?.ejectedUntil;
+    return ejectedUntil === undefined || isRepeatable ||
+      this.#getTime() >= ejectedUntil + MAX_EJECTION_MS;
+  }
+
   /** Is the agent ejected, or being probed? */
   isEjected(agentId: string): boolean {
     return this.#agents.get(agentId)?.ejectedUntil !== undefined;
--- a/src/coordination/entry/placement/placement_request.ts
+++ b/src/coordination/entry/placement/placement_request.ts
@@ -3,6 +3,8 @@
   readonly service: string;
   /** Name under which run times are learned. */
   readonly runKey: string;
+  /** May the task run more than once? */
+  readonly repeatable: boolean;
   /**
    * The submission's home: its claim and its start records should not be lost
    * together.
--- a/src/coordination/entry/placement/placement_selector.ts
+++ b/src/coordination/entry/placement/placement_selector.ts
@@ -11,6 +11,8 @@
   /** Gets the agents with credits, the least recently used first. */
   getReady: () => Iterable<T>;
   canPlace: (agentId: string) => boolean;
+  /** May a task be the first one on an agent after failures? */
+  canProbe: (agentId: string, isRepeatable: boolean) => boolean;
   runTimes: RunTimes;
   /** Gets the number of waiting tasks of a service. */
   getWaiting: (service: string) => number;
@@ -153,23 +155,28 @@
   }
 
   /**
-   * Leaves out the home and the agent that refused, as long as another agent
-   * remains.
+   * Leaves out the home, the agent that refused, and agents that the task may
+   * not probe. The home is used all the same when no other agent remains.
    */
   #createFilter(request: PlacementRequest): (candidate: T) => boolean {
     const usable = this.#getUsable(request.service);
-    const { homeId, avoidId } = request;
-    if (usable.size <= 1 || (homeId ?? avoidId) === undefined) {
+    const { homeId, avoidId, repeatable } = request;
+    const { canProbe } = this.#options;
+    if (usable.size <= 1) {
       return (candidate) => usable.has(candidate);
     }
+    // At most half of the agents are ejected, so of more than four one remains.
     let others = usable.size;
-    for (const { member } of usable.size === 2 ? usable : []) {
-      others -= member.id === homeId || member.id === avoidId ? 1 : 0;
+    for (const { member: { id } } of usable.size <= 4 ? usable : []) {
+      const isLeftOut = id === homeId || id === avoidId ||
+        !canProbe(id, repeatable);
+      others -= isLeftOut ? 1 : 0;
     }
     const excludedHome = others > 0 ? homeId : undefined;
     return (candidate) => {
       const { id } = candidate.member;
-      return usable.has(candidate) && id !== avoidId && id !== excludedHome;
+      return usable.has(candidate) && id !== avoidId && id !== excludedHome &&
+        canProbe(id, repeatable);
     };
   }
 
--- a/src/coordination/entry/queue/dispatch_queue_options.ts
+++ b/src/coordination/entry/queue/dispatch_queue_options.ts
@@ -19,6 +19,8 @@
   readonly costMs: number;
   /** Name under which run times are learned. */
   readonly runKey: string;
+  /** May the task run more than once? */
+  readonly repeatable: boolean;
   /** Member id of the home of the task's key. */
   readonly homeId?: string | undefined;
   /** Member id of the agent that refused the task last. */
--- a/src/coordination/entry/task_dispatcher.ts
+++ b/src/coordination/entry/task_dispatcher.ts
@@ -68,6 +68,7 @@
       getOffering: (service) => pool.index.getLinks(service),
       getReady: () => pool.ready,
       canPlace: (id) => this.#health.canPlace(id),
+      canProbe: (id, isRepeatable) => this.#health.canProbe(id, isRepeatable),
       runTimes: this.runTimes,
       getWaiting: (service) => this.#waiting.waitingByService.get(service) ?? 0,
       onChange: () => this.startPlaceable(),
@@ -179,10 +180,10 @@
     if (signal.aborted) {
       return undefined;
     }
-    const { key, customer, team, service, runKey, homeId } = task;
+    const { key, customer, team, service, runKey, homeId, repeatable } = task;
     const costMs = this.runTimes.getMean(runKey) ?? DEFAULT_COST_MS;
     const { priority, order, weight, teamWeight } = task;
-    const place = { key, customer, team, service, runKey, homeId };
+    const place = { key, customer, team, service, runKey, homeId, repeatable };
     let sent: Attempt | undefined;
     try {
       for (;;) {
--- a/tests/coordination/entry/dispatch_queue_test.ts
+++ b/tests/coordination/entry/dispatch_queue_test.ts
@@ -27,6 +27,7 @@
     const all: DispatchQueueOptions = {
       ...{ key: "job", customer: "c", team: "", service: "s", runKey: "s" },
       ...{ priority: 5, order: 0, weight: 1, teamWeight: 1, costMs: 100 },
+      repeatable: false,
       ...task,
       id: task.id ?? `task-${nextId++}`,
     };
--- a/tests/coordination/entry/placement/agent_health_test.ts
+++ b/tests/coordination/entry/placement/agent_health_test.ts
@@ -17,6 +17,19 @@
 }
 
 describe("AgentHealth", () => {
+  describe("canProbe", () => {
+    it("lets a task that isn't repeatable probe only after a long time", () => {
+      const { clock, health, fail } = createHealth(["a", "b"]);
+      expect(health.canProbe("a", false)).to.equal(true);
+      fail("a", 5);
+      clock.time = 1_000;
+      expect(health.canProbe("a", true)).to.equal(true);
+      expect(health.canProbe("a", false)).to.equal(false);
+      clock.time = 31_000;
+      expect(health.canProbe("a", false)).to.equal(true);
+    });
+  });
+
   describe("canPlace", () => {
     it("ejects after consecutive failures only", () => {
       const { health, fail } = createHealth(["a", "b"]);
--- a/tests/coordination/entry/placement/placement_selector_test.ts
+++ b/tests/coordination/entry/placement/placement_selector_test.ts
@@ -22,7 +22,12 @@
 
 function createSelector(
   agents: FakeAgent[],
-  options: { type?: Placement["type"]; out?: string[]; waiting?: number } = {},
+  options: {
+    type?: Placement["type"];
+    out?: string[];
+    probed?: string;
+    waiting?: number;
+  } = {},
 ) {
   const runTimes = new RunTimes();
   const clock = { time: 0 };
@@ -31,13 +36,17 @@
     getOffering: () => agents,
     getReady: () => agents.filter(({ credits }) => credits > 0),
     canPlace: (id) => !options.out?.includes(id),
+    canProbe: (id, isRepeatable) => id !== options.probed || isRepeatable,
     runTimes,
     getWaiting: () => options.waiting ?? 1,
     onChange: () => {},
     getTime: () => clock.time,
   });
   const select = (request: Partial<PlacementRequest> = {}) =>
-    selector.select({ service: "s", runKey: "s", ...request })?.member.id;
+    selector.select({
+      ...{ service: "s", runKey: "s", repeatable: false },
+      ...request,
+    })?.member.id;
   return { clock, runTimes, selector, select };
 }
 
@@ -45,6 +54,15 @@
   const agents = () => ["a", "b", "c"].map(createAgent);
 
   describe("select", () => {
+    it("probes a failing agent with repeatable tasks only, and starves no other", () => {
+      // Guards against a probe that costs a whole job, and against a task that
+      // waits because its home and the probed agent are the only ones.
+      const three = createSelector(agents(), { probed: "a", out: ["c"] });
+      expect(three.select()).to.equal("b");
+      expect(three.select({ homeId: "b" })).to.equal("b");
+      expect(three.select({ homeId: "b", repeatable: true })).to.equal("a");
+    });
+
     it("prefers the agent with the shortest learned run time among those with credits", () => {
       const known = agents();
       const { runTimes, select } = createSelector(known);
