--- a/src/coordination/agent/entry_session.ts
+++ b/src/coordination/agent/entry_session.ts
@@ -196,6 +196,7 @@
       case "creditRevoke":
       case "claimReply":
       case "completeReply":
+      case "batch":
         return;
       default:
         return message satisfies never;
--- /dev/null
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -0,0 +1,144 @@
+import type {
+  EventLog,
+  KeyedStore,
+  PeerStream,
+  WorkerControl,
+} from "../../links/mod.ts";
+import {
+  announceAgent,
+  OperatorFollower,
+  type ParseOperatorRecord,
+} from "../directory/mod.ts";
+import { BatchEntrySession } from "./batch_entry_session.ts";
+import { WorkerRunner } from "./worker_runner.ts";
+
+/** Interval of the check for silent entries, in milliseconds. */
+const SILENCE_CHECK_MS = 50;
+
+/**
+ * Shortest interval of status frames for each entry that listens, in
+ * milliseconds: the frames of all agents together cost an entry as much with
+ * many entries as with few.
+ */
+const STATUS_INTERVAL_PER_ENTRY_MS = 8;
+
+/** Time for runs at work when the agent is asked to stop, in milliseconds. */
+const DRAIN_MS = 5_200;
+
+/** Interval of the check whether runs are left, in milliseconds. */
+const DRAIN_CHECK_MS = 50;
+
+export interface BatchAgentOptions {
+  name: string;
+  incarnation: string;
+  zone: string;
+  /** IP address and port for streams from entries. */
+  address: string;
+  store: KeyedStore;
+  control: WorkerControl;
+  log: EventLog;
+  parseOperatorRecord: ParseOperatorRecord;
+}
+
+/**
+ * The agent beside one worker: follows the operator, announces itself, and runs
+ * the tasks that entries send.
+ */
+export class BatchAgent {
+  readonly runner: WorkerRunner;
+  readonly operator: OperatorFollower;
+  readonly #options: BatchAgentOptions;
+  readonly #sessions = new Set<BatchEntrySession>();
+  readonly #abort = new AbortController();
+  #silenceTimer: NodeJS.Timeout | undefined;
+  #statusTimer: NodeJS.Timeout | undefined;
+  #statusSentAt = 0;
+
+  constructor(options: BatchAgentOptions) {
+    this.#options = options;
+    const { store, log, zone, control } = options;
+    this.runner = new WorkerRunner({
+      control,
+      log,
+      isInService: () => !this.operator.state.isZoneOut(zone),
+      onChange: () => this.#scheduleStatus(),
+    });
+    this.operator = new OperatorFollower({
+      store,
+      log,
+      parseOperatorRecord: options.parseOperatorRecord,
+      onChange: () => this.runner.update(),
+    });
+  }
+
+  /** Starts to follow the store and to watch the entries. */
+  start(): void {
+    const { store, log, name, address, zone } = this.#options;
+    void this.operator.run();
+    void announceAgent({
+      store,
+      log,
+      member: { name, address, zone },
+      signal: this.#abort.signal,
+    });
+    this.#silenceTimer = setInterval(() => {
+      for (const session of this.#sessions) {
+        session.checkSilence();
+      }
+    }, SILENCE_CHECK_MS);
+  }
+
+  /** Serves a stream from an entry until it ends. */
+  async serve(stream: PeerStream): Promise<void> {
+    const session = new BatchEntrySession({
+      stream,
+      runner: this.runner,
+      operator: this.operator,
+      log: this.#options.log,
+      name: this.#options.name,
+      incarnation: this.#options.incarnation,
+      cancelJob: (jobId) => this.#cancelJob(jobId),
+    });
+    this.#sessions.add(session);
+    try {
+      await session.serve();
+    } finally {
+      this.#sessions.delete(session);
+    }
+  }
+
+  /** Takes no more work, and waits for the runs at work for a limited time. */
+  async stop(): Promise<void> {
+    this.runner.stopAccepting();
+    for (let waited = 0; waited < DRAIN_MS; waited += DRAIN_CHECK_MS) {
+      if (this.runner.runCount === 0) {
+        break;
+      }
+      await new Promise((resolve) => setTimeout(resolve, DRAIN_CHECK_MS));
+    }
+    this.#abort.abort();
+    this.operator.stop();
+    clearInterval(this.#silenceTimer);
+    this.runner.stop();
+  }
+
+  #cancelJob(jobId: string): void {
+    this.#options.log.record("job_cancelled", { job: jobId });
+    this.runner.stopWhere((run) => run.jobId === jobId);
+  }
+
+  #scheduleStatus(): void {
+    if (this.#statusTimer !== undefined || this.#sessions.size === 0) {
+      return;
+    }
+    const interval = STATUS_INTERVAL_PER_ENTRY_MS * this.#sessions.size;
+    const due = this.#statusSentAt + interval - performance.now();
+    this.#statusTimer = setTimeout(() => {
+      this.#statusTimer = undefined;
+      this.#statusSentAt = performance.now();
+      for (const session of this.#sessions) {
+        session.sendStatus();
+      }
+    }, Math.max(0, due));
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/directory/announce_agent.ts
@@ -0,0 +1,32 @@
+import { setTimeout as wait } from "node:timers/promises";
+import type { EventLog, KeyedStore } from "../../links/mod.ts";
+import type { MemberRecord } from "./member_record.ts";
+
+/** Delays between failed appends, in milliseconds. */
+const RETRY_MS = { first: 100, max: 1_000 } as const;
+
+export interface AnnounceAgentOptions {
+  store: KeyedStore;
+  log: EventLog;
+  member: MemberRecord;
+  signal: AbortSignal;
+}
+
+/** Announces an agent in the store; tries until it succeeds. */
+export async function announceAgent(
+  options: AnnounceAgentOptions,
+): Promise<void> {
+  const { store, log, member, signal } = options;
+  let retryMs: number = RETRY_MS.first;
+  while (!signal.aborted) {
+    const value = JSON.stringify(member);
+    const result = await store.append("members", { key: member.name, value });
+    if (result.isOk()) {
+      log.record("announced", { ...member });
+      return;
+    }
+    log.record("announce_failed", { reason: result.error.message, retryMs });
+    await wait(retryMs * (0.5 + Math.random()));
+    retryMs = Math.min(RETRY_MS.max, retryMs * 2);
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/directory/operator_follower.ts
@@ -0,0 +1,79 @@
+import { OperatorState } from "../../../state/batch/mod.ts";
+import type { EventLog, KeyedPage, KeyedStore } from "../../links/mod.ts";
+import type { ParseOperatorRecord } from "./parse_operator_record.ts";
+import { readOperatorPage } from "./read_operator_page.ts";
+import { TopicFollower } from "./topic_follower.ts";
+
+export interface OperatorFollowerOptions {
+  store: KeyedStore;
+  log: EventLog;
+  parseOperatorRecord: ParseOperatorRecord;
+  /** Called when the state has changed. */
+  onChange: () => void;
+}
+
+/**
+ * Keeps the operator's state up to date, from the store and from peers that are
+ * ahead. Peers serve a process that the store refuses.
+ */
+export class OperatorFollower {
+  readonly state = new OperatorState();
+  readonly #options: OperatorFollowerOptions;
+  readonly #follower: TopicFollower;
+
+  constructor(options: OperatorFollowerOptions) {
+    this.#options = options;
+    this.#follower = new TopicFollower({
+      topic: "operator",
+      store: options.store,
+      log: options.log,
+      apply: (page, { isWhole }) => this.#apply(page, isWhole),
+    });
+  }
+
+  /** Follows the store until `stop` is called. */
+  run(): Promise<void> {
+    return this.#follower.run();
+  }
+
+  stop(): void {
+    this.#follower.stop();
+  }
+
+  /** Gets the state for a peer. */
+  getSnapshot(): { offset: number; state: string } {
+    return { offset: this.state.offset, state: this.state.format() };
+  }
+
+  /** Adopts the state of a peer that is ahead. */
+  mergeSnapshot(
+    snapshot: { offset: number; state: string },
+    from: string,
+  ): void {
+    if (this.state.mergeSnapshot(snapshot.state, snapshot.offset)) {
+      this.#recordChange(from);
+    }
+  }
+
+  #apply(page: KeyedPage, isWhole: boolean): void {
+    const changes = readOperatorPage(page, this.#options);
+    if (isWhole) {
+      this.state.replace(changes, page.end);
+    } else {
+      this.state.applyChanges(changes, page.end);
+    }
+    if (changes.length > 0) {
+      this.#recordChange("store");
+    }
+  }
+
+  #recordChange(from: string): void {
+    this.#options.log.record("operator_state", {
+      from,
+      offset: this.state.offset,
+      version: this.state.config?.version,
+      zonesOut: [...this.state.zonesOut],
+    });
+    this.#options.onChange();
+  }
+}
--- /dev/null
+++ b/src/coordination/batch/directory/read_operator_page.ts
@@ -0,0 +1,28 @@
+import type { OperatorChange } from "../../../state/batch/mod.ts";
+import type { EventLog, KeyedPage } from "../../links/mod.ts";
+import type { ParseOperatorRecord } from "./parse_operator_record.ts";
+
+export interface ReadOperatorPageOptions {
+  log: EventLog;
+  parseOperatorRecord: ParseOperatorRecord;
+}
+
+/** Reads the changes of a page; records that can't be read are left out. */
+export function readOperatorPage(
+  page: KeyedPage,
+  options: ReadOperatorPageOptions,
+): OperatorChange[] {
+  const changes: OperatorChange[] = [];
+  for (const { key, value } of page.records) {
+    const change = options.parseOperatorRecord(key, value);
+    if (change.isOk()) {
+      changes.push(change.value);
+    } else {
+      options.log.record("record_unreadable", {
+        key,
+        reason: change.error.message,
+      });
+    }
+  }
+  return changes;
+}
--- /dev/null
+++ b/src/coordination/batch/directory/topic_follower.ts
@@ -0,0 +1,101 @@
+import { setTimeout as wait } from "node:timers/promises";
+import type {
+  EventLog,
+  KeyedPage,
+  KeyedStore,
+  KeyedTopic,
+} from "../../links/mod.ts";
+
+/**
+ * Longest wait of one read for a new record, in milliseconds. A silent
+ * connection is noticed after this time and the store client's own timeout, so
+ * that a change is still in force within the two seconds that the platform
+ * allows after a fault has passed.
+ */
+const READ_WAIT_MS = 1_000;
+
+/** Delays between failed reads, in milliseconds. */
+const RETRY_MS = { first: 50, max: 500 } as const;
+
+export interface TopicFollowerOptions {
+  topic: KeyedTopic;
+  store: KeyedStore;
+  log: EventLog;
+  /**
+   * Applies a page. `isWhole` says that it holds the newest record of each key
+   * rather than the records since the last page.
+   */
+  apply: (page: KeyedPage, options: { isWhole: boolean }) => void;
+  /** Offset that is known from elsewhere, such as from a peer. */
+  getOffset?: () => number;
+  readWaitMs?: number;
+}
+
+/**
+ * Follows a topic of the store: the newest record of each key first, then each
+ * new record. Reads start over when records were deleted before they were read.
+ */
+export class TopicFollower {
+  readonly #options: TopicFollowerOptions;
+  #offset: number | undefined;
+  #isReachable: boolean | undefined;
+  #isStopped = false;
+
+  constructor(options: TopicFollowerOptions) {
+    this.#options = options;
+  }
+
+  /** Follows the topic until `stop` is called. */
+  async run(): Promise<void> {
+    let retryMs: number = RETRY_MS.first;
+    while (!this.#isStopped) {
+      if (await this.#read()) {
+        retryMs = RETRY_MS.first;
+      } else {
+        await wait(retryMs * (0.5 + Math.random()));
+        retryMs = Math.min(RETRY_MS.max, retryMs * 2);
+      }
+    }
+  }
+
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  /** Reads once; false when the store could not be read. */
+  async #read(): Promise<boolean> {
+    const { topic, store, apply } = this.#options;
+    const from = this.#offset;
+    const page = from === undefined
+      ? await store.readNewest(topic)
+      : await store.readFrom(topic, {
+        from,
+        waitMs: this.#options.readWaitMs ?? READ_WAIT_MS,
+      });
+    if (page.isOk()) {
+      this.#setReachable(true);
+      this.#offset = page.value.end;
+      apply(page.value, { isWhole: from === undefined });
+      return true;
+    }
+    if (page.error.kind === "not_found") {
+      this.#options.log.record("records_deleted", { topic, from });
+      this.#offset = undefined;
+      return true;
+    }
+    this.#setReachable(false, page.error.message);
+    return false;
+  }
+
+  #setReachable(isReachable: boolean, reason?: string): void {
+    if (this.#isReachable !== isReachable) {
+      this.#isReachable = isReachable;
+      const { topic, log } = this.#options;
+      log.record(isReachable ? "store_reachable" : "store_lost", {
+        topic,
+        offset: this.#offset,
+        reason,
+      });
+    }
+  }
+}
--- a/src/coordination/entry/agent_link.ts
+++ b/src/coordination/entry/agent_link.ts
@@ -317,6 +317,7 @@
       case "want":
       case "claim":
       case "complete":
+      case "batch":
         return;
       default:
         return message satisfies never;
--- /dev/null
+++ b/src/coordination/links/keyed_topic.ts
@@ -0,0 +1,2 @@
+/** Topics of the platform's store whose newest record of each key is kept. */
+export type KeyedTopic = "operator" | "members";
--- /dev/null
+++ b/src/coordination/links/lease_report.ts
@@ -0,0 +1,12 @@
+import type { EndedRun } from "./ended_run.ts";
+import type { ListedRun } from "./listed_run.ts";
+
+/** What runs at a worker and what has ended there. */
+export interface LeaseReport {
+  readonly kind: "report";
+  readonly workerClockMs: number;
+  /** Start of this life of the worker, in milliseconds since 1970. */
+  readonly bornAtMs: number | undefined;
+  readonly running: readonly ListedRun[];
+  readonly ended: readonly EndedRun[];
+}
--- /dev/null
+++ b/src/coordination/links/worker_refusal.ts
@@ -0,0 +1,9 @@
+/** Why a worker did not carry out an order. */
+export type WorkerRefusal =
+  | "stale_fence"
+  | "old_run"
+  | "past_lease"
+  | "no_room"
+  | "unhealthy"
+  | "other_worker"
+  | "invalid";
--- /dev/null
+++ b/src/coordination/links/worker_start.ts
@@ -0,0 +1,10 @@
+import type { WorkerOrder } from "./worker_order.ts";
+
+/** Starts one run of a task. */
+export interface WorkerStart extends WorkerOrder {
+  readonly task: string;
+  readonly run: number;
+  readonly spec: string;
+  /** End of the lease of all runs, on the worker's clock, in milliseconds. */
+  readonly leaseUntilMs: number;
+}
--- /dev/null
+++ b/src/coordination/messages/batch_body.ts
@@ -0,0 +1,14 @@
+import type { RunEnd } from "./run_end.ts";
+import type { StartRuns } from "./start_runs.ts";
+import type { WorkerStatus } from "./worker_status.ts";
+
+/** What a batch frame carries. */
+export type BatchBody =
+  | { case: "hello"; value: { name: string; incarnation: string } }
+  | { case: "ping"; value: { operatorOffset: number } }
+  | { case: "startRuns"; value: StartRuns }
+  | { case: "stopRuns"; value: { tasks: string[] } }
+  | { case: "runEnds"; value: { ends: RunEnd[] } }
+  | { case: "workerStatus"; value: WorkerStatus }
+  | { case: "operatorSnapshot"; value: { offset: number; state: string } }
+  | { case: "cancelJob"; value: { jobId: string } };
--- a/src/coordination/messages/mod.ts
+++ b/src/coordination/messages/mod.ts
@@ -1,3 +1,5 @@
+export type { BatchBody } from "./batch_body.ts";
+export type { BatchFrame } from "./batch_frame.ts";
 export type { Cancel } from "./cancel.ts";
 export type { Claim } from "./claim.ts";
 export type { ClaimOutcome } from "./claim_outcome.ts";
@@ -19,3 +21,7 @@
 export type { Result } from "./result.ts";
 export type { StoredAnswer } from "./stored_answer.ts";
 export type { Want } from "./want.ts";
+export type { RunEnd } from "./run_end.ts";
+export type { RunOrder } from "./run_order.ts";
+export type { StartRuns } from "./start_runs.ts";
+export type { WorkerStatus } from "./worker_status.ts";
--- a/src/coordination/messages/peer_message.ts
+++ b/src/coordination/messages/peer_message.ts
@@ -1,4 +1,5 @@
 import type { Cancel } from "./cancel.ts";
+import type { BatchFrame } from "./batch_frame.ts";
 import type { Claim } from "./claim.ts";
 import type { ClaimReply } from "./claim_reply.ts";
 import type { Complete } from "./complete.ts";
@@ -29,4 +30,5 @@
   | { case: "claim"; value: Claim }
   | { case: "claimReply"; value: ClaimReply }
   | { case: "complete"; value: Complete }
-  | { case: "completeReply"; value: CompleteReply };
+  | { case: "completeReply"; value: CompleteReply }
+  | { case: "batch"; value: BatchFrame };
--- /dev/null
+++ b/src/coordination/messages/start_runs.ts
@@ -0,0 +1,14 @@
+import type { RunOrder } from "./run_order.ts";
+
+/** Asks an agent to run tasks of one job. */
+export interface StartRuns {
+  /** Counts the frames of this kind on the stream, from 1. */
+  batch: number;
+  jobId: string;
+  spec: string;
+  /** 0 is the most urgent. */
+  priority: number;
+  /** Time in which the job can still be answered, in milliseconds. */
+  timeLeftMs: number;
+  runs: RunOrder[];
+}
--- /dev/null
+++ b/src/coordination/messages/worker_status.ts
@@ -0,0 +1,27 @@
+/** What an agent says about its worker and the work there. */
+export interface WorkerStatus {
+  /** Empty while no worker is known. */
+  workerId: string;
+  acceptsWork: boolean;
+  /** No run of an earlier stream can still be at work at this worker. */
+  isSettled: boolean;
+  cpuMillis: number;
+  memoryMb: number;
+  gpus: number;
+  labels: string[];
+  zone: string;
+  service: string;
+  freeCpuMillis: number;
+  freeMemoryMb: number;
+  freeGpus: number;
+  /** Actual run time over expected run time. */
+  slowdown: number;
+  /** Remaining work of the running tasks, in core milliseconds. */
+  runningCoreMs: number;
+  /** Work that waits at the agent by priority, in core milliseconds. */
+  queuedCoreMs: number[];
+  /** The latest `startRuns` frame of this stream that the figures include. */
+  receivedBatch: number;
+  /** Share of the latest runs that failed, 0 to 1. */
+  failureShare: number;
+}
--- /dev/null
+++ b/src/state/batch/add_resources.ts
@@ -0,0 +1,14 @@
+import type { TaskResources } from "./task_resources.ts";
+
+/** Adds a multiple of some resources to others. */
+export function addResources(
+  base: TaskResources,
+  change: TaskResources,
+  factor: 1 | -1 = 1,
+): TaskResources {
+  return {
+    cpuMillis: base.cpuMillis + factor * change.cpuMillis,
+    memoryMb: base.memoryMb + factor * change.memoryMb,
+    gpus: base.gpus + factor * change.gpus,
+  };
+}
--- /dev/null
+++ b/src/state/batch/operator_config.ts
@@ -0,0 +1,9 @@
+import type { Route } from "./route.ts";
+
+/** One published version of the configuration, in full. */
+export interface OperatorConfig {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  /** Largest request body, in bytes. */
+  readonly maxBodyBytes: number;
+}
--- /dev/null
+++ b/src/state/batch/queued_run.ts
@@ -0,0 +1,15 @@
+import type { TaskResources } from "./task_resources.ts";
+
+/** A run that waits at an agent for room on its worker. */
+export interface QueuedRun {
+  readonly task: string;
+  readonly resources: TaskResources;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** Expected run time on a worker of average speed, in milliseconds. */
+  readonly expectedMs: number;
+  /** When the run arrived, on the monotonic clock, in milliseconds. */
+  readonly arrivedAt: number;
+  /** When its job must be answered, on the monotonic clock. */
+  readonly answerBy: number;
+}
--- /dev/null
+++ b/src/state/batch/run_queue.ts
@@ -0,0 +1,68 @@
+import { hasRoom } from "./has_room.ts";
+import type { QueuedRun } from "./queued_run.ts";
+import type { TaskResources } from "./task_resources.ts";
+
+/** Priorities that load figures tell apart; later ones count as the last. */
+const PRIORITIES = 4;
+
+/**
+ * The runs that wait at an agent for room on its worker. It answers short
+ * bursts above the capacity: urgent runs pass others, equal ones keep their
+ * order, and a run that can't end in time any more is taken out at once.
+ */
+export class RunQueue<T extends QueuedRun> {
+  #runs: T[] = [];
+
+  get size(): number {
+    return this.#runs.length;
+  }
+
+  /** Adds a run behind those of its priority. */
+  add(run: T): void {
+    let index = this.#runs.length;
+    while (index > 0 && (this.#runs[index - 1] as T).priority > run.priority) {
+      index--;
+    }
+    this.#runs.splice(index, 0, run);
+  }
+
+  /** Takes the first run that fits into the free resources. */
+  takeNext(free: TaskResources): T | undefined {
+    const index = this.#runs.findIndex((run) => hasRoom(free, run.resources));
+    return index < 0 ? undefined : this.#runs.splice(index, 1)[0];
+  }
+
+  /**
+   * Takes out the runs that can't end in time.
+   * @param now - Monotonic clock in milliseconds.
+   * @param slowdown - Learned slowdown of the worker.
+   */
+  takeExpired(now: number, slowdown: number): T[] {
+    return this.removeWhere((run) =>
+      now + run.expectedMs * slowdown > run.answerBy
+    );
+  }
+
+  /** Takes out the runs that match. */
+  removeWhere(matches: (run: T) => boolean): T[] {
+    const removed = this.#runs.filter(matches);
+    if (removed.length > 0) {
+      this.#runs = this.#runs.filter((run) => !matches(run));
+    }
+    return removed;
+  }
+
+  /**
+   * Gets the waiting work by priority, in core milliseconds on a worker of
+   * average speed.
+   */
+  getWork(): number[] {
+    const work = new Array<number>(PRIORITIES).fill(0);
+    for (const run of this.#runs) {
+      const index = Math.min(PRIORITIES - 1, run.priority);
+      work[index] = (work[index] as number) +
+        run.resources.cpuMillis / 1_000 * run.expectedMs;
+    }
+    return work;
+  }
+}
--- /dev/null
+++ b/src/transport/http/http_caller.ts
@@ -0,0 +1,103 @@
+import * as http from "node:http";
+import { err, ok, type Result } from "neverthrow";
+import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import type { HttpReply } from "./http_reply.ts";
+
+export interface HttpCallerOptions {
+  /** Connections that may be open to one address. */
+  maxConnections?: number;
+}
+
+export interface HttpCallOptions {
+  method: string;
+  /** Path with its query. */
+  path: string;
+  headers?: http.OutgoingHttpHeaders;
+  body?: Uint8Array | string;
+  /** Longest time until the whole answer has arrived, in milliseconds. */
+  timeoutMs: number;
+}
+
+/**
+ * Calls over kept connections. A call without an answer closes its connection,
+ * since a silent connection would take later calls down with it.
+ */
+export class HttpCaller {
+  readonly #agent: http.Agent;
+
+  constructor(options: HttpCallerOptions = {}) {
+    this.#agent = new http.Agent({
+      keepAlive: true,
+      maxSockets: options.maxConnections ?? 8,
+      scheduling: "lifo",
+    });
+  }
+
+  /**
+   * Makes one call. An error of kind `upstream_unreachable` means that nothing
+   * listens at the address; after `timeout` and `upstream_reset` the call may
+   * have been carried out.
+   * @param address - IP address and port.
+   */
+  call(
+    address: string,
+    options: HttpCallOptions,
+  ): Promise<Result<HttpReply, DispatchError>> {
+    const [host, port] = address.split(":");
+    const { method, path, body, timeoutMs } = options;
+    return new Promise((resolve) => {
+      let isTimedOut = false;
+      const fail = (error: NodeJS.ErrnoException) => {
+        clearTimeout(timer);
+        resolve(err(createCallError(error, isTimedOut, address)));
+      };
+      const request = http.request({
+        agent: this.#agent,
+        host,
+        port,
+        method,
+        path,
+        headers: {
+          ...options.headers,
+          "content-length": body === undefined ? 0 : Buffer.byteLength(body),
+        },
+      }, (response) => {
+        const chunks: Buffer[] = [];
+        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("error", fail);
+        response.on("end", () => {
+          clearTimeout(timer);
+          resolve(ok({
+            status: response.statusCode ?? 0,
+            body: Buffer.concat(chunks),
+          }));
+        });
+      });
+      const timer = setTimeout(() => {
+        isTimedOut = true;
+        request.destroy();
+      }, timeoutMs);
+      request.on("error", fail);
+      request.end(body);
+    });
+  }
+
+  /** Closes the connections. */
+  close(): void {
+    this.#agent.destroy();
+  }
+}
+
+function createCallError(
+  error: NodeJS.ErrnoException,
+  isTimedOut: boolean,
+  address: string,
+): DispatchError {
+  const message = `${address}: ${error.code ?? error.message}`;
+  if (isTimedOut) {
+    return createError("timeout", `${address}: no answer in time`);
+  }
+  return error.code === "ECONNREFUSED"
+    ? createError("upstream_unreachable", message)
+    : createError("upstream_reset", message);
+}
--- a/src/transport/http/http_request.ts
+++ b/src/transport/http/http_request.ts
@@ -3,6 +3,8 @@
 /** A received HTTP request with its whole body. */
 export interface HttpRequest {
   readonly method: string;
+  /** The path as it was sent, without its query. */
+  readonly rawPath: string;
   /** Segments of the path, decoded. */
   readonly path: readonly string[];
   readonly query: URLSearchParams;
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -29,6 +29,7 @@
 export class HttpServer {
   readonly #options: HttpServerOptions;
   readonly #server: http.Server;
+  #isClosing = false;
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
@@ -50,6 +51,11 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Closes each connection with its next answer; goes on to listen. */
+  closeAfterAnswers(): void {
+    this.#isClosing = true;
+  }
+
   /** Stops to listen; open requests are still served. */
   stopListening(): void {
     this.#server.close();
@@ -102,7 +108,9 @@
       "content-length": answer.body.length,
       ...answer.headers,
       // A stopping server closes its kept connections with their next answer.
-      ...(this.#server.listening ? {} : { connection: "close" }),
+      ...(this.#isClosing || !this.#server.listening
+        ? { connection: "close" }
+        : {}),
     });
     response.end(answer.body);
   }
@@ -177,11 +185,15 @@
 
 function parseTarget(
   target: string,
-): Pick<HttpRequest, "path" | "query"> | undefined {
+): Pick<HttpRequest, "rawPath" | "path" | "query"> | undefined {
   try {
     const url = new URL(target, "http://localhost");
     const segments = url.pathname.split("/").filter((part) => part !== "");
-    return { path: segments.map(decodeURIComponent), query: url.searchParams };
+    return {
+      rawPath: target.split("?", 1)[0] as string,
+      path: segments.map(decodeURIComponent),
+      query: url.searchParams,
+    };
   } catch {
     return undefined;
   }
--- a/src/transport/peer/peer_server.ts
+++ b/src/transport/peer/peer_server.ts
@@ -16,8 +16,8 @@
   port: number;
   /** Serves one stream until it ends. */
   serve: (stream: PeerStream) => Promise<void>;
-  /** Answers a gather call. */
-  gather: (request: GatherRequest) => GatherReply;
+  /** Answers a gather call; without it such calls are unimplemented. */
+  gather?: (request: GatherRequest) => GatherReply;
 }
 
 /** The server for streams and calls from other processes. */
@@ -43,7 +43,9 @@
               yield* stream.sent;
               await served;
             },
-            gather: (request) => create(GatherReplySchema, gather(request)),
+            ...(gather === undefined ? {} : {
+              gather: (request) => create(GatherReplySchema, gather(request)),
+            }),
           }),
       }),
     );
