Place tasks by when a worker has room

Change: agents report the remaining time of each running task; the entry derives when the next task has room; a wait weighs 2.5 times a run.

--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -39,6 +39,12 @@
 /** Weight of a run in the share of failed runs. */
 const FAILURE_WEIGHT = 0.2;
 
+/**
+ * Part of its expected run time that a run is expected to need when it should
+ * have ended already.
+ */
+const OVERDUE_SHARE = 0.15;
+
 const NO_RESOURCES: TaskResources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
 export interface WorkerRunnerOptions {
@@ -200,6 +206,7 @@
     const worker = this.#worker;
     const capacity = worker?.capacity ?? NO_RESOURCES;
     const free = this.#getFree();
+    const queued = this.#queue.getWork();
     return {
       workerId: worker?.workerId ?? "",
       acceptsWork: this.acceptsWork,
@@ -211,8 +218,11 @@
       freeMemoryMb: Math.max(0, free.memoryMb),
       freeGpus: Math.max(0, free.gpus),
       slowdown: this.#slowdown.value,
-      runningCoreMs: Math.round(this.#getRunningWork()),
-      queuedCoreMs: this.#queue.getWork().map(Math.round),
+      runningLeftMs: this.#getRunningLeft(),
+      queuedRuns: queued.runs,
+      queuedMs: queued.expectedMs.map((ms) =>
+        Math.round(ms * this.#slowdown.value)
+      ),
       failureShare: this.#failureShare,
     };
   }
@@ -241,17 +251,18 @@
     return free;
   }
 
-  #getRunningWork(): number {
+  /** Gets the expected remaining times of the runs at work, in milliseconds. */
+  #getRunningLeft(): number[] {
     const now = this.#getTime();
-    let work = 0;
+    const left: number[] = [];
     for (const run of this.#runs.values()) {
       if (run.state !== "queued") {
         const totalMs = run.expectedMs * this.#slowdown.value;
-        const leftMs = Math.max(0.1 * totalMs, totalMs - (now - run.startedAt));
-        work += run.resources.cpuMillis / 1_000 * leftMs;
+        const leftMs = totalMs - (now - run.startedAt);
+        left.push(Math.round(Math.max(OVERDUE_SHARE * totalMs, leftMs)));
       }
     }
-    return work;
+    return left;
   }
 
   #startLife(worker: WorkerDescription): void {
--- a/src/coordination/batch/entry/agent_channel.ts
+++ b/src/coordination/batch/entry/agent_channel.ts
@@ -258,8 +258,9 @@
       gpus: status.freeGpus,
     },
     slowdown: status.slowdown,
-    runningCoreMs: status.runningCoreMs,
-    queuedCoreMs: status.queuedCoreMs,
+    runningLeftMs: status.runningLeftMs,
+    queuedRuns: status.queuedRuns,
+    queuedMs: status.queuedMs,
     failureShare: status.failureShare,
   };
 }
--- a/src/coordination/messages/worker_status.ts
+++ b/src/coordination/messages/worker_status.ts
@@ -16,10 +16,15 @@
   freeGpus: number;
   /** Actual run time over expected run time. */
   slowdown: number;
-  /** Remaining work of the running tasks, in core milliseconds. */
-  runningCoreMs: number;
-  /** Work that waits at the agent by priority, in core milliseconds. */
-  queuedCoreMs: number[];
+  /** Expected remaining time of each running task, in milliseconds. */
+  runningLeftMs: number[];
+  /** Runs that wait at the agent, by priority. */
+  queuedRuns: number[];
+  /**
+   * Expected run time of all of these together on this worker, in milliseconds,
+   * by priority.
+   */
+  queuedMs: number[];
   /** The latest `startRuns` frame of this stream that the figures include. */
   receivedBatch: number;
   /** Share of the latest runs that failed, 0 to 1. */
--- a/src/state/batch/add_task_to_load.ts
+++ b/src/state/batch/add_task_to_load.ts
@@ -15,16 +15,18 @@
   load: WorkerLoad,
   task: AddTaskToLoadOptions,
 ): WorkerLoad {
-  const { resources, expectedMs, priority } = task;
-  const coreMs = resources.cpuMillis / 1_000 * expectedMs;
+  const { resources, priority } = task;
+  const runMs = task.expectedMs * load.slowdown;
   if (hasRoom(load.free, resources)) {
     return {
       ...load,
       free: addResources(load.free, resources, -1),
-      runningCoreMs: load.runningCoreMs + coreMs * load.slowdown,
+      runningLeftMs: [...load.runningLeftMs, runMs],
     };
   }
-  const queuedCoreMs = [...load.queuedCoreMs];
-  queuedCoreMs[priority] = (queuedCoreMs[priority] ?? 0) + coreMs;
-  return { ...load, queuedCoreMs };
+  const queuedRuns = [...load.queuedRuns];
+  queuedRuns[priority] = (queuedRuns[priority] ?? 0) + 1;
+  const queuedMs = [...load.queuedMs];
+  queuedMs[priority] = (queuedMs[priority] ?? 0) + runMs;
+  return { ...load, queuedRuns, queuedMs };
 }
--- a/src/state/batch/place_tasks.ts
+++ b/src/state/batch/place_tasks.ts
@@ -1,8 +1,7 @@
-import { addTaskToLoad } from "./add_task_to_load.ts";
-import { getExpectedEnd } from "./get_expected_end.ts";
-import { hasRoom } from "./has_room.ts";
 import type { BatchStep } from "./batch_step.ts";
+import { hasRoom } from "./has_room.ts";
 import type { PlacedTask } from "./placed_task.ts";
+import { RoomTimes } from "./room_times.ts";
 import type { WorkerLoad } from "./worker_load.ts";
 
 /**
@@ -11,6 +10,19 @@
  */
 const DEFAULT_FAR_FACTOR = 1.5;
 
+/**
+ * A worker that fails all its runs is taken for this many times slower: a failed
+ * run is repeated elsewhere.
+ */
+const FAILURE_COST = 3;
+
+/**
+ * Weight of a millisecond of waiting against one of running. Tasks that wait
+ * are passed by more urgent ones, and other entries queue at the same worker, so
+ * a wait lasts longer than expected; a run at a slow but free worker does not.
+ */
+const WAIT_WEIGHT = 2.5;
+
 export interface PlaceTasksOptions {
   step: BatchStep;
   /** Indexes of the tasks to place. */
@@ -27,6 +39,16 @@
   getRandom?: () => number;
 }
 
+interface Candidate {
+  readonly load: WorkerLoad;
+  /** Expected run time of one task there, in milliseconds. */
+  readonly runMs: number;
+  readonly room: RoomTimes;
+  readonly tie: number;
+  /** Tasks of the step there. */
+  count: number;
+}
+
 /**
  * Places tasks one after the other, each on the worker where it is expected to
  * end first, with the tasks placed before it taken into account. It answers any
@@ -34,51 +56,62 @@
  * queue is served first. A task that no worker could ever run is left out.
  */
 export function placeTasks(options: PlaceTasksOptions): PlacedTask[] {
-  const { step, indexes, priority } = options;
-  const getRandom = options.getRandom ?? Math.random;
-  const candidates = options.loads
-    .filter((load) =>
-      hasRoom(load.capacity, step.resources) &&
-      (step.requiredLabel === undefined ||
-        load.labels.includes(step.requiredLabel))
-    )
-    .map((load) => ({
-      load,
-      count: options.placed?.get(load.agentId) ?? 0,
-      tie: getRandom(),
-    }));
+  const { step, indexes } = options;
+  const candidates = createCandidates(options);
   const placements: PlacedTask[] = [];
   for (const index of indexes) {
     const avoided = options.avoid?.get(index);
     const open = candidates.filter(({ count }) => count < step.maxPerWorker);
     const others = open.filter(({ load }) => !avoided?.has(load.agentId));
-    let best: (typeof candidates)[number] | undefined;
-    let bestEnd = Infinity;
-    for (const candidate of others.length > 0 ? others : open) {
-      const { load } = candidate;
-      const isFar = step.preferredRack !== undefined &&
-        !load.labels.includes(step.preferredRack);
-      const expectedMs = step.expectedMs *
-        (isFar ? options.farFactor ?? DEFAULT_FAR_FACTOR : 1);
-      const end = getExpectedEnd(load, {
-        resources: step.resources,
-        expectedMs,
-        priority,
-      });
-      if (
-        end < bestEnd ||
-        (end === bestEnd && best !== undefined && candidate.tie < best.tie)
-      ) {
-        best = candidate;
-        bestEnd = end;
-      }
+    const best = selectFirstEnd(others.length > 0 ? others : open);
+    if (best !== undefined) {
+      const endMs = best.room.next + best.runMs;
+      placements.push({ index, agentId: best.load.agentId, endMs });
+      best.count++;
+      best.room.take(best.runMs);
     }
-    if (best === undefined) {
+  }
+  return placements;
+}
+
+function createCandidates(options: PlaceTasksOptions): Candidate[] {
+  const { step, loads, priority, placed } = options;
+  const getRandom = options.getRandom ?? Math.random;
+  const farFactor = options.farFactor ?? DEFAULT_FAR_FACTOR;
+  const candidates: Candidate[] = [];
+  for (const load of loads) {
+    const hasLabel = step.requiredLabel === undefined ||
+      load.labels.includes(step.requiredLabel);
+    if (!hasLabel || !hasRoom(load.capacity, step.resources)) {
       continue;
     }
-    placements.push({ index, agentId: best.load.agentId, endMs: bestEnd });
-    best.count++;
-    best.load = addTaskToLoad(best.load, { ...step, priority });
+    const isFar = step.preferredRack !== undefined &&
+      !load.labels.includes(step.preferredRack);
+    candidates.push({
+      load,
+      runMs: step.expectedMs * load.slowdown * (isFar ? farFactor : 1) *
+        (1 + FAILURE_COST * load.failureShare),
+      room: new RoomTimes(load, { resources: step.resources, priority }),
+      tie: getRandom(),
+      count: placed?.get(load.agentId) ?? 0,
+    });
+  }
+  return candidates;
+}
+
+/** Selects the candidate with the least weighted time until the end. */
+function selectFirstEnd(
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestMs = Infinity;
+  for (const candidate of candidates) {
+    const costMs = WAIT_WEIGHT * candidate.room.next + candidate.runMs;
+    const isTie = costMs === bestMs && candidate.tie < (best?.tie ?? 1);
+    if (costMs < bestMs || isTie) {
+      best = candidate;
+      bestMs = costMs;
+    }
   }
-  return placements;
+  return best;
 }
--- a/src/state/batch/run_queue.ts
+++ b/src/state/batch/run_queue.ts
@@ -53,16 +53,17 @@
   }
 
   /**
-   * Gets the waiting work by priority, in core milliseconds on a worker of
-   * average speed.
+   * Gets the number of waiting runs and their run time together by priority, in
+   * milliseconds on a worker of average speed.
    */
-  getWork(): number[] {
-    const work = new Array<number>(PRIORITIES).fill(0);
+  getWork(): { runs: number[]; expectedMs: number[] } {
+    const runs = new Array<number>(PRIORITIES).fill(0);
+    const expectedMs = new Array<number>(PRIORITIES).fill(0);
     for (const run of this.#runs) {
       const index = Math.min(PRIORITIES - 1, run.priority);
-      work[index] = (work[index] as number) +
-        run.resources.cpuMillis / 1_000 * run.expectedMs;
+      runs[index] = (runs[index] as number) + 1;
+      expectedMs[index] = (expectedMs[index] as number) + run.expectedMs;
     }
-    return work;
+    return { runs, expectedMs };
   }
 }
--- a/src/state/batch/worker_load.ts
+++ b/src/state/batch/worker_load.ts
@@ -10,10 +10,12 @@
   readonly free: TaskResources;
   /** Actual run time over declared run time. */
   readonly slowdown: number;
-  /** Remaining work of running tasks, in core milliseconds. */
-  readonly runningCoreMs: number;
-  /** Waiting work by priority, in core milliseconds. */
-  readonly queuedCoreMs: readonly number[];
+  /** Expected remaining time of each running task, in milliseconds. */
+  readonly runningLeftMs: readonly number[];
+  /** Waiting runs by priority. */
+  readonly queuedRuns: readonly number[];
+  /** Expected run time of all of these together, in milliseconds, by priority. */
+  readonly queuedMs: readonly number[];
   /** Share of the latest runs that failed, 0 to 1. */
   readonly failureShare: number;
 }
