--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -79,7 +79,8 @@
   /** Stops the runs of an entry that has fallen silent. */
   checkSilence(): void {
     const isSilent = !this.isFresh();
-    if (isSilent && !this.#isSilent && this.#name !== "") {
+    const wasProven = this.#link.provenAt > -Infinity;
+    if (isSilent && !this.#isSilent && wasProven) {
       this.#options.log.record("entry_silent", {
         entry: this.#name,
         proofAgeMs: Math.round(this.#getTime() - this.#link.provenAt),
@@ -105,7 +106,10 @@
     switch (body.case) {
       case "hello":
         this.#name = body.value.name;
-        this.#options.log.record("entry_found", { ...body.value });
+        this.#options.log.record("entry_found", {
+          entry: this.#name,
+          incarnation: body.value.incarnation,
+        });
         runner.stopWhere((run) =>
           run.owner.name === this.#name && run.owner !== this
         );
--- a/src/coordination/batch/entry/agent_channel.ts
+++ b/src/coordination/batch/entry/agent_channel.ts
@@ -72,13 +72,17 @@
     return this.#status !== undefined;
   }
 
+  /** Is the agent heard, and does its worker take work? */
+  get isUsable(): boolean {
+    return this.#status?.acceptsWork === true && this.#silentMs < SUSPECT_MS;
+  }
+
   /**
    * Gets the load of the worker if it takes work of the service, with the tasks
    * sent since its last report.
    */
   getLoad(service: string): WorkerLoad | undefined {
-    return this.#status?.acceptsWork === true &&
-        this.#status.service === service && this.#silentMs < SUSPECT_MS
+    return this.isUsable && this.#status?.service === service
       ? this.#load
       : undefined;
   }
@@ -181,7 +185,10 @@
     const { operator, onEnds, log } = this.#options;
     switch (body.case) {
       case "hello":
-        log.record("agent_found", { agent: this.agentId, ...body.value });
+        log.record("agent_found", {
+          agent: this.agentId,
+          incarnation: body.value.incarnation,
+        });
         return;
       case "ping":
         if (body.value.operatorOffset < operator.state.offset) {
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -15,6 +15,7 @@
 import { AgentChannel } from "./agent_channel.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
+import { WarmUpGate } from "./warm_up_gate.ts";
 
 export interface BatchEntryOptions {
   name: string;
@@ -47,6 +48,11 @@
   readonly #members: TopicFollower;
   readonly #channels = new Map<string, AgentChannel>();
   readonly #jobs = new Map<string, BatchJobRun>();
+  readonly #gate = new WarmUpGate({
+    getKnownAgents: () => this.#channels.size,
+    getUsableAgents: () =>
+      [...this.#channels.values()].filter(({ isUsable }) => isUsable).length,
+  });
 
   constructor(options: BatchEntryOptions) {
     this.#options = options;
@@ -99,10 +105,11 @@
     }
     const { log, farFactor, metrics } = this.#options;
     const startedAt = performance.now();
+    await this.#gate.wait(signal);
     const run = new BatchJobRun({
       job,
       route,
-      timeLeftMs,
+      timeLeftMs: timeLeftMs - (performance.now() - startedAt),
       log,
       farFactor,
       getLoads: (service) => this.#getLoads(service),
