Settle unanswered orders to workers within 0.1 s

Change: shorter timeouts, a worker is silent after two lost renewals, a start is settled by the first report under its own fence.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -171,6 +171,7 @@
         answerBy: now + message.timeLeftMs,
         state: "queued",
         isStopWanted: false,
+        settlingFence: 0,
         startedAt: 0,
         stopSentAt: 0,
         missedReports: 0,
--- a/src/coordination/batch/agent/local_run.ts
+++ b/src/coordination/batch/agent/local_run.ts
@@ -11,6 +11,11 @@
   state: "queued" | "starting" | "uncertain" | "running" | "stopping";
   /** Is the run to be stopped as soon as the answer to its start is known? */
   isStopWanted: boolean;
+  /**
+   * Lowest fence of a report that settles an unanswered start: under it the
+   * worker ignores the start if it is still on its way.
+   */
+  settlingFence: number;
   /** When the start was sent, on the monotonic clock. */
   startedAt: number;
   /** When the last stop was sent, on the monotonic clock. */
--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -10,8 +10,14 @@
  */
 const RENEW_WAIT_MS = 300;
 
-/** Time for the answer beyond the wait, in milliseconds. */
-const ANSWER_MS = 250;
+/**
+ * Time for the answer beyond the wait, in milliseconds. The worker is on the
+ * same machine; a second renewal still arrives within the lease.
+ */
+const ANSWER_MS = 120;
+
+/** Renewals in a row without an answer after which the worker is silent. */
+const SILENT_FAILURES = 2;
 
 /** Pause after a renewal that failed at once, in milliseconds. */
 const RETRY_MS = 50;
@@ -48,15 +54,17 @@
   /** No lease can last longer, on the monotonic clock. */
   #expiresAt: number;
   #failures = 0;
+  #isRefreshing = false;
+  #isRefreshWanted = false;
 
   constructor(options: WorkerLeaseOptions) {
     this.#options = options;
     this.#expiresAt = options.getTime() + getLeaseBoundMs();
   }
 
-  /** Did the worker answer the last call? */
+  /** Has the worker answered one of the latest calls? */
   get isAnswering(): boolean {
-    return this.#hasLooked && this.#failures === 0;
+    return this.#hasLooked && this.#failures < SILENT_FAILURES;
   }
 
   /** Records that an order with a new end of the lease was sent. */
@@ -79,11 +87,21 @@
     }
   }
 
-  /** Asks at once what runs, beside the renewals. */
+  /**
+   * Asks at once what runs, beside the renewals. Calls while one is open are
+   * served by one more call after it.
+   */
   async refresh(): Promise<void> {
-    if (!this.#isStopped) {
+    this.#isRefreshWanted = true;
+    if (this.#isRefreshing) {
+      return;
+    }
+    this.#isRefreshing = true;
+    while (this.#isRefreshWanted && !this.#isStopped) {
+      this.#isRefreshWanted = false;
       await this.#renew(0);
     }
+    this.#isRefreshing = false;
   }
 
   stop(): void {
@@ -144,7 +162,7 @@
     const { log, workerId, getTime, onGone, onExpired } = this.#options;
     // The lost renewal may still arrive; it must not renew anything then.
     this.#options.fence.raise();
-    if (this.#failures === 1) {
+    if (this.#failures === SILENT_FAILURES) {
       log.record("worker_silent", { workerId, kind, reason });
     }
     if (kind === "upstream_unreachable") {
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -21,8 +21,11 @@
 import type { WorkerDescription } from "./worker_description.ts";
 import { WorkerLease } from "./worker_lease.ts";
 
-/** Wait for the answer to a start or a stop, in milliseconds. */
-const ORDER_TIMEOUT_MS = 300;
+/**
+ * Wait for the answer to a start or a stop, in milliseconds: some fifty times
+ * the usual one. An unanswered start is settled by the next lease report.
+ */
+const ORDER_TIMEOUT_MS = 100;
 
 /** A stop is sent again when its run is still listed after this time. */
 const STOP_AGAIN_MS = 120;
@@ -406,7 +409,7 @@
       case "uncertain":
         if (listed !== undefined) {
           this.#handleStarted(run);
-        } else if (request.fence === this.#fence.value) {
+        } else if (request.fence >= run.settlingFence) {
           this.#end(run, "returned", "the start was not carried out");
         }
         return;
@@ -535,6 +538,7 @@
     }
     run.state = "uncertain";
     this.#fence.raise();
+    run.settlingFence = this.#fence.value;
     void this.#lease?.refresh();
   }
 
