Test the runs of an agent, the jobs of an entry, and the platform's formats

The worker runner's tests found that the lease of a silent worker never counted as expired: each unanswered renewal moved the bound on. A silent worker is now only asked. The tests of jobs found a needless stop of a task that had failed.

--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -113,7 +113,11 @@
     const sentAt = getTime();
     const isLook = !this.#hasLooked;
     const request = { fence: fence.value, sentAt, isLook };
-    const leaseUntilMs = isLook ? undefined : this.getLeaseEnd(sentAt);
+    // A renewal without an answer may still have been carried out. A silent
+    // worker is only asked, so that its lease certainly expires.
+    const leaseUntilMs = this.isAnswering
+      ? this.getLeaseEnd(sentAt)
+      : undefined;
     if (leaseUntilMs !== undefined) {
       this.recordRenewal(sentAt);
     }
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -125,6 +125,7 @@
       return;
     }
     task.run = end.run;
+    task.state = "waiting";
     if (end.outcome !== "returned" && end.outcome !== "expired") {
       this.#mayHaveRun = true;
     }
@@ -143,7 +144,6 @@
         this.#placeLater(task, 0);
         return;
       case "expired":
-        task.state = "waiting";
         this.#fail("deadline_unreachable");
         return;
       default:
--- a/src/coordination/batch/entry/mod.ts
+++ b/src/coordination/batch/entry/mod.ts
@@ -1,3 +1,5 @@
 export type { BatchAnswer } from "./batch_answer.ts";
 export { BatchEntry } from "./batch_entry.ts";
+export { BatchJobRun } from "./batch_job_run.ts";
 export { EntryDrain } from "./entry_drain.ts";
+export { WarmUpGate } from "./warm_up_gate.ts";
--- a/src/coordination/batch/entry/warm_up_gate.ts
+++ b/src/coordination/batch/entry/warm_up_gate.ts
@@ -35,6 +35,11 @@
     this.#startedAt = this.#getTime();
   }
 
+  /** May jobs be placed? */
+  get isOpen(): boolean {
+    return this.#isOpen;
+  }
+
   /** Waits until jobs may be placed, or their client has gone. */
   async wait(signal: AbortSignal): Promise<void> {
     while (!this.#checkOpen() && !signal.aborted) {
--- /dev/null
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -0,0 +1,262 @@
+import { setTimeout as wait } from "node:timers/promises";
+import { expect } from "chai";
+import {
+  type LocalRun,
+  type RunOwner,
+  type WorkerDescription,
+  WorkerRunner,
+} from "../../../../src/coordination/batch/agent/mod.ts";
+import type { RunEnd } from "../../../../src/coordination/messages/mod.ts";
+import { FakeWorker } from "../../../lib/fake_worker.ts";
+import { RecordedLog } from "../../../lib/recorded_log.ts";
+import { waitUntil } from "../../../lib/wait_until.ts";
+
+class TestOwner implements RunOwner {
+  readonly name: string;
+  readonly ends: RunEnd[] = [];
+  isProven = true;
+
+  constructor(name = "entry-1") {
+    this.name = name;
+  }
+
+  isFresh(): boolean {
+    return this.isProven;
+  }
+
+  handleEnd(end: RunEnd): void {
+    this.ends.push(end);
+  }
+
+  getOutcomes(): string[] {
+    return this.ends.map(({ outcome }) => outcome);
+  }
+}
+
+function createDescription(
+  changes: Partial<WorkerDescription> = {},
+): WorkerDescription {
+  return {
+    workerId: "w-1",
+    bornAtMs: 1_000,
+    sequence: 1,
+    service: "s",
+    zone: "a",
+    isDraining: false,
+    remainingMs: undefined,
+    capacity: { cpuMillis: 4_000, memoryMb: 1_000, gpus: 0 },
+    labels: [],
+    ...changes,
+  };
+}
+
+function createRun(owner: RunOwner, changes: Partial<LocalRun> = {}): LocalRun {
+  const now = performance.now();
+  return {
+    task: "0000000000000001.0.0.0",
+    run: 1,
+    jobId: "0000000000000001",
+    spec: "x",
+    owner,
+    resources: { cpuMillis: 2_000, memoryMb: 64, gpus: 0 },
+    priority: 0,
+    expectedMs: 10,
+    arrivedAt: now,
+    answerBy: now + 5_000,
+    state: "queued",
+    isStopWanted: false,
+    settlingFence: 0,
+    startedAt: 0,
+    stopSentAt: 0,
+    missedReports: 0,
+    ...changes,
+  };
+}
+
+describe("WorkerRunner", () => {
+  let worker: FakeWorker;
+  let log: RecordedLog;
+  let runner: WorkerRunner;
+  let owner: TestOwner;
+  let isInService: boolean;
+
+  beforeEach(() => {
+    worker = new FakeWorker();
+    log = new RecordedLog();
+    owner = new TestOwner();
+    isInService = true;
+    runner = new WorkerRunner({
+      control: worker,
+      log,
+      isInService: () => isInService,
+      onChange: () => {},
+    });
+  });
+
+  afterEach(() => runner.stop());
+
+  async function startWorker(): Promise<void> {
+    runner.setWorker(createDescription());
+    await waitUntil(() => runner.acceptsWork, "the worker is settled");
+  }
+
+  async function startRun(run: LocalRun): Promise<void> {
+    runner.add(run);
+    runner.update();
+    await waitUntil(() => worker.running.has(run.task), "the run has started");
+  }
+
+  it("runs a task and confirms its end", async () => {
+    await startWorker();
+    const run = createRun(owner);
+    await startRun(run);
+    worker.end(run.task, "done");
+    await waitUntil(() => owner.ends.length === 1, "the end is told");
+    expect(owner.ends[0]).to.include({ outcome: "done", run: 1 });
+    await waitUntil(() => worker.confirmedUpTo === 1, "the end is confirmed");
+  });
+
+  it("starts no more than the worker holds", async () => {
+    await startWorker();
+    const tasks = ["a", "b", "c"];
+    for (const task of tasks) {
+      runner.add(createRun(owner, { task }));
+    }
+    runner.update();
+    await waitUntil(() => worker.starts.length === 2, "two runs have started");
+    await wait(50);
+    expect(worker.starts).to.have.length(2);
+    worker.end("a", "done");
+    await waitUntil(() => worker.starts.length === 3, "the third has started");
+  });
+
+  it("keeps a run whose answer was lost, and starts it once", async () => {
+    await startWorker();
+    worker.startFaults.push("answer_lost");
+    const run = createRun(owner);
+    await startRun(run);
+    await waitUntil(() => log.count("run_started") === 1, "the run is found");
+    worker.end(run.task, "done");
+    await waitUntil(() => owner.ends.length === 1, "the end is told");
+    expect(owner.getOutcomes()).to.deep.equal(["done"]);
+    expect(worker.starts).to.have.length(1);
+  });
+
+  it("returns a start that is carried out late, and it never begins", async () => {
+    await startWorker();
+    worker.startFaults.push("carried_out_late");
+    runner.add(createRun(owner));
+    runner.update();
+    await waitUntil(() => owner.ends.length === 1, "the run is returned");
+    expect(owner.getOutcomes()).to.deep.equal(["returned"]);
+    await wait(worker.lateMs + 50);
+    expect(worker.starts).to.have.length(0);
+  });
+
+  it("stops the runs of a former process before it takes work", async () => {
+    worker.running.set("old", { task: "old", run: 3 });
+    await startWorker();
+    expect(worker.running.has("old")).to.equal(false);
+    expect(worker.starts).to.have.length(0);
+  });
+
+  it("does not renew the lease of the runs of a former process", async () => {
+    worker.running.set("old", { task: "old", run: 3 });
+    runner.setWorker(createDescription());
+    expect(worker.leaseUntilMs).to.equal(0);
+    await waitUntil(() => !worker.running.has("old"), "the old run is stopped");
+  });
+
+  it("starts nothing for an entry that it has no fresh proof of", async () => {
+    await startWorker();
+    owner.isProven = false;
+    runner.add(createRun(owner));
+    runner.update();
+    await waitUntil(() => owner.ends.length === 1, "the run is returned");
+    expect(owner.getOutcomes()).to.deep.equal(["returned"]);
+    expect(worker.starts).to.have.length(0);
+  });
+
+  it("returns what waits when the worker drains, and starts no more", async () => {
+    await startWorker();
+    for (const task of ["a", "b", "c"]) {
+      runner.add(createRun(owner, { task }));
+    }
+    runner.update();
+    runner.setWorker(createDescription({ sequence: 2, isDraining: true }));
+    expect(owner.ends.map(({ task, outcome }) => `${task} ${outcome}`))
+      .to.deep.equal(["c returned"]);
+    runner.add(createRun(owner, { task: "d" }));
+    expect(owner.getOutcomes()).to.deep.equal(["returned", "returned"]);
+  });
+
+  it("starts nothing in a zone that is out of service", async () => {
+    await startWorker();
+    isInService = false;
+    runner.add(createRun(owner));
+    expect(owner.getOutcomes()).to.deep.equal(["returned"]);
+  });
+
+  it("ignores a report that is older than the known one", () => {
+    runner.setWorker(createDescription({ sequence: 5, isDraining: true }));
+    runner.setWorker(createDescription({ sequence: 4 }));
+    expect(runner.worker?.isDraining).to.equal(true);
+    runner.setWorker(createDescription({ bornAtMs: 900, sequence: 9 }));
+    expect(runner.worker?.bornAtMs).to.equal(1_000);
+    expect(log.count("worker_report_ignored")).to.equal(2);
+  });
+
+  it("loses the runs of a worker that has restarted, at once", async () => {
+    await startWorker();
+    const run = createRun(owner);
+    await startRun(run);
+    worker.running.clear();
+    worker.bornAtMs = 2_000;
+    runner.setWorker(createDescription({ bornAtMs: 2_000 }));
+    expect(owner.getOutcomes()).to.deep.equal(["lost"]);
+  });
+
+  it("loses the runs of a worker that no longer listens, at once", async () => {
+    await startWorker();
+    await startRun(createRun(owner));
+    worker.isDown = true;
+    await waitUntil(() => owner.ends.length === 1, "the run is lost");
+    expect(owner.getOutcomes()).to.deep.equal(["lost"]);
+    expect(runner.acceptsWork).to.equal(false);
+  });
+
+  it("loses the runs of a silent worker only after their lease", async () => {
+    await startWorker();
+    const startedAt = performance.now();
+    await startRun(createRun(owner));
+    worker.isSilent = true;
+    await waitUntil(() => owner.ends.length === 1, "the run is lost");
+    expect(owner.getOutcomes()).to.deep.equal(["lost"]);
+    expect(performance.now() - startedAt).to.be.greaterThan(1_000);
+  });
+
+  it("stops a run whose start is still open when it is not wanted", async () => {
+    await startWorker();
+    worker.startFaults.push("answer_lost");
+    const run = createRun(owner);
+    await startRun(run);
+    runner.stopWhere(() => true);
+    await waitUntil(() => owner.ends.length === 1, "the run is stopped");
+    expect(owner.getOutcomes()).to.deep.equal(["stopped"]);
+    expect(worker.running.size).to.equal(0);
+  });
+
+  it("returns a run of another entry while an earlier one is at work", async () => {
+    await startWorker();
+    const run = createRun(owner);
+    await startRun(run);
+    const other = new TestOwner("entry-2");
+    runner.add(createRun(other, { run: 2 }));
+    expect(other.getOutcomes()).to.deep.equal(["returned"]);
+    await waitUntil(
+      () => owner.ends.length === 1,
+      "the earlier run is stopped",
+    );
+    expect(owner.getOutcomes()).to.deep.equal(["stopped"]);
+  });
+});
--- /dev/null
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -0,0 +1,189 @@
+import { setTimeout as wait } from "node:timers/promises";
+import { expect } from "chai";
+import {
+  type BatchAnswer,
+  BatchJobRun,
+} from "../../../../src/coordination/batch/entry/mod.ts";
+import type { RunEnd } from "../../../../src/coordination/messages/mod.ts";
+import type {
+  BatchStep,
+  RunOutcome,
+  WorkerLoad,
+} from "../../../../src/state/batch/mod.ts";
+import { createBatchStep } from "../../../lib/batch_step.ts";
+import { RecordedLog } from "../../../lib/recorded_log.ts";
+import { waitUntil } from "../../../lib/wait_until.ts";
+import { createWorkerLoad } from "../../../lib/worker_load.ts";
+
+const JOB_ID = "00000000000000aa";
+
+interface Sent {
+  agentId: string;
+  task: string;
+  run: number;
+}
+
+/** A job with its agents replaced by lists of what was sent to them. */
+class JobHarness {
+  readonly sent: Sent[] = [];
+  readonly stopped: { agentId: string; tasks: string[] }[] = [];
+  readonly log = new RecordedLog();
+  loads: WorkerLoad[] = ["a", "b"].map((agentId) =>
+    createWorkerLoad({ agentId })
+  );
+  readonly run: BatchJobRun;
+  answer: BatchAnswer | undefined;
+
+  constructor(steps: BatchStep[], timeLeftMs = 10_000) {
+    this.run = new BatchJobRun({
+      job: { id: JOB_ID, spec: "x", steps },
+      route: {
+        name: "r",
+        host: "h",
+        pathPrefix: "/",
+        service: "s",
+        priority: 0,
+        timeoutMs: 10_000,
+        maxAttempts: 2,
+      },
+      timeLeftMs,
+      log: this.log,
+      getLoads: () => this.loads,
+      sendStart: (agentId, { runs }) => {
+        for (const { task, run } of runs) {
+          this.sent.push({ agentId, task, run });
+        }
+      },
+      sendStop: (agentId, tasks) => this.stopped.push({ agentId, tasks }),
+      farFactor: 1.5,
+    });
+    void this.run.answer.then((answer) => this.answer = answer);
+    this.run.start();
+  }
+
+  end(at: number, outcome: RunOutcome): void {
+    const { agentId, task, run } = this.sent[at] as Sent;
+    const end: RunEnd = { task, run, outcome, runMs: 1, detail: "" };
+    this.run.handleEnd(agentId, end);
+  }
+}
+
+describe("BatchJobRun", () => {
+  it("is completed when all tasks are done", async () => {
+    const job = new JobHarness([createBatchStep({ count: 3 })]);
+    expect(job.sent).to.have.length(3);
+    for (const at of [0, 1, 2]) {
+      expect(job.answer).to.equal(undefined);
+      job.end(at, "done");
+    }
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "completed" });
+  });
+
+  it("starts a step when those that it depends on are done", async () => {
+    const job = new JobHarness([
+      createBatchStep({ count: 2 }),
+      createBatchStep({ dependsOn: [0] }),
+    ]);
+    expect(job.sent).to.have.length(2);
+    job.end(0, "done");
+    expect(job.sent).to.have.length(2);
+    job.end(1, "done");
+    expect(job.sent[2]?.task).to.equal(`${JOB_ID}.0.1.0`);
+    job.end(2, "done");
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "completed" });
+  });
+
+  it("tries a failed task elsewhere and fails after its attempts", async () => {
+    const job = new JobHarness([createBatchStep({ count: 2 })]);
+    job.end(0, "failed");
+    await waitUntil(() => job.sent.length === 3, "the task is sent again");
+    const [first, , again] = job.sent;
+    expect(again?.agentId).not.to.equal(first?.agentId);
+    expect(again?.run).to.equal(2);
+    job.end(2, "failed");
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "failed" });
+    expect(job.stopped.flatMap(({ tasks }) => tasks))
+      .to.deep.equal([`${JOB_ID}.0.0.1`]);
+  });
+
+  it("does not place the runs of a lost agent until they have ended", async () => {
+    const job = new JobHarness([createBatchStep()]);
+    const { agentId } = job.sent[0] as Sent;
+    job.run.handleAgentLost(agentId);
+    await wait(300);
+    expect(job.sent).to.have.length(1);
+    job.run.handleAgentSettled(agentId);
+    await waitUntil(() => job.sent.length === 2, "the task is sent again");
+    expect(job.sent[1]?.agentId).not.to.equal(agentId);
+    job.end(1, "done");
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "completed" });
+  });
+
+  it("answers at once when a lost run can't be repeated in time", async () => {
+    const job = new JobHarness([createBatchStep()], 1_000);
+    job.run.handleAgentLost((job.sent[0] as Sent).agentId);
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "error", error: "agent_lost" });
+  });
+
+  it("ignores an end from another agent or of an earlier run", async () => {
+    const job = new JobHarness([createBatchStep()]);
+    const { agentId, task } = job.sent[0] as Sent;
+    const end = { task, run: 1, outcome: "done", runMs: 1, detail: "" };
+    job.run.handleEnd("other", end);
+    job.run.handleEnd(agentId, { ...end, run: 0 });
+    await wait(0);
+    expect(job.answer).to.equal(undefined);
+    job.run.cancel();
+  });
+
+  it("says not run only when no task can have started", async () => {
+    const alone = new JobHarness([createBatchStep()]);
+    alone.end(0, "expired");
+    const pair = new JobHarness([createBatchStep({ count: 2 })]);
+    pair.end(0, "expired");
+    await wait(0);
+    expect(alone.answer).to.deep.equal({
+      kind: "error",
+      error: "deadline_unreachable",
+    });
+    expect(pair.answer).to.deep.equal({ kind: "error", error: "timeout" });
+  });
+
+  it("refuses at once what can't end in time, and sends nothing", async () => {
+    const step = createBatchStep({ expectedMs: 3_000 });
+    const job = new JobHarness([step], 2_000);
+    await wait(0);
+    expect(job.answer).to.include({ error: "deadline_unreachable" });
+    expect(job.sent).to.have.length(0);
+  });
+
+  it("fails a job that fits on no worker", async () => {
+    const resources = { cpuMillis: 99_000, memoryMb: 1, gpus: 0 };
+    const job = new JobHarness([createBatchStep({ resources })]);
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "failed" });
+  });
+
+  it("stops its tasks when the client has gone", () => {
+    const job = new JobHarness([createBatchStep({ count: 2 })]);
+    job.run.cancel();
+    expect(job.stopped.flatMap(({ tasks }) => tasks)).to.have.length(2);
+  });
+
+  it("waits for a worker when a returned run finds none", async () => {
+    const job = new JobHarness([createBatchStep()]);
+    job.loads = [];
+    job.end(0, "returned");
+    await wait(150);
+    expect(job.sent).to.have.length(1);
+    job.loads = [createWorkerLoad({ agentId: "c" })];
+    await waitUntil(() => job.sent.length === 2, "the task is sent again");
+    expect(job.sent[1]?.agentId).to.equal("c");
+    job.run.cancel();
+  });
+});
--- /dev/null
+++ b/tests/lib/fake_worker.ts
@@ -0,0 +1,161 @@
+import { setTimeout as wait } from "node:timers/promises";
+import { err, ok, type Result } from "neverthrow";
+import type {
+  EndedRun,
+  LeaseRenewal,
+  LeaseReport,
+  WorkerControl,
+  WorkerOrder,
+  WorkerRefusal,
+  WorkerReply,
+  WorkerStart,
+  WorkerStop,
+} from "../../src/coordination/links/mod.ts";
+import type { RunOutcome } from "../../src/state/batch/mod.ts";
+import { createError, type DispatchError } from "../../src/state/errors/mod.ts";
+
+interface FakeRun {
+  task: string;
+  run: number;
+}
+
+/** How the next start is treated. */
+export type StartFault = "answer_lost" | "carried_out_late" | "refused";
+
+/** A worker in memory that keeps leases, fences and ends like a real one. */
+export class FakeWorker implements WorkerControl {
+  readonly workerId = "w-1";
+  bornAtMs = 1_000;
+  /** Each run that has begun, in order. */
+  readonly starts: FakeRun[] = [];
+  readonly running = new Map<string, FakeRun>();
+  /** Fault of the next starts, one each. */
+  readonly startFaults: StartFault[] = [];
+  /** Does the worker leave all calls unanswered, undone? */
+  isSilent = false;
+  /** Refuses connections. */
+  isDown = false;
+  confirmedUpTo = 0;
+  /** Delay of late orders, in milliseconds. */
+  lateMs = 250;
+  leaseUntilMs = 0;
+  #fence = 0;
+  #sequence = 0;
+  #ended: EndedRun[] = [];
+  #wakeRenewals: (() => void)[] = [];
+
+  get clockMs(): number {
+    return performance.now();
+  }
+
+  async startRun(
+    order: WorkerStart,
+  ): Promise<Result<WorkerReply, DispatchError>> {
+    const fault = this.startFaults.shift();
+    switch (fault) {
+      case "answer_lost":
+        this.#begin(order);
+        return await this.#loseAnswer(order);
+      case "carried_out_late":
+        void wait(this.lateMs).then(() => this.#begin(order));
+        return await this.#loseAnswer(order);
+      case "refused":
+        return ok(this.#createReply("no_room"));
+      case undefined:
+        break;
+      default:
+        fault satisfies never;
+    }
+    return await this.#answer(order, () => this.#begin(order));
+  }
+
+  async stopRun(
+    order: WorkerStop,
+  ): Promise<Result<WorkerReply, DispatchError>> {
+    return await this.#answer(order, () => {
+      if (order.fence < this.#fence) {
+        return this.#createReply("stale_fence");
+      }
+      const run = this.running.get(order.task);
+      if (run !== undefined && run.run <= order.run) {
+        this.end(order.task, "stopped");
+      }
+      return this.#createReply(undefined);
+    });
+  }
+
+  async renewLease(
+    renewal: LeaseRenewal,
+  ): Promise<Result<WorkerReply | LeaseReport, DispatchError>> {
+    if (renewal.fence < this.#fence) {
+      return ok(this.#createReply("stale_fence"));
+    }
+    if (!this.isSilent && !this.isDown) {
+      this.#fence = renewal.fence;
+      this.leaseUntilMs = renewal.leaseUntilMs ?? this.leaseUntilMs;
+      this.confirmedUpTo = renewal.confirmedUpTo;
+      this.#ended = this.#ended.filter(({ sequence }) =>
+        sequence > renewal.confirmedUpTo
+      );
+      if (this.#ended.length === 0 && renewal.waitMs > 0) {
+        await Promise.race([
+          wait(renewal.waitMs),
+          new Promise<void>((resolve) => this.#wakeRenewals.push(resolve)),
+        ]);
+      }
+    }
+    return await this.#answer(renewal, (): LeaseReport => ({
+      kind: "report",
+      workerClockMs: this.clockMs,
+      bornAtMs: this.bornAtMs,
+      running: [...this.running.values()].map((run) => ({
+        ...run,
+        progressPercent: 0,
+        usedCpuMillis: undefined,
+      })),
+      ended: [...this.#ended],
+    }));
+  }
+
+  /** Ends a run. */
+  end(task: string, outcome: RunOutcome): void {
+    const run = this.running.get(task);
+    if (run !== undefined) {
+      this.running.delete(task);
+      this.#sequence++;
+      const sequence = this.#sequence;
+      this.#ended.push({ sequence, ...run, outcome, detail: outcome });
+      this.#wakeRenewals.splice(0).forEach((wake) => wake());
+    }
+  }
+
+  #begin(order: WorkerStart): WorkerReply {
+    if (order.fence < this.#fence) {
+      return this.#createReply("stale_fence");
+    }
+    this.#fence = order.fence;
+    const run = { task: order.task, run: order.run };
+    this.starts.push(run);
+    this.running.set(order.task, run);
+    return this.#createReply(undefined);
+  }
+
+  async #answer<T>(
+    order: WorkerOrder,
+    carryOut: () => T,
+  ): Promise<Result<T, DispatchError>> {
+    if (this.isDown) {
+      return err(createError("upstream_unreachable", "refused"));
+    }
+    return this.isSilent ? await this.#loseAnswer(order) : ok(carryOut());
+  }
+
+  async #loseAnswer(order: WorkerOrder): Promise<Result<never, DispatchError>> {
+    await wait(order.timeoutMs);
+    return err(createError("timeout", "no answer in time"));
+  }
+
+  #createReply(refusal: WorkerRefusal | undefined): WorkerReply {
+    return { kind: "reply", refusal, workerClockMs: this.clockMs };
+  }
+}
--- /dev/null
+++ b/tests/platform/parse_job_test.ts
@@ -0,0 +1,56 @@
+import { expect } from "chai";
+import { parseJob } from "../../platform/parse_job.ts";
+
+const ID = "5c0e7a21d94b36f8";
+
+function parse(body: unknown) {
+  return parseJob(ID, Buffer.from(JSON.stringify(body)));
+}
+
+describe("parseJob", () => {
+  it("reads steps with the fields that clients leave out", () => {
+    const job = parse({
+      bestEffort: true,
+      spec: "x",
+      steps: [
+        { count: 4, cpu: 500, memMb: 256, estMs: 900, affinity: "r1-3" },
+        { count: 1, cpu: 2_000, constraints: "b", dependsOn: [0] },
+      ],
+    })._unsafeUnwrap();
+    expect(job.steps[0]).to.deep.equal({
+      count: 4,
+      resources: { cpuMillis: 500, memoryMb: 256, gpus: 0 },
+      expectedMs: 900,
+      dependsOn: [],
+      requiredLabel: undefined,
+      preferredRack: "r1-3",
+      maxPerWorker: Infinity,
+    });
+    expect(job.steps[1]).to.include({ requiredLabel: "b", expectedMs: 500 });
+  });
+
+  it("names the field that is wrong", () => {
+    const steps = [{ count: 0 }];
+    const error = parse({ bestEffort: true, steps })._unsafeUnwrapErr();
+    expect(error).to.include({ kind: "invalid_request" });
+    expect(error.path).to.equal("steps.0.count");
+  });
+
+  it("refuses steps that depend on themselves or later ones", () => {
+    const steps = [{ count: 1, dependsOn: [0] }];
+    const error = parse({ bestEffort: true, steps })._unsafeUnwrapErr();
+    expect(error.path).to.equal("steps.0.dependsOn");
+  });
+
+  it("refuses jobs that must be stored, and gangs", () => {
+    const steps = [{ count: 1 }];
+    expect(parse({ steps })._unsafeUnwrapErr().kind).to.equal("no_capacity");
+    const gang = [{ count: 2, gang: true }];
+    expect(parse({ bestEffort: true, steps: gang })._unsafeUnwrapErr().kind)
+      .to.equal("no_capacity");
+  });
+
+  it("reports a body that is not JSON", () => {
+    expect(parseJob(ID, Buffer.from("{")).isErr()).to.equal(true);
+  });
+});
--- /dev/null
+++ b/tests/platform/parse_keyed_records_test.ts
@@ -0,0 +1,40 @@
+import { expect } from "chai";
+import { formatKeyedRecord } from "../../platform/format_keyed_record.ts";
+import { parseKeyedRecords } from "../../platform/parse_keyed_records.ts";
+
+const HEAD = Buffer.alloc(16);
+
+describe("parseKeyedRecords", () => {
+  it("reads keys and values, and counts the offsets", () => {
+    const body = Buffer.concat([
+      HEAD,
+      formatKeyedRecord({ key: "a", value: "1" }),
+      formatKeyedRecord({ key: "b", value: "" }),
+    ]);
+    expect(parseKeyedRecords(body, 5)._unsafeUnwrap()).to.deep.equal({
+      records: [{ key: "a", value: "1" }, { key: "b", value: undefined }],
+      end: 7,
+    });
+  });
+
+  it("leaves out what can't be read and counts its offset", () => {
+    const bad = Buffer.from([0, 0, 0, 2, 200, 1]);
+    const good = formatKeyedRecord({ key: "a", value: "1" });
+    const page = parseKeyedRecords(Buffer.concat([HEAD, bad, good]), 0);
+    expect(page._unsafeUnwrap()).to.deep.equal({
+      records: [{ key: "a", value: "1" }],
+      end: 2,
+    });
+  });
+
+  it("stops before a record that is cut off", () => {
+    const record = formatKeyedRecord({ key: "a", value: "123" });
+    const cut = record.subarray(0, record.length - 1);
+    const page = parseKeyedRecords(Buffer.concat([HEAD, cut]), 3);
+    expect(page._unsafeUnwrap()).to.deep.equal({ records: [], end: 3 });
+  });
+
+  it("reports an answer without a head", () => {
+    expect(parseKeyedRecords(Buffer.alloc(3), 0).isErr()).to.equal(true);
+  });
+});
--- /dev/null
+++ b/tests/platform/parse_operator_record_test.ts
@@ -0,0 +1,58 @@
+import { expect } from "chai";
+import { parseOperatorRecord } from "../../platform/parse_operator_record.ts";
+
+describe("parseOperatorRecord", () => {
+  it("reads a configuration and ignores fields it does not know", () => {
+    const value = JSON.stringify({
+      version: 7,
+      extra: true,
+      routes: [{
+        name: "r",
+        host: "Nony.example",
+        pathPrefix: "/a/",
+        type: "non_idempotent",
+        timeoutMs: 900,
+        priority: 2,
+        service: "s",
+        attempts: 4,
+      }],
+      limits: { maxBodyBytes: 10 },
+    });
+    const change = parseOperatorRecord("config", value)._unsafeUnwrap();
+    expect(change).to.deep.equal({
+      kind: "config",
+      config: {
+        version: 7,
+        maxBodyBytes: 10,
+        routes: [{
+          name: "r",
+          host: "nony.example",
+          pathPrefix: "/a/",
+          timeoutMs: 900,
+          priority: 2,
+          service: "s",
+          maxAttempts: 4,
+        }],
+      },
+    });
+  });
+
+  it("reads zones that go out and come in", () => {
+    expect(parseOperatorRecord("evacuate/a", "{}")._unsafeUnwrap())
+      .to.deep.equal({ kind: "zone_out", zone: "a" });
+    expect(parseOperatorRecord("evacuate/a", undefined)._unsafeUnwrap())
+      .to.deep.equal({ kind: "zone_in", zone: "a" });
+  });
+
+  it("names the field of a configuration that can't be read", () => {
+    const value = JSON.stringify({ version: "x", routes: [] });
+    const error = parseOperatorRecord("config", value)._unsafeUnwrapErr();
+    expect(error.path).to.equal("version");
+    expect(parseOperatorRecord("config", "{").isErr()).to.equal(true);
+  });
+
+  it("leaves other records alone", () => {
+    expect(parseOperatorRecord("wave/1", "{}")._unsafeUnwrap())
+      .to.deep.equal({ kind: "other" });
+  });
+});
--- /dev/null
+++ b/tests/platform/platform_stand_in.ts
@@ -0,0 +1,61 @@
+import * as http from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** One scripted answer; `silent` leaves the call unanswered. */
+export type StandInAnswer =
+  | { status: number; body: unknown }
+  | { status: number; bytes: Buffer }
+  | "silent"
+  | "reset";
+
+/** A server that records calls and gives scripted answers, in order. */
+export class PlatformStandIn {
+  readonly calls: {
+    method: string;
+    url: string;
+    headers: http.IncomingHttpHeaders;
+    body: Buffer;
+  }[] = [];
+  readonly answers: StandInAnswer[] = [];
+  readonly #server = http.createServer((request, response) =>
+    this.#serve(request, response)
+  );
+
+  /** Starts to listen, and gets the address. */
+  async start(): Promise<string> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+    return `127.0.0.1:${(this.#server.address() as AddressInfo).port}`;
+  }
+
+  stop(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  async #serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) {
+      chunks.push(chunk as Buffer);
+    }
+    this.calls.push({
+      method: request.method ?? "",
+      url: request.url ?? "",
+      headers: request.headers,
+      body: Buffer.concat(chunks),
+    });
+    const answer = this.answers.shift() ?? { status: 500, body: {} };
+    if (answer === "reset") {
+      request.socket.destroy();
+    } else if (answer !== "silent") {
+      response.writeHead(answer.status);
+      response.end(
+        "bytes" in answer ? answer.bytes : JSON.stringify(answer.body),
+      );
+    }
+  }
+}
--- /dev/null
+++ b/tests/platform/store_client_test.ts
@@ -0,0 +1,81 @@
+import { expect } from "chai";
+import { formatKeyedRecord } from "../../platform/format_keyed_record.ts";
+import { StoreClient } from "../../platform/store_client.ts";
+import { PlatformStandIn } from "./platform_stand_in.ts";
+
+describe("StoreClient", () => {
+  let store: PlatformStandIn;
+  let client: StoreClient;
+
+  beforeEach(async () => {
+    store = new PlatformStandIn();
+    client = new StoreClient(await store.start());
+  });
+
+  afterEach(() => store.stop());
+
+  function createItem(key: string, value: string) {
+    return { key, value: Buffer.from(value).toString("base64"), offset: 0 };
+  }
+
+  it("reads all pages of the newest records, up to the end of the first", async () => {
+    store.answers.push(
+      {
+        status: 200,
+        body: { items: [createItem("a", "1")], hasMore: true, end: 4 },
+      },
+      {
+        status: 200,
+        body: { items: [createItem("b", "2")], hasMore: false, end: 6 },
+      },
+    );
+    const page = await client.readNewest("operator");
+    expect(page._unsafeUnwrap()).to.deep.equal({
+      records: [{ key: "a", value: "1" }, { key: "b", value: "2" }],
+      end: 4,
+    });
+    expect(store.calls[1]?.url).to.contain("dependsOn=a");
+  });
+
+  it("tells deleted records from a store that refuses", async () => {
+    const read = () => client.readFrom("operator", { from: 3, waitMs: 10 });
+    store.answers.push(
+      { status: 410, body: { first: 9 } },
+      { status: 429, body: {} },
+      { status: 503, body: {} },
+      "reset",
+    );
+    const kinds = [];
+    for (let n = 0; n < 4; n++) {
+      kinds.push((await read())._unsafeUnwrapErr().kind);
+    }
+    expect(kinds).to.deep.equal([
+      "not_found",
+      "log_unreachable",
+      "log_unreachable",
+      "upstream_reset",
+    ]);
+  });
+
+  it("gives up a silent call and reads over a new connection", async () => {
+    const bytes = Buffer.concat([
+      Buffer.alloc(16),
+      formatKeyedRecord({ key: "k", value: "v" }),
+    ]);
+    store.answers.push("silent", { status: 200, bytes });
+    const options = { from: 0, waitMs: 10 };
+    const silent = await client.readFrom("operator", options);
+    expect(silent._unsafeUnwrapErr().kind).to.equal("timeout");
+    const page = await client.readFrom("operator", options);
+    expect(page._unsafeUnwrap().records).to.have.length(1);
+  });
+
+  it("appends a record by key", async () => {
+    store.answers.push({ status: 200, body: { offset: 0, end: 1 } });
+    const result = await client.append("members", { key: "k", value: "v" });
+    expect(result.isOk()).to.equal(true);
+    const [call] = store.calls;
+    expect(call?.url).to.contain("log-append?topic=keyed.agents&part=0");
+    expect([...call?.body ?? []]).to.deep.equal([0, 0, 0, 3, 1, 107, 118]);
+  });
+});
--- /dev/null
+++ b/tests/platform/worker_client_test.ts
@@ -0,0 +1,129 @@
+import { expect } from "chai";
+import { WorkerClient } from "../../platform/worker_client.ts";
+import { PlatformStandIn } from "./platform_stand_in.ts";
+
+const START = {
+  workerId: "i-1",
+  fence: 7,
+  timeoutMs: 100,
+  task: "5c0e7a21d94b36f8.0.1.17",
+  run: 2,
+  spec: "x",
+  leaseUntilMs: 486_000,
+};
+
+const RENEWAL = {
+  workerId: "i-1",
+  fence: 7,
+  timeoutMs: 100,
+  leaseUntilMs: undefined,
+  confirmedUpTo: 57,
+  waitMs: 0,
+};
+
+describe("WorkerClient", () => {
+  let worker: PlatformStandIn;
+  let client: WorkerClient;
+
+  beforeEach(async () => {
+    worker = new PlatformStandIn();
+    client = new WorkerClient(await worker.start());
+  });
+
+  afterEach(() => worker.stop());
+
+  it("sends a start to the worker that is meant", async () => {
+    worker.answers.push({ status: 200, body: { clockMs: 5 } });
+    const reply = (await client.startRun(START))._unsafeUnwrap();
+    expect(reply).to.include({ refusal: undefined, workerClockMs: 5 });
+    const [call] = worker.calls;
+    expect(call?.headers["x-cranberrybank-expect-instance"]).to.equal("i-1");
+    expect(JSON.parse(call?.body.toString() ?? "")).to.deep.equal({
+      task: START.task,
+      run: 2,
+      spec: "x",
+      deadlineMs: 486_000,
+      fence: 7,
+    });
+  });
+
+  it("names each refusal", async () => {
+    const answers: [number, string | undefined][] = [
+      [409, "fence"],
+      [409, "old"],
+      [409, "late"],
+      [409, "room"],
+      [400, undefined],
+      [421, undefined],
+      [429, undefined],
+      [503, undefined],
+    ];
+    const refusals = [];
+    for (const [status, reason] of answers) {
+      worker.answers.push({ status, body: { reason } });
+      const reply = await client.startRun(START);
+      refusals.push(reply._unsafeUnwrap().refusal);
+    }
+    expect(refusals).to.deep.equal([
+      "stale_fence",
+      "old_run",
+      "past_lease",
+      "no_room",
+      "invalid",
+      "other_worker",
+      "unhealthy",
+      "unhealthy",
+    ]);
+  });
+
+  it("reads what runs and what has ended", async () => {
+    worker.answers.push({
+      status: 200,
+      body: {
+        clockMs: 9,
+        born: 3,
+        running: [["a.0.0.0", 2, "", 41, 500]],
+        ended: [[58, "a.0.0.1", 1, "done", ""], [
+          59,
+          "a.0.0.2",
+          1,
+          "lapsed",
+          "",
+        ]],
+      },
+    });
+    const report = (await client.renewLease(RENEWAL))._unsafeUnwrap();
+    expect(report).to.deep.equal({
+      kind: "report",
+      workerClockMs: 9,
+      bornAtMs: 3,
+      running: [
+        { task: "a.0.0.0", run: 2, progressPercent: 41, usedCpuMillis: 500 },
+      ],
+      ended: [
+        { sequence: 58, task: "a.0.0.1", run: 1, outcome: "done", detail: "" },
+        {
+          sequence: 59,
+          task: "a.0.0.2",
+          run: 1,
+          outcome: "lost",
+          detail: "lapsed",
+        },
+      ],
+    });
+  });
+
+  it("reports a list that can't be read", async () => {
+    worker.answers.push({ status: 200, body: { clockMs: 9, running: 5 } });
+    expect((await client.renewLease(RENEWAL)).isErr()).to.equal(true);
+  });
+
+  it("tells a worker that does not listen from one that is silent", async () => {
+    worker.answers.push("silent");
+    const silent = await client.startRun(START);
+    expect(silent._unsafeUnwrapErr().kind).to.equal("timeout");
+    worker.stop();
+    const gone = await client.startRun(START);
+    expect(gone._unsafeUnwrapErr().kind).to.equal("upstream_unreachable");
+  });
+});
--- /dev/null
+++ b/tests/state/batch/operator_state_test.ts
@@ -0,0 +1,72 @@
+import { expect } from "chai";
+import {
+  type OperatorConfig,
+  OperatorState,
+  type Route,
+} from "../../../src/state/batch/mod.ts";
+
+function createRoute(changes: Partial<Route> = {}): Route {
+  return {
+    name: "r",
+    host: "h.example",
+    pathPrefix: "/a/",
+    service: "s",
+    priority: 0,
+    timeoutMs: 1_000,
+    maxAttempts: 3,
+    ...changes,
+  };
+}
+
+function createConfig(version: number, routes: Route[] = []): OperatorConfig {
+  return { version, routes, maxBodyBytes: 1_000 };
+}
+
+describe("OperatorState", () => {
+  it("keeps the newer version when an older one arrives later", () => {
+    const state = new OperatorState();
+    state.applyChanges([{ kind: "config", config: createConfig(7) }], 1);
+    state.applyChanges([{ kind: "config", config: createConfig(5) }], 2);
+    expect(state.config?.version).to.equal(7);
+  });
+
+  it("takes zones back in that are missing among the newest records", () => {
+    const state = new OperatorState();
+    state.applyChanges([{ kind: "zone_out", zone: "a" }], 1);
+    state.replace([{ kind: "zone_out", zone: "b" }], 5);
+    expect([...state.zonesOut]).to.deep.equal(["b"]);
+  });
+
+  it("does not fall back to newest records that are older than the state", () => {
+    const state = new OperatorState();
+    state.applyChanges([{ kind: "zone_out", zone: "a" }], 9);
+    state.replace([], 5);
+    expect(state.isZoneOut("a")).to.equal(true);
+  });
+
+  it("adopts the state of a peer only when it is ahead", () => {
+    const ahead = new OperatorState();
+    ahead.applyChanges([
+      { kind: "config", config: createConfig(3, [createRoute()]) },
+      { kind: "zone_out", zone: "a" },
+    ], 4);
+    const state = new OperatorState();
+    expect(state.mergeSnapshot(ahead.format(), ahead.offset)).to.equal(true);
+    expect(state.findRoute("h.example", "/a/1")?.name).to.equal("r");
+    expect(state.isZoneOut("a")).to.equal(true);
+    expect(state.mergeSnapshot(ahead.format(), 3)).to.equal(false);
+  });
+
+  it("finds the route with the longest prefix", () => {
+    const state = new OperatorState();
+    const routes = [
+      createRoute({ name: "short" }),
+      createRoute({ name: "long", pathPrefix: "/a/b/" }),
+    ];
+    const config = createConfig(1, routes);
+    state.applyChanges([{ kind: "config", config }], 1);
+    expect(state.findRoute("h.example", "/a/b/1")?.name).to.equal("long");
+    expect(state.findRoute("h.example", "/a/c")?.name).to.equal("short");
+    expect(state.findRoute("other.example", "/a/c")).to.equal(undefined);
+  });
+});
