--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -169,6 +169,7 @@
         expectedMs: order.expectedMs,
         arrivedAt: now,
         answerBy: now + message.timeLeftMs,
+        targetBy: now + message.targetLeftMs,
         state: "queued",
         isStopWanted: false,
         settlingFence: 0,
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -190,12 +190,12 @@
     if (!this.acceptsWork) {
       this.#returnQueue(this.#getRefusal());
     }
-    const now = this.#getTime();
-    for (const run of this.#queue.takeExpired(now, this.#slowdown.value)) {
+    const pace = { now: this.#getTime(), slowdown: this.#slowdown.value };
+    for (const run of this.#queue.takeExpired(pace)) {
       this.#end(run, "expired", "can't end in time");
     }
     for (;;) {
-      const run = this.#queue.takeNext(this.#getFree());
+      const run = this.#queue.takeNext(this.#getFree(), pace);
       if (run === undefined) {
         break;
       }
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -52,6 +52,8 @@
   readonly #tasks: BatchTask[][];
   readonly #byName = new Map<string, BatchTask>();
   readonly #answerBy: number;
+  /** When the job misses its latency target, on the monotonic clock. */
+  readonly #targetBy: number;
   readonly #timers = new Set<NodeJS.Timeout>();
   #resolve: (answer: BatchAnswer) => void = () => {};
   #isAnswered = false;
@@ -62,6 +64,7 @@
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
     this.#answerBy = this.#getTime() + options.timeLeftMs;
+    this.#targetBy = this.#getTime() + getTargetMs(options.job, options.route);
     this.answer = new Promise((resolve) => this.#resolve = resolve);
     this.#tasks = createTasks(options.job);
     for (const task of this.#tasks.flat()) {
@@ -290,6 +293,7 @@
         spec: job.spec,
         priority: route.priority,
         timeLeftMs: Math.max(0, Math.round(this.#answerBy - now)),
+        targetLeftMs: Math.round(this.#targetBy - now),
         runs: sent.map((task) => ({
           task: task.name,
           run: task.run,
@@ -350,6 +354,16 @@
   }
 }
 
+/** Gets the time in which a job meets its latency target, in milliseconds. */
+function getTargetMs(job: BatchJob, route: Route): number {
+  const chainsMs: number[] = [];
+  for (const step of job.steps) {
+    const before = step.dependsOn.map((number) => chainsMs[number] ?? 0);
+    chainsMs.push(Math.max(0, ...before) + step.expectedMs);
+  }
+  return route.stretch * Math.max(...chainsMs) + route.latencyTargetMs;
+}
+
 function createTasks(job: BatchJob): BatchTask[][] {
   return job.steps.map((step, stepNumber) =>
     Array.from({ length: step.count }, (_, index): BatchTask => ({
--- a/src/coordination/messages/start_runs.ts
+++ b/src/coordination/messages/start_runs.ts
@@ -10,5 +10,10 @@
   priority: number;
   /** Time in which the job can still be answered, in milliseconds. */
   timeLeftMs: number;
+  /**
+   * Time in which the job is answered within its latency target, in
+   * milliseconds; negative when that time has passed.
+   */
+  targetLeftMs: number;
   runs: RunOrder[];
 }
--- a/src/state/batch/queued_run.ts
+++ b/src/state/batch/queued_run.ts
@@ -12,4 +12,6 @@
   readonly arrivedAt: number;
   /** When its job must be answered, on the monotonic clock. */
   readonly answerBy: number;
+  /** When its job misses its latency target, on the monotonic clock. */
+  readonly targetBy: number;
 }
--- a/src/state/batch/route.ts
+++ b/src/state/batch/route.ts
@@ -9,6 +9,12 @@
   readonly priority: number;
   /** Longest time for an answer when the client states none, in milliseconds. */
   readonly timeoutMs: number;
+  /**
+   * A job is in time when it is answered within its expected run time multiplied
+   * by `stretch`, and `latencyTargetMs` more.
+   */
+  readonly stretch: number;
+  readonly latencyTargetMs: number;
   /** Runs of a task that may fail before its job fails. */
   readonly maxAttempts: number;
 }
--- a/src/state/batch/run_queue.ts
+++ b/src/state/batch/run_queue.ts
@@ -5,10 +5,18 @@
 /** Priorities that load figures tell apart; later ones count as the last. */
 const PRIORITIES = 4;
 
+export interface TakeNextOptions {
+  /** Monotonic clock in milliseconds. */
+  now: number;
+  /** Learned slowdown of the worker. */
+  slowdown: number;
+}
+
 /**
- * The runs that wait at an agent for room on its worker. It answers short
- * bursts above the capacity: urgent runs pass others, equal ones keep their
- * order, and a run that can't end in time any more is taken out at once.
+ * The runs that wait at an agent for room on its worker. It answers bursts above
+ * the capacity: urgent runs pass others; of equal ones those pass whose job can
+ * still meet its latency target, since in their order all would miss it; a run
+ * that can't end before its answer is due is taken out at once.
  */
 export class RunQueue<T extends QueuedRun> {
   #runs: T[] = [];
@@ -26,18 +34,32 @@
     this.#runs.splice(index, 0, run);
   }
 
-  /** Takes the first run that fits into the free resources. */
-  takeNext(free: TaskResources): T | undefined {
-    const index = this.#runs.findIndex((run) => hasRoom(free, run.resources));
-    return index < 0 ? undefined : this.#runs.splice(index, 1)[0];
+  /**
+   * Takes the next run that fits into the free resources: of the most urgent
+   * ones the first whose job can still meet its latency target, or the first
+   * one if there is none.
+   */
+  takeNext(
+    free: TaskResources,
+    options: TakeNextOptions,
+  ): T | undefined {
+    const first = this.#runs.findIndex((run) => hasRoom(free, run.resources));
+    if (first < 0) {
+      return undefined;
+    }
+    const { now, slowdown } = options;
+    const { priority } = this.#runs[first] as T;
+    const inTime = this.#runs.findIndex((run) =>
+      run.priority === priority && hasRoom(free, run.resources) &&
+      now + run.expectedMs * slowdown <= run.targetBy
+    );
+    return this.#runs.splice(inTime < 0 ? first : inTime, 1)[0];
   }
 
   /**
-   * Takes out the runs that can't end in time.
-   * @param now - Monotonic clock in milliseconds.
-   * @param slowdown - Learned slowdown of the worker.
+   * Takes out the runs that can't end before their answer is due.
    */
-  takeExpired(now: number, slowdown: number): T[] {
+  takeExpired({ now, slowdown }: TakeNextOptions): T[] {
     return this.removeWhere((run) =>
       now + run.expectedMs * slowdown > run.answerBy
     );
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -63,6 +63,7 @@
     expectedMs: 10,
     arrivedAt: now,
     answerBy: now + 5_000,
+    targetBy: now + 5_000,
     state: "queued",
     isStopWanted: false,
     settlingFence: 0,
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -45,6 +45,8 @@
         priority: 0,
         timeoutMs: 10_000,
         maxAttempts: 2,
+        stretch: 1.6,
+        latencyTargetMs: 60,
       },
       timeLeftMs,
       log: this.log,
--- a/tests/platform/parse_operator_record_test.ts
+++ b/tests/platform/parse_operator_record_test.ts
@@ -15,6 +15,8 @@
         priority: 2,
         service: "s",
         attempts: 4,
+        stretch: 1.6,
+        targetLatencyMs: 60,
       }],
       limits: { maxBodyBytes: 10 },
     });
@@ -32,6 +34,8 @@
           priority: 2,
           service: "s",
           maxAttempts: 4,
+          stretch: 1.6,
+          latencyTargetMs: 60,
         }],
       },
     });
--- a/tests/state/batch/operator_state_test.ts
+++ b/tests/state/batch/operator_state_test.ts
@@ -14,6 +14,8 @@
     priority: 0,
     timeoutMs: 1_000,
     maxAttempts: 3,
+    stretch: 1.6,
+    latencyTargetMs: 60,
     ...changes,
   };
 }
--- a/tests/state/batch/run_queue_test.ts
+++ b/tests/state/batch/run_queue_test.ts
@@ -9,10 +9,12 @@
     expectedMs: 100,
     arrivedAt: 0,
     answerBy: 1_000,
+    targetBy: 1_000,
     ...changes,
   };
 }
 
+const PACE = { now: 0, slowdown: 1 };
 const ROOM = { cpuMillis: 16_000, memoryMb: 1_000, gpus: 0 };
 
 describe("RunQueue", () => {
@@ -21,17 +23,26 @@
     queue.add(createRun({ task: "a", priority: 2 }));
     queue.add(createRun({ task: "b", priority: 0 }));
     queue.add(createRun({ task: "c", priority: 0 }));
-    const order = [1, 2, 3].map(() => queue.takeNext(ROOM)?.task);
+    const order = [1, 2, 3].map(() => queue.takeNext(ROOM, PACE)?.task);
     expect(order).to.deep.equal(["b", "c", "a"]);
   });
 
+  it("passes runs that miss their latency target, of one priority", () => {
+    const queue = new RunQueue<QueuedRun>();
+    queue.add(createRun({ task: "late", targetBy: 50 }));
+    queue.add(createRun({ task: "in time", targetBy: 150 }));
+    queue.add(createRun({ task: "less urgent", priority: 2 }));
+    const order = [1, 2, 3].map(() => queue.takeNext(ROOM, PACE)?.task);
+    expect(order).to.deep.equal(["in time", "late", "less urgent"]);
+  });
+
   it("leaves a run without room and takes the next one that fits", () => {
     const queue = new RunQueue<QueuedRun>();
     const large = { cpuMillis: 20_000, memoryMb: 64, gpus: 0 };
     queue.add(createRun({ task: "large", resources: large, priority: 0 }));
     queue.add(createRun({ task: "small" }));
-    expect(queue.takeNext(ROOM)?.task).to.equal("small");
-    expect(queue.takeNext(ROOM)).to.equal(undefined);
+    expect(queue.takeNext(ROOM, PACE)?.task).to.equal("small");
+    expect(queue.takeNext(ROOM, PACE)).to.equal(undefined);
     expect(queue.size).to.equal(1);
   });
 
@@ -39,8 +50,8 @@
     const queue = new RunQueue<QueuedRun>();
     queue.add(createRun({ task: "late", answerBy: 150 }));
     queue.add(createRun({ task: "ok", answerBy: 500 }));
-    expect(queue.takeExpired(0, 1)).to.have.length(0);
-    expect(queue.takeExpired(0, 2).map(({ task }) => task))
+    expect(queue.takeExpired(PACE)).to.have.length(0);
+    expect(queue.takeExpired({ now: 0, slowdown: 2 }).map(({ task }) => task))
       .to.deep.equal(["late"]);
   });
 
