Divide a worker's free places among the entries, and send fewer frames

Cause: on the grown deployment eleven entries place on the same fast workers between two reports (p50 of licence-stamp 408 ms, 219 ms on the small one); pings and their answers were half of an entry's frames.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -12,8 +12,8 @@
 import { BatchEntrySession } from "./batch_entry_session.ts";
 import { WorkerRunner } from "./worker_runner.ts";
 
-/** Interval of the check for silent entries, in milliseconds. */
-const SILENCE_CHECK_MS = 50;
+/** Interval of the checks of the sessions, in milliseconds. */
+const TICK_MS = 50;
 
 /**
  * Shortest interval of status frames for each entry that listens, in
@@ -22,6 +22,12 @@
  */
 const STATUS_INTERVAL_PER_ENTRY_MS = 8;
 
+/**
+ * Longest wait of one read of the operator's records, in milliseconds. Entries
+ * read more often, and their pings tell an agent that is behind.
+ */
+const READ_WAIT_MS = 4_000;
+
 /** Time for runs at work when the agent is asked to stop, in milliseconds. */
 const DRAIN_MS = 5_200;
 
@@ -50,7 +56,7 @@
   readonly #options: BatchAgentOptions;
   readonly #sessions = new Set<BatchEntrySession>();
   readonly #abort = new AbortController();
-  #silenceTimer: NodeJS.Timeout | undefined;
+  #tickTimer: NodeJS.Timeout | undefined;
   #statusTimer: NodeJS.Timeout | undefined;
   #statusSentAt = 0;
 
@@ -68,6 +74,7 @@
       log,
       parseOperatorRecord: options.parseOperatorRecord,
       onChange: () => this.runner.update(),
+      readWaitMs: READ_WAIT_MS,
     });
   }
 
@@ -81,11 +88,11 @@
       member: { name, address, zone },
       signal: this.#abort.signal,
     });
-    this.#silenceTimer = setInterval(() => {
+    this.#tickTimer = setInterval(() => {
       for (const session of this.#sessions) {
-        session.checkSilence();
+        session.tick();
       }
-    }, SILENCE_CHECK_MS);
+    }, TICK_MS);
   }
 
   /** Serves a stream from an entry until it ends. */
@@ -97,6 +104,7 @@
       log: this.#options.log,
       name: this.#options.name,
       incarnation: this.#options.incarnation,
+      countSessions: () => this.#sessions.size,
       cancelJob: (jobId) => this.#cancelJob(jobId),
     });
     this.#sessions.add(session);
@@ -118,7 +126,7 @@
     }
     this.#abort.abort();
     this.operator.stop();
-    clearInterval(this.#silenceTimer);
+    clearInterval(this.#tickTimer);
     this.runner.stop();
   }
 
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -15,6 +15,8 @@
   name: string;
   /** Differs for each start of the process. */
   incarnation: string;
+  /** Counts the open sessions of the agent. */
+  countSessions: () => number;
   /** Stops the runs of a job at all sessions. */
   cancelJob: (jobId: string) => void;
   getTime?: () => number;
@@ -33,6 +35,7 @@
   #isSilent = false;
   #receivedBatch = 0;
   #ends: RunEnd[] = [];
+  #pingedAt: number | undefined;
 
   constructor(options: BatchEntrySessionOptions) {
     this.#options = options;
@@ -76,8 +79,20 @@
     }
   }
 
-  /** Stops the runs of an entry that has fallen silent. */
-  checkSilence(): void {
+  /**
+   * Answers a ping unless another frame has done so, and stops the runs of an
+   * entry that has fallen silent.
+   */
+  tick(): void {
+    if (this.#pingedAt !== undefined && this.#link.sentAt < this.#pingedAt) {
+      const operatorOffset = this.#options.operator.state.offset;
+      this.#link.send({ case: "ping", value: { operatorOffset } });
+    }
+    this.#pingedAt = undefined;
+    this.#checkSilence();
+  }
+
+  #checkSilence(): void {
     const isSilent = !this.isFresh();
     const wasProven = this.#link.provenAt > -Infinity;
     if (isSilent && !this.#isSilent && wasProven) {
@@ -97,6 +112,7 @@
       ...runner.getStatus(),
       isSettled: !runner.hasRunsOfOthers(this),
       receivedBatch: this.#receivedBatch,
+      entries: this.#options.countSessions(),
     };
     this.#link.send({ case: "workerStatus", value });
   }
@@ -141,9 +157,12 @@
 
   #handlePing(operatorOffset: number): void {
     const { operator } = this.#options;
-    const offset = operator.state.offset;
-    this.#link.send({ case: "ping", value: { operatorOffset: offset } });
-    if (operatorOffset < offset) {
+    this.#pingedAt = this.#getTime();
+    const { offset } = operator.state;
+    if (operatorOffset > offset) {
+      // The entry sends its newer state when it learns of this one.
+      this.#link.send({ case: "ping", value: { operatorOffset: offset } });
+    } else if (operatorOffset < offset) {
       const value = operator.getSnapshot();
       this.#link.send({ case: "operatorSnapshot", value });
     }
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -205,7 +205,7 @@
   }
 
   /** Gets the state and load of the worker, for entries. */
-  getStatus(): Omit<WorkerStatus, "isSettled" | "receivedBatch"> {
+  getStatus(): Omit<WorkerStatus, "isSettled" | "receivedBatch" | "entries"> {
     const worker = this.#worker;
     const capacity = worker?.capacity ?? NO_RESOURCES;
     const free = this.#getFree();
--- a/src/coordination/batch/directory/operator_follower.ts
+++ b/src/coordination/batch/directory/operator_follower.ts
@@ -10,6 +10,8 @@
   parseOperatorRecord: ParseOperatorRecord;
   /** Called when the state has changed. */
   onChange: () => void;
+  /** Longest wait of one read, in milliseconds. */
+  readWaitMs?: number;
 }
 
 /**
@@ -27,6 +29,7 @@
       topic: "operator",
       store: options.store,
       log: options.log,
+      readWaitMs: options.readWaitMs,
       apply: (page, { isWhole }) => this.#apply(page, isWhole),
     });
   }
--- a/src/coordination/batch/entry/agent_channel.ts
+++ b/src/coordination/batch/entry/agent_channel.ts
@@ -264,6 +264,8 @@
       memoryMb: status.freeMemoryMb,
       gpus: status.freeGpus,
     },
+    ownShare: 1 / Math.max(1, status.entries),
+    shareRounding: Math.random(),
     slowdown: status.slowdown,
     runningLeftMs: status.runningLeftMs,
     queuedRuns: status.queuedRuns,
--- a/src/coordination/messages/worker_status.ts
+++ b/src/coordination/messages/worker_status.ts
@@ -14,6 +14,8 @@
   freeCpuMillis: number;
   freeMemoryMb: number;
   freeGpus: number;
+  /** Entries with a stream to the agent. */
+  entries: number;
   /** Actual run time over expected run time. */
   slowdown: number;
   /** Expected remaining time of each running task, in milliseconds. */
--- a/src/state/batch/room_times.ts
+++ b/src/state/batch/room_times.ts
@@ -1,16 +1,25 @@
 import type { TaskResources } from "./task_resources.ts";
 import type { WorkerLoad } from "./worker_load.ts";
 
-/** Free places are counted up to this number; a job seldom has more tasks. */
-const MAX_FREE_PLACES = 64;
+/**
+ * Expected wait for a free place beyond this entry's share, in milliseconds:
+ * other entries see it as free too and may take it before the next report.
+ */
+const SHARED_PLACE_MS = 15;
 
 /**
  * When a worker has room for the next tasks of one size: a place is a part of
  * the worker that holds one such task, and each place has the time until it is
- * free.
+ * free. Entries do not see each other's tasks between two reports, so each one
+ * takes its share of the free places first.
  */
 export class RoomTimes {
-  readonly #times: number[];
+  readonly #load: WorkerLoad;
+  readonly #priority: number;
+  #ownPlaces: number;
+  #sharedPlaces: number;
+  /** Times of the places that are in use, in order; made when first needed. */
+  #times: number[] | undefined;
 
   /**
    * @param load - Load of the worker.
@@ -21,38 +30,61 @@
     load: WorkerLoad,
     task: { resources: TaskResources; priority: number },
   ) {
-    const free = countPlaces(load.free, task.resources);
-    this.#times = [
-      ...new Array<number>(free).fill(0),
-      ...[...load.runningLeftMs].sort((a, b) => a - b),
-    ];
-    this.#addQueue(load, task.priority);
+    this.#load = load;
+    this.#priority = task.priority;
+    const hasQueue = load.queuedRuns.some((runs, rank) =>
+      rank <= task.priority && runs > 0
+    );
+    const free = hasQueue ? 0 : countPlaces(load.free, task.resources);
+    this.#ownPlaces = Math.floor(free * load.ownShare + load.shareRounding);
+    this.#sharedPlaces = Math.max(0, free - this.#ownPlaces);
   }
 
   /** Gets the time until the next task has room, in milliseconds. */
   get next(): number {
-    return this.#times[0] ?? Infinity;
+    if (this.#ownPlaces > 0) {
+      return 0;
+    }
+    const inUse = this.#getTimes()[0] ?? Infinity;
+    return this.#sharedPlaces > 0 ? Math.min(SHARED_PLACE_MS, inUse) : inUse;
   }
 
   /** Takes the place that is free first for a time, in milliseconds. */
   take(runMs: number): void {
-    const startMs = this.#times.shift();
-    if (startMs !== undefined) {
-      const endMs = startMs + runMs;
-      const at = this.#times.findIndex((time) => time > endMs);
-      this.#times.splice(at < 0 ? this.#times.length : at, 0, endMs);
+    const startMs = this.next;
+    if (this.#ownPlaces > 0) {
+      this.#ownPlaces--;
+    } else if (startMs === SHARED_PLACE_MS && this.#sharedPlaces > 0) {
+      this.#sharedPlaces--;
+    } else {
+      this.#getTimes().shift();
     }
+    insert(this.#getTimes(), startMs + runMs);
+  }
+
+  #getTimes(): number[] {
+    this.#times ??= createTimes(this.#load, this.#priority);
+    return this.#times;
   }
+}
 
-  #addQueue(load: WorkerLoad, priority: number): void {
-    for (let rank = 0; rank <= priority; rank++) {
-      const runs = load.queuedRuns[rank] ?? 0;
-      const meanMs = (load.queuedMs[rank] ?? 0) / Math.max(1, runs);
-      for (let n = 0; n < runs; n++) {
-        this.take(meanMs);
-      }
+/** Creates the times of the places in use, after the runs that wait. */
+function createTimes(load: WorkerLoad, priority: number): number[] {
+  const times = [...load.runningLeftMs].sort((a, b) => a - b);
+  for (let rank = 0; rank <= priority; rank++) {
+    const runs = load.queuedRuns[rank] ?? 0;
+    const meanMs = (load.queuedMs[rank] ?? 0) / Math.max(1, runs);
+    for (let n = 0; n < runs; n++) {
+      insert(times, (times.shift() ?? 0) + meanMs);
     }
   }
+  return times;
+}
+
+/** Inserts a time into times that are in order. */
+function insert(times: number[], time: number): void {
+  const at = times.findIndex((other) => other > time);
+  times.splice(at < 0 ? times.length : at, 0, time);
 }
 
 /** Counts how often a task fits into resources at the same time. */
@@ -62,5 +94,5 @@
     free.memoryMb / Math.max(1, task.memoryMb),
     task.gpus > 0 ? free.gpus / task.gpus : Infinity,
   ];
-  return Math.max(0, Math.floor(Math.min(MAX_FREE_PLACES, ...parts)));
+  return Math.max(0, Math.floor(Math.min(...parts)));
 }
--- a/src/state/batch/worker_load.ts
+++ b/src/state/batch/worker_load.ts
@@ -8,6 +8,10 @@
   readonly capacity: TaskResources;
   /** Free resources, less those of tasks sent since the last report. */
   readonly free: TaskResources;
+  /** Part of the free places that this entry takes between two reports. */
+  readonly ownShare: number;
+  /** Added before a number of own places is rounded down, 0 up to 1. */
+  readonly shareRounding: number;
   /** Actual run time over declared run time. */
   readonly slowdown: number;
   /** Expected remaining time of each running task, in milliseconds. */
--- a/tests/lib/worker_load.ts
+++ b/tests/lib/worker_load.ts
@@ -10,6 +10,8 @@
     labels: ["r1"],
     capacity: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
     free: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
+    ownShare: 1,
+    shareRounding: 0,
     slowdown: 1,
     runningLeftMs: [],
     queuedRuns: [0, 0, 0, 0],
