--- a/src/state/batch/room_times.ts
+++ b/src/state/batch/room_times.ts
@@ -71,6 +71,10 @@
 /** Creates the times of the places in use, after the runs that wait. */
 function createTimes(load: WorkerLoad, priority: number): number[] {
   const times = [...load.runningLeftMs].sort((a, b) => a - b);
+  // Half of the other entries are taken to send a task here before the next
+  // report; each of these takes the place that is free first.
+  const others = Math.round(1 / load.ownShare) - 1;
+  times.splice(0, Math.min(Math.floor(others / 2), times.length - 1));
   for (let rank = 0; rank <= priority; rank++) {
     const runs = load.queuedRuns[rank] ?? 0;
     const meanMs = (load.queuedMs[rank] ?? 0) / Math.max(1, runs);
