--- /dev/null
+++ b/tests/processes/event_writer_test.ts
@@ -0,0 +1,64 @@
+import { setTimeout as wait } from "node:timers/promises";
+import { expect } from "chai";
+import { EventWriter } from "../../src/processes/event_writer.ts";
+import { Metrics } from "../../src/state/metrics/mod.ts";
+
+describe("EventWriter", () => {
+  /** Creates a writer whose output takes nothing until it is released. */
+  function createBlockedWriter() {
+    const state = { text: "", clock: 1_000, release: () => {} };
+    const metrics = new Metrics();
+    const writer = new EventWriter({
+      name: "entry-1",
+      metrics,
+      getWallClock: () => state.clock,
+      write: (text, callback) => {
+        state.text += text;
+        state.release = callback;
+      },
+    });
+    return { state, metrics, writer };
+  }
+
+  it("writes one JSON line for each event", async () => {
+    const { state, writer } = createBlockedWriter();
+    writer.record("started", { role: "entry" });
+    await wait(5);
+    expect(JSON.parse(state.text)).to.deep.equal({
+      time: 1_000,
+      process: "entry-1",
+      event: "started",
+      role: "entry",
+    });
+  });
+
+  it("keeps a bounded buffer when the output is blocked, and says so", async () => {
+    const { state, metrics, writer } = createBlockedWriter();
+    const detail = "x".repeat(1_000);
+    writer.record("started");
+    await wait(5);
+    for (let n = 0; n < 2_000; n++) {
+      state.clock += 100;
+      writer.record("run_started", { job: "j", detail });
+    }
+    writer.record("store_lost");
+    state.release();
+    await wait(5);
+    expect(state.text.length).to.be.lessThan(400_000);
+    expect(state.text).to.contain("store_lost");
+    expect(state.text).to.contain("lines_dropped");
+    expect(metrics.format()).to.match(/log_lines_dropped_total 1[0-9]{3}\n/);
+  });
+
+  it("limits the lines about requests in a second, and no others", async () => {
+    const { state, metrics, writer } = createBlockedWriter();
+    const detail = "x".repeat(1_000);
+    for (let n = 0; n < 250; n++) {
+      writer.record("run_started", { job: "j", detail });
+    }
+    writer.record("store_lost");
+    await wait(5);
+    expect(state.text).to.contain("store_lost");
+    expect(metrics.format()).to.match(/log_lines_dropped_total \d+/);
+  });
+});
