--- a/scripts/check_layers.ts
+++ b/scripts/check_layers.ts
@@ -8,12 +8,20 @@
 const LAYERS = ["state", "coordination", "protocol", "transport"];
 const ROOT = "src";
 
+/** A folder beside the layers whose files export one thing each too. */
+const ADAPTER = "platform";
+
 const problems: string[] = [];
 for (const file of readdirSync(ROOT, { recursive: true, encoding: "utf8" })) {
   if (file.endsWith(".ts") && !file.includes("gen/")) {
     checkFile(file);
   }
 }
+for (
+  const file of readdirSync(ADAPTER).filter((name) => name.endsWith(".ts"))
+) {
+  checkExports(file, readFileSync(join(ADAPTER, file), "utf8"));
+}
 for (const problem of problems) {
   console.error(problem);
 }
