--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -1,5 +1,7 @@
 #!/usr/bin/env node
+import { readFileSync } from "node:fs";
 import sade from "sade";
+import { explainJob } from "../ctl/explain_job.ts";
 import { applySettings } from "../ctl/apply_settings.ts";
 import type { CtlFlags } from "../ctl/ctl_flags.ts";
 import type { PublishFlags } from "../ctl/publish_flags.ts";
@@ -10,6 +12,7 @@
 import { runCommand } from "../ctl/run_command.ts";
 import { sendCancel } from "../ctl/send_cancel.ts";
 import { sendJob } from "../ctl/send_job.ts";
+import { writeAnswer } from "../ctl/write_answer.ts";
 import { setServiceState } from "../ctl/set_service_state.ts";
 import { setSettings } from "../ctl/set_settings.ts";
 import type { SubmitFlags } from "../ctl/submit_flags.ts";
@@ -96,6 +99,13 @@
     runCommand(flags, (context) => readTimeline(context, key, flags))
   );
 
+program.command("explain <job>", "Prints a time line of a job from log files")
+  .example("explain 5c0e7a21d94b36f8 entry-1.log agent-*.log")
+  .action((jobId: string, flags: CtlFlags & { _: string[] }) => {
+    const texts = flags._.map((path) => readFileSync(path, "utf8"));
+    writeAnswer(explainJob(texts, jobId), flags);
+  });
+
 program.parse(process.argv);
 
 function addPublishOptions(command: sade.Sade): sade.Sade {
--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -1,3 +1,4 @@
+import type { Metrics } from "../../../state/metrics/mod.ts";
 import type {
   EventLog,
   KeyedStore,
@@ -43,6 +44,7 @@
   store: KeyedStore;
   control: WorkerControl;
   log: EventLog;
+  metrics: Metrics;
   parseOperatorRecord: ParseOperatorRecord;
 }
 
@@ -62,10 +64,11 @@
 
   constructor(options: BatchAgentOptions) {
     this.#options = options;
-    const { store, log, zone, control } = options;
+    const { store, log, metrics, zone, control } = options;
     this.runner = new WorkerRunner({
       control,
       log,
+      metrics,
       isInService: () => !this.operator.state.isZoneOut(zone),
       onChange: () => this.#scheduleStatus(),
     });
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -5,6 +5,7 @@
   SlowdownEstimate,
   type TaskResources,
 } from "../../../state/batch/mod.ts";
+import type { Metrics } from "../../../state/metrics/mod.ts";
 import type {
   EndedRun,
   EventLog,
@@ -53,6 +54,7 @@
 export interface WorkerRunnerOptions {
   control: WorkerControl;
   log: EventLog;
+  metrics: Metrics;
   /** May tasks start in this availability zone? */
   isInService: () => boolean;
   /** Called when the load or the state of the worker has changed. */
@@ -512,6 +514,7 @@
 
   #handleStarted(run: LocalRun): void {
     run.state = "running";
+    this.#options.metrics.recordTime("run_wait", run.startedAt - run.arrivedAt);
     this.#options.log.record("run_started", {
       job: run.jobId,
       task: run.task,
@@ -607,6 +610,11 @@
     const runMs = run.startedAt === 0
       ? 0
       : Math.max(1, Math.round(this.#getTime() - run.startedAt));
+    const { metrics } = this.#options;
+    metrics.add("runs", 1, { labels: { outcome } });
+    if (outcome === "done") {
+      metrics.recordTime("run", runMs);
+    }
     this.#options.log.record("run_ended", {
       job: run.jobId,
       task: run.task,
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -90,7 +90,12 @@
       tasks: this.#byName.size,
       timeLeftMs: Math.round(timeLeftMs),
       workers: loads.length,
+      priority: route.priority,
+      expectedMs: job.steps[0]?.expectedMs,
       ...decision,
+      placed: placements.flat().map(({ index, agentId, endMs }) =>
+        `${index}@${agentId} ${Math.round(endMs)} ms`
+      ),
     });
     switch (decision.kind) {
       case "refused":
--- /dev/null
+++ b/src/ctl/explain_job.ts
@@ -0,0 +1,106 @@
+import type { CtlAnswer } from "./ctl_answer.ts";
+import { formatTable } from "./format_table.ts";
+
+/** Events of a process that may explain what happened to a job meanwhile. */
+const PROCESS_EVENTS: ReadonlySet<string> = new Set([
+  "agent_lost",
+  "announce_failed",
+  "entry_lost",
+  "entry_silent",
+  "lines_dropped",
+  "operator_state",
+  "starting",
+  "stopping",
+  "store_lost",
+  "worker_found",
+  "worker_lost",
+  "worker_silent",
+  "worker_state",
+]);
+
+/** Time before and after the job in which such events count, in milliseconds. */
+const MARGIN_MS = 1_000;
+
+interface LogLine {
+  time: number;
+  process: string;
+  event: string;
+  [field: string]: unknown;
+}
+
+/**
+ * Explains what happened to a job, as one time line over the log lines of all
+ * processes. Text before the JSON of a line, such as a collector's prefix, is
+ * skipped.
+ * @param texts - Contents of log files.
+ * @param jobId - Id of the job.
+ */
+export function explainJob(texts: readonly string[], jobId: string): CtlAnswer {
+  const lines = texts.flatMap(parseLines);
+  const own = lines.filter((line) => isAbout(line, jobId));
+  if (own.length === 0) {
+    const text = `no line of job ${jobId}; lines may have been dropped`;
+    return { exitCode: 1, text, value: { status: "failed", error: text } };
+  }
+  const from = Math.min(...own.map(({ time }) => time)) - MARGIN_MS;
+  const to = Math.max(...own.map(({ time }) => time)) + MARGIN_MS;
+  const processes = new Set(own.map((line) => line.process));
+  const around = lines.filter((line) =>
+    PROCESS_EVENTS.has(line.event) && processes.has(line.process) &&
+    line.time >= from && line.time <= to
+  );
+  const events = [...own, ...around].sort((a, b) => a.time - b.time);
+  const startedAt = Math.min(...own.map(({ time }) => time));
+  const rows = events.map(({ time, process, event, ...fields }) => ({
+    ms: time - startedAt,
+    process,
+    event,
+    fields: formatFields(fields, jobId),
+  }));
+  return {
+    exitCode: 0,
+    text: formatTable(rows),
+    value: { status: "ok", jobId, events },
+  };
+}
+
+function parseLines(text: string): LogLine[] {
+  const lines: LogLine[] = [];
+  for (const line of text.split("\n")) {
+    const start = line.indexOf("{");
+    const parsed = start < 0 ? undefined : parseLine(line.slice(start));
+    if (parsed !== undefined) {
+      lines.push(parsed);
+    }
+  }
+  return lines;
+}
+
+/** Parses one line; undefined for text that is no event. */
+function parseLine(text: string): LogLine | undefined {
+  try {
+    const line = JSON.parse(text) as Partial<LogLine>;
+    return typeof line.time === "number" && typeof line.event === "string"
+      ? { process: "", ...line } as LogLine
+      : undefined;
+  } catch {
+    return undefined;
+  }
+}
+
+function isAbout(line: LogLine, jobId: string): boolean {
+  const task = line["task"];
+  return line["job"] === jobId ||
+    (typeof task === "string" && task.startsWith(`${jobId}.`));
+}
+
+function formatFields(
+  fields: Readonly<Record<string, unknown>>,
+  jobId: string,
+): string {
+  return Object.entries(fields)
+    .filter(([name]) => name !== "job")
+    .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
+    .join(" ")
+    .replaceAll(`${jobId}.`, "");
+}
--- a/src/ctl/run_command.ts
+++ b/src/ctl/run_command.ts
@@ -6,6 +6,7 @@
 import type { CtlFlags } from "./ctl_flags.ts";
 import { readView } from "./read_view.ts";
 import { readViewFromProcess } from "./read_view_from_process.ts";
+import { writeAnswer } from "./write_answer.ts";
 
 /**
  * Runs a command on a view of the log, prints its answer and ends the process.
@@ -17,15 +18,7 @@
   command: (context: CtlContext) => Promise<CtlAnswer> | CtlAnswer,
 ): Promise<void> {
   const answer = await getAnswer(flags, command);
-  const failed = answer.value["status"] === "failed";
-  if (flags.json) {
-    console.log(JSON.stringify(answer.value));
-  } else if (failed) {
-    console.error(answer.text);
-  } else {
-    console.log(answer.text);
-  }
-  process.exitCode = answer.exitCode;
+  writeAnswer(answer, flags);
   // Kept connections to the log would hold the process until they time out.
   process.stdout.write("", () => process.exit());
 }
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -7,6 +7,7 @@
   WorkerRunner,
 } from "../../../../src/coordination/batch/agent/mod.ts";
 import type { RunEnd } from "../../../../src/coordination/messages/mod.ts";
+import { Metrics } from "../../../../src/state/metrics/mod.ts";
 import { FakeWorker } from "../../../lib/fake_worker.ts";
 import { RecordedLog } from "../../../lib/recorded_log.ts";
 import { waitUntil } from "../../../lib/wait_until.ts";
@@ -89,6 +90,7 @@
     runner = new WorkerRunner({
       control: worker,
       log,
+      metrics: new Metrics(),
       isInService: () => isInService,
       onChange: () => {},
     });
--- /dev/null
+++ b/tests/ctl/explain_job_test.ts
@@ -0,0 +1,47 @@
+import { expect } from "chai";
+import { explainJob } from "../../src/ctl/explain_job.ts";
+
+const JOB = "5c0e7a21d94b36f8";
+
+function createLine(
+  time: number,
+  process: string,
+  event: string,
+  fields: Record<string, unknown> = {},
+): string {
+  return JSON.stringify({ time, process, event, ...fields });
+}
+
+describe("explainJob", () => {
+  const entry = [
+    createLine(1_000, "entry-1", "job_admission", { job: JOB, endMs: 90 }),
+    createLine(1_400, "entry-1", "agent_lost", { agent: "agent-1" }),
+    createLine(1_401, "entry-1", "job_answered", { job: JOB, error: "x" }),
+    createLine(9_000, "entry-1", "agent_lost", { agent: "agent-2" }),
+    "not an event",
+  ].join("\n");
+  const agent = [
+    `  12.3 agent-1 ${
+      createLine(1_002, "agent-1", "run_started", { task: `${JOB}.0.0.1` })
+    }`,
+    createLine(1_003, "agent-2", "worker_lost"),
+  ].join("\n");
+
+  it("orders the events of all processes around the job", () => {
+    const answer = explainJob([entry, agent], JOB);
+    const events = answer.value["events"] as { event: string }[];
+    expect(events.map(({ event }) => event)).to.deep.equal([
+      "job_admission",
+      "run_started",
+      "agent_lost",
+      "job_answered",
+    ]);
+    expect(answer.text).to.contain('run_started    task="0.0.1"');
+  });
+
+  it("says so when nothing is known of the job", () => {
+    const answer = explainJob([entry], "0000000000000000");
+    expect(answer.exitCode).to.equal(1);
+    expect(answer.text).to.contain("may have been dropped");
+  });
+});
