--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -43,6 +43,8 @@
   address: string;
   store: KeyedStore;
   control: WorkerControl;
+  /** Longest lease that the worker grants, in milliseconds. */
+  maxLeaseMs: number;
   log: EventLog;
   metrics: Metrics;
   parseOperatorRecord: ParseOperatorRecord;
@@ -69,6 +71,7 @@
       control,
       log,
       metrics,
+      maxLeaseMs: options.maxLeaseMs,
       isInService: () => !this.operator.state.isZoneOut(zone),
       onChange: () => this.#scheduleStatus(),
     });
--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -5,10 +5,10 @@
 import type { WorkerClock } from "./worker_clock.ts";
 
 /**
- * Time that a renewal waits for an end, in milliseconds: a lost renewal is
- * noticed, and the next one arrives, before the lease expires.
+ * Part of the lease that a renewal waits for an end: a lost renewal is noticed,
+ * and the next one arrives, before the lease expires.
  */
-const RENEW_WAIT_MS = 300;
+const RENEW_WAIT_SHARE = 0.3;
 
 /**
  * Time for the answer beyond the wait, in milliseconds. The worker is on the
@@ -28,6 +28,8 @@
   clock: WorkerClock;
   fence: Fence;
   log: EventLog;
+  /** Length of the lease, in milliseconds. */
+  leaseMs: number;
   /** Handles a report, with the fence and the time of its request. */
   onReport: (
     report: LeaseReport,
@@ -77,13 +79,13 @@
     const workerNow = this.#options.clock.get(now);
     return workerNow === undefined
       ? undefined
-      : Math.floor(workerNow + BATCH_LIMITS.leaseMs);
+      : Math.floor(workerNow + this.#options.leaseMs);
   }
 
   /** Renews the lease until `stop` is called. */
   async run(): Promise<void> {
     while (!this.#isStopped) {
-      await this.#renew(RENEW_WAIT_MS);
+      await this.#renew(Math.floor(RENEW_WAIT_SHARE * this.#options.leaseMs));
     }
   }
 
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -15,6 +15,7 @@
   WorkerReply,
 } from "../../links/mod.ts";
 import type { WorkerStatus } from "../../messages/mod.ts";
+import { BATCH_LIMITS } from "../batch_limits.ts";
 import { Fence } from "./fence.ts";
 import type { LocalRun } from "./local_run.ts";
 import type { RunOwner } from "./run_owner.ts";
@@ -55,6 +56,8 @@
   control: WorkerControl;
   log: EventLog;
   metrics: Metrics;
+  /** Longest lease that the worker grants, in milliseconds. */
+  maxLeaseMs?: number;
   /** May tasks start in this availability zone? */
   isInService: () => boolean;
   /** Called when the load or the state of the worker has changed. */
@@ -143,10 +146,16 @@
     this.update();
   }
 
-  /** Handles that the worker has left. */
+  /**
+   * Handles that the worker says it leaves. A later life may have the same id
+   * and the message may be late, so only the worker's silence ends its runs.
+   */
   removeWorker(workerId: string): void {
-    if (this.#worker?.workerId === workerId) {
-      this.#endLife("the worker has left");
+    const worker = this.#worker;
+    this.#options.log.record("worker_leaves", { workerId });
+    if (worker?.workerId === workerId) {
+      this.#worker = { ...worker, isDraining: true };
+      this.update();
     }
   }
 
@@ -285,6 +294,10 @@
       clock: this.#clock,
       fence: this.#fence,
       log,
+      leaseMs: Math.min(
+        BATCH_LIMITS.leaseMs,
+        this.#options.maxLeaseMs ?? BATCH_LIMITS.leaseMs,
+      ),
       getTime: this.#getTime,
       onReport: (report, request) => this.#handleReport(lease, report, request),
       onExpired: () => this.#endRuns("the lease has expired"),
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -209,6 +209,20 @@
     expect(log.count("worker_report_ignored")).to.equal(2);
   });
 
+  it("keeps the runs of a worker whose leave arrives late", async () => {
+    await startWorker();
+    const run = createRun(owner);
+    await startRun(run);
+    runner.removeWorker("w-1");
+    expect(runner.acceptsWork).to.equal(false);
+    expect(owner.ends).to.have.length(0);
+    runner.setWorker(createDescription({ sequence: 2 }));
+    expect(runner.acceptsWork).to.equal(true);
+    worker.end(run.task, "done");
+    await waitUntil(() => owner.ends.length === 1, "the end is told");
+    expect(owner.getOutcomes()).to.deep.equal(["done"]);
+  });
+
   it("loses the runs of a worker that has restarted, at once", async () => {
     await startWorker();
     const run = createRun(owner);
