--- a/src/state/batch/place_tasks.ts
+++ b/src/state/batch/place_tasks.ts
@@ -21,7 +21,7 @@
  * are passed by more urgent ones, and other entries queue at the same worker, so
  * a wait lasts longer than expected; a run at a slow but free worker does not.
  */
-const WAIT_WEIGHT = 2.5;
+const WAIT_WEIGHT = 5;
 
 export interface PlaceTasksOptions {
   step: BatchStep;
