Parse JSON against a schema in one place, and drop unused state

The sending time of a task was written and never read. Waits use node:timers/promises; two delays of the event writer have names. Behaviour is the same, but that an unreadable member record is now logged with its reason.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from "node:timers/promises";
 import type { Metrics } from "../../../state/metrics/mod.ts";
 import type {
   EventLog,
@@ -128,7 +129,7 @@
       if (this.runner.runCount === 0) {
         break;
       }
-      await new Promise((resolve) => setTimeout(resolve, DRAIN_CHECK_MS));
+      await wait(DRAIN_CHECK_MS);
     }
     this.#abort.abort();
     this.operator.stop();
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -1,4 +1,5 @@
 import type { BatchJob, Route, WorkerLoad } from "../../../state/batch/mod.ts";
+import { parseJson } from "../../../state/errors/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
 import type {
   EventLog,
@@ -177,14 +178,15 @@
         this.#removeChannel(key);
         continue;
       }
-      const member = parseMember(value);
-      if (member === undefined || member.name !== key) {
-        this.#options.log.record("record_unreadable", { key });
+      const member = parseJson(MemberRecord, value, "invalid_request");
+      if (member.isErr() || member.value.name !== key) {
+        const reason = member.isErr() ? member.error.message : "another key";
+        this.#options.log.record("record_unreadable", { key, reason });
         continue;
       }
-      if (this.#channels.get(key)?.address !== member.address) {
+      if (this.#channels.get(key)?.address !== member.value.address) {
         this.#removeChannel(key);
-        this.#addChannel(member);
+        this.#addChannel(member.value);
       }
     }
   }
@@ -228,11 +230,3 @@
 function getOutcome(answer: BatchAnswer): string {
   return answer.kind === "error" ? answer.error : answer.kind;
 }
-
-function parseMember(value: string): MemberRecord | undefined {
-  try {
-    return MemberRecord.safeParse(JSON.parse(value)).data;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -289,7 +289,6 @@
       task.run++;
       task.state = "sent";
       task.agentId = agentId;
-      task.sentAt = now;
       byAgent.set(agentId, [...byAgent.get(agentId) ?? [], task]);
     }
     for (const [agentId, sent] of byAgent) {
@@ -379,7 +378,6 @@
       run: 0,
       state: "waiting",
       agentId: undefined,
-      sentAt: 0,
       failures: 0,
       avoid: new Set(),
     }))
--- a/src/coordination/batch/entry/batch_task.ts
+++ b/src/coordination/batch/entry/batch_task.ts
@@ -12,8 +12,6 @@
   state: "waiting" | "sent" | "lost" | "done";
   /** Agent of the latest run. */
   agentId: string | undefined;
-  /** When the latest run was sent, on the monotonic clock. */
-  sentAt: number;
   failures: number;
   /** Agents at which a run did not end well. */
   readonly avoid: Set<string>;
--- a/src/processes/agent_process.ts
+++ b/src/processes/agent_process.ts
@@ -1,5 +1,5 @@
 import type { TaskResult } from "../coordination/agent/mod.ts";
-import { createError } from "../state/errors/mod.ts";
+import { createError, parseJson } from "../state/errors/mod.ts";
 import { StartRecords } from "../state/starts/mod.ts";
 import {
   createErrorAnswer,
@@ -10,7 +10,6 @@
 } from "../transport/http/mod.ts";
 import { AgentIncarnation } from "./agent_incarnation.ts";
 import { handleStatusRequest } from "./handle_status_request.ts";
-import { parseJsonBody } from "./parse_json_body.ts";
 import type { ProcessContext } from "./process_context.ts";
 import { UpstreamAnnouncement } from "./upstream_announcement.ts";
 import { waitForView } from "./wait_for_view.ts";
@@ -143,7 +142,7 @@
   }
 
   #announceUpstream(body: Buffer): HttpAnswer {
-    const parsed = parseJsonBody(UpstreamAnnouncement, body);
+    const parsed = parseJson(UpstreamAnnouncement, body, "invalid_request");
     if (parsed.isErr()) {
       return createErrorAnswer(parsed.error);
     }
--- a/src/processes/event_writer.ts
+++ b/src/processes/event_writer.ts
@@ -1,4 +1,5 @@
 import { write } from "node:fs";
+import { setTimeout as wait } from "node:timers/promises";
 import { Logger } from "tslog";
 import type { EventLog } from "../coordination/links/mod.ts";
 import type { Metrics } from "../state/metrics/mod.ts";
@@ -15,6 +16,12 @@
 /** Bytes of lines about requests that are written in one second. */
 const REQUEST_BYTES_PER_SECOND = 200_000;
 
+/** Interval of the check whether all is written, in milliseconds. */
+const FLUSH_CHECK_MS = 5;
+
+/** Delay before a write that the output did not take, in milliseconds. */
+const WRITE_AGAIN_MS = 10;
+
 export interface EventWriterOptions {
   /** Name of the process; a field of each line. */
   name: string;
@@ -62,7 +69,7 @@
   /** Waits until the lines recorded so far are written. */
   async flush(): Promise<void> {
     while (this.#isWriting) {
-      await new Promise((resolve) => setTimeout(resolve, 5));
+      await wait(FLUSH_CHECK_MS);
     }
   }
 
@@ -136,7 +143,7 @@
     if (error === null && rest.length > 0) {
       writeBytes(rest, callback);
     } else if (error?.code === "EAGAIN") {
-      setTimeout(() => writeBytes(rest, callback), 10);
+      setTimeout(() => writeBytes(rest, callback), WRITE_AGAIN_MS);
     } else {
       // Without a reader of the output there is nobody to report to.
       callback();
--- a/src/processes/handle_status_request.ts
+++ b/src/processes/handle_status_request.ts
@@ -1,7 +1,7 @@
+import { parseJson } from "../state/errors/mod.ts";
 import type { Timeline } from "../state/timeline/mod.ts";
 import type { HttpAnswer, HttpRequest } from "../transport/http/mod.ts";
 import { createErrorAnswer, createJsonAnswer } from "../transport/http/mod.ts";
-import { parseJsonBody } from "./parse_json_body.ts";
 import type { ProcessContext } from "./process_context.ts";
 import { RecordsBody } from "./records_body.ts";
 
@@ -58,7 +58,7 @@
   request: HttpRequest,
   context: ProcessContext,
 ): HttpAnswer {
-  const body = parseJsonBody(RecordsBody, request.body);
+  const body = parseJson(RecordsBody, request.body, "invalid_request");
   if (body.isErr()) {
     return createErrorAnswer(body.error);
   }
