--- a/scripts/lib/cluster.ts
+++ b/scripts/lib/cluster.ts
@@ -1,13 +1,12 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { existsSync, mkdtempSync, readFileSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { TaskStart } from "../../src/stand_in/mod.ts";
+import { findFreePort } from "./find_free_port.ts";
 import { Relay } from "./relay.ts";
-
-/** Time that a process may take to stop, in milliseconds. */
-const STOP_TIMEOUT_MS = 30_000;
+import { stopChild } from "./stop_child.ts";
+import { waitFor } from "./wait_for.ts";
 
 export interface ClusterOptions {
   /** Availability zone of each entry. */
@@ -321,19 +320,6 @@
   });
 }
 
-async function stopChild(child: ChildProcess): Promise<void> {
-  if (child.exitCode !== null || child.signalCode !== null) {
-    return;
-  }
-  const exited = new Promise<void>((resolve) =>
-    child.once("exit", () => resolve())
-  );
-  child.kill("SIGTERM");
-  const timer = setTimeout(() => child.kill("SIGKILL"), STOP_TIMEOUT_MS);
-  await exited;
-  clearTimeout(timer);
-}
-
 async function waitForHttp(url: string): Promise<void> {
   await waitFor(url, async () => {
     const response = await fetch(url);
@@ -341,41 +327,3 @@
     return response.ok;
   });
 }
-
-/** Waits until a check passes; an error counts as not yet. */
-async function waitFor(
-  name: string,
-  check: () => Promise<boolean>,
-): Promise<void> {
-  for (let tries = 0; tries < 600; tries++) {
-    if (await check().catch(() => false)) {
-      return;
-    }
-    await new Promise((resolve) => setTimeout(resolve, 50));
-  }
-  throw new Error(`the cluster isn't ready in time; waiting for ${name}`);
-}
-
-/** Ports that were handed out; a process may not listen on its port yet. */
-const usedPorts = new Set<number>();
-
-/**
- * Finds a port that nothing listens on. It lies below the range from which the
- * kernel takes the ports of outgoing connections, so that none of these takes
- * it before the process listens.
- */
-function findFreePort(): Promise<number> {
-  // Clusters of other processes take theirs from other slices: a port is free
-  // until its process listens.
-  const slice = 10_000 + process.pid % 20 * 1_000;
-  const port = slice + Math.floor(Math.random() * 1_000);
-  if (usedPorts.has(port)) {
-    return findFreePort();
-  }
-  usedPorts.add(port);
-  return new Promise((resolve) => {
-    const server = createServer();
-    server.once("error", () => resolve(findFreePort()));
-    server.listen(port, "127.0.0.1", () => server.close(() => resolve(port)));
-  });
-}
--- a/scripts/lib/relay.ts
+++ b/scripts/lib/relay.ts
@@ -6,16 +6,19 @@
   type Socket,
 } from "node:net";
 
+/** Towards the relay's target, or from it. */
+export type RelayDirection = "forward" | "backward";
+
 /** What a relay does with the bytes that pass through it. */
 export type RelayMode =
   | { readonly type: "pass" }
   /** Closes all connections and accepts no new ones. */
   | { readonly type: "refuse" }
   /**
-   * Keeps the connections open and passes nothing: what a lost network looks
-   * like.
+   * Keeps the connections open and passes nothing, or nothing in one direction:
+   * what a lost network looks like.
    */
-  | { readonly type: "hold" }
+  | { readonly type: "hold"; readonly direction?: RelayDirection }
   | { readonly type: "delay"; readonly delayMs: number };
 
 /** A TCP relay on the loopback interface, to cut, hold or delay one link. */
@@ -23,6 +26,7 @@
   readonly #target: string;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
+  readonly #silenced = new WeakSet<Socket>();
   #mode: RelayMode = { type: "pass" };
   #release: (() => void)[] = [];
 
@@ -58,6 +62,20 @@
     }
   }
 
+  /** Breaks the open connections; new ones work. */
+  reset(): void {
+    for (const socket of this.#sockets) {
+      socket.resetAndDestroy();
+    }
+  }
+
+  /** The open connections pass nothing any more; new ones work. */
+  silence(): void {
+    for (const socket of this.#sockets) {
+      this.#silenced.add(socket);
+    }
+  }
+
   /** Stops the relay and breaks its connections. */
   stop(): void {
     this.#server.close();
@@ -71,12 +89,16 @@
     }
     const [host, port] = this.#target.split(":") as [string, string];
     const upstream = connect(Number(port), host);
-    void this.#pump(socket, upstream);
-    void this.#pump(upstream, socket);
+    void this.#pump(socket, upstream, "forward");
+    void this.#pump(upstream, socket, "backward");
   }
 
   /** Copies one direction of a connection. */
-  async #pump(from: Socket, to: Socket): Promise<void> {
+  async #pump(
+    from: Socket,
+    to: Socket,
+    direction: RelayDirection,
+  ): Promise<void> {
     this.#sockets.add(from);
     from.setNoDelay(true);
     from.on("error", () => to.destroy());
@@ -86,10 +108,12 @@
           const { delayMs } = this.#mode;
           await new Promise((resolve) => setTimeout(resolve, delayMs));
         }
-        if (this.#mode.type === "hold") {
+        if (this.#isHeld(direction)) {
           await new Promise<void>((resolve) => this.#release.push(resolve));
         }
-        to.write(chunk);
+        if (!this.#silenced.has(from)) {
+          to.write(chunk);
+        }
       }
       to.end();
     } catch {
@@ -97,4 +121,9 @@
     }
     this.#sockets.delete(from);
   }
+
+  #isHeld(direction: RelayDirection): boolean {
+    return this.#mode.type === "hold" &&
+      (this.#mode.direction ?? direction) === direction;
+  }
 }
--- /dev/null
+++ b/scripts/soak/apply_soak_fault.ts
@@ -0,0 +1,201 @@
+import { setTimeout as wait } from "node:timers/promises";
+import type { Relay } from "../lib/relay.ts";
+import type { Disturbances } from "./disturbances.ts";
+import type { SoakAgent, SoakCluster, SoakEntry } from "./soak_cluster.ts";
+import type { SoakClients } from "./soak_clients.ts";
+import type { LinkAction, SoakFault } from "./soak_fault.ts";
+import type { SoakOperator } from "./soak_operator.ts";
+
+/** Time in which a killed process is back, in milliseconds. */
+const RESTART_MS = 2_000;
+
+/** Delay of a slow link, in milliseconds. */
+const DELAY_MS = 150;
+
+/** Time between the notice of a worker that leaves and its end. */
+const LEAVE_MS = 3_000;
+
+export interface ApplySoakFaultOptions {
+  cluster: SoakCluster;
+  clients: SoakClients;
+  operator: SoakOperator;
+  disturbances: Disturbances;
+}
+
+/** Applies a fault, waits for its length, and takes it back. */
+export async function applySoakFault(
+  fault: SoakFault,
+  options: ApplySoakFaultOptions,
+): Promise<void> {
+  const { cluster, clients, operator, disturbances } = options;
+  const { forMs } = fault;
+  const disturb = async (things: string[], run: () => Promise<void>) => {
+    things.forEach((thing) => disturbances.start(thing));
+    await run();
+    things.forEach((thing) => disturbances.end(thing));
+  };
+  switch (fault.kind) {
+    case "kill": {
+      const { process } = getMember(cluster, fault);
+      await disturb([process.name], async () => {
+        process.sendSignal("SIGKILL");
+        await wait(RESTART_MS);
+      });
+      return;
+    }
+    case "stop": {
+      const { process } = getMember(cluster, fault);
+      // A planned stop of an entry must not be seen by its clients.
+      await disturb(fault.role === "entry" ? [] : [process.name], async () => {
+        process.sendSignal("SIGTERM");
+        await wait(RESTART_MS);
+      });
+      return;
+    }
+    case "pause": {
+      const { process } = getMember(cluster, fault);
+      await disturb([process.name], async () => {
+        process.sendSignal("SIGSTOP");
+        await wait(forMs);
+        process.sendSignal("SIGCONT");
+      });
+      return;
+    }
+    case "hup":
+      getMember(cluster, fault).process.sendSignal("SIGHUP");
+      return;
+    case "kill_all": {
+      const all = [...cluster.entries, ...cluster.agents];
+      await disturb(all.map(({ process }) => process.name), async () => {
+        all.forEach(({ process }) => process.sendSignal("SIGKILL"));
+        await wait(RESTART_MS);
+      });
+      return;
+    }
+    case "link": {
+      const { relay, name } = getLink(cluster, fault);
+      await disturb([name], () => applyToLink(relay, fault.action, forMs));
+      return;
+    }
+    case "store":
+      await disturb(["store"], async () => {
+        cluster.store.faults = fault.faults;
+        await wait(forMs);
+        cluster.store.faults = {};
+      });
+      return;
+    case "store_history":
+      await disturb(["store"], () => {
+        cluster.store.dropHistory();
+        return Promise.resolve();
+      });
+      return;
+    case "worker": {
+      const { worker } = getAgent(cluster, fault.target);
+      worker.faults = fault.faults;
+      await wait(forMs);
+      worker.faults = {};
+      return;
+    }
+    case "worker_crash": {
+      const { worker, workerRelay, process } = getAgent(cluster, fault.target);
+      await disturb([process.name], async () => {
+        worker.crash();
+        workerRelay.setMode({ type: "refuse" });
+        await wait(forMs);
+        workerRelay.setMode({ type: "pass" });
+        worker.startLife({ keepsId: fault.keepsId });
+      });
+      return;
+    }
+    case "worker_drain": {
+      const { worker, workerRelay } = getAgent(cluster, fault.target);
+      worker.drain();
+      await wait(LEAVE_MS + forMs);
+      worker.crash();
+      workerRelay.reset();
+      await wait(forMs);
+      worker.startLife();
+      return;
+    }
+    case "zone_out":
+      operator.setZone(fault.zone, "out");
+      await wait(forMs);
+      operator.setZone(fault.zone, "in");
+      return;
+    case "config":
+      operator.changeRoutes();
+      return;
+    case "burst":
+      clients.rate *= fault.factor;
+      await wait(forMs);
+      clients.rate /= fault.factor;
+      return;
+    default:
+      fault satisfies never;
+  }
+}
+
+async function applyToLink(
+  relay: Relay,
+  action: LinkAction,
+  forMs: number,
+): Promise<void> {
+  switch (action) {
+    case "reset":
+      relay.reset();
+      return;
+    case "silence":
+      relay.silence();
+      return;
+    case "refuse":
+      relay.setMode({ type: "refuse" });
+      break;
+    case "hold":
+      relay.setMode({ type: "hold" });
+      break;
+    case "hold_forward":
+      relay.setMode({ type: "hold", direction: "forward" });
+      break;
+    case "hold_backward":
+      relay.setMode({ type: "hold", direction: "backward" });
+      break;
+    case "delay":
+      relay.setMode({ type: "delay", delayMs: DELAY_MS });
+      break;
+    default:
+      action satisfies never;
+  }
+  await wait(forMs);
+  relay.setMode({ type: "pass" });
+}
+
+function getAgent(cluster: SoakCluster, target: number): SoakAgent {
+  return cluster.agents[target] as SoakAgent;
+}
+
+function getMember(
+  cluster: SoakCluster,
+  { role, target }: { role: "entry" | "agent"; target: number },
+): SoakAgent | SoakEntry {
+  return role === "agent"
+    ? getAgent(cluster, target)
+    : cluster.entries[target] as SoakEntry;
+}
+
+function getLink(
+  cluster: SoakCluster,
+  { link, target }: SoakFault & { kind: "link" },
+): { relay: Relay; name: string } {
+  if (link === "entry_store") {
+    const { process, storeRelay } = cluster.entries[target] as SoakEntry;
+    return { relay: storeRelay, name: process.name };
+  }
+  const agent = getAgent(cluster, target);
+  const relays = {
+    peer: agent.peerRelay,
+    worker: agent.workerRelay,
+    agent_store: agent.storeRelay,
+  } as const;
+  return { relay: relays[link], name: agent.process.name };
+}
--- /dev/null
+++ b/scripts/soak/create_soak_plan.ts
@@ -0,0 +1,122 @@
+import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
+import type { LinkAction, SoakFault } from "./soak_fault.ts";
+
+/** Time between two faults, in milliseconds; several are open at a time. */
+const GAP_MS = { min: 50, max: 1_500 } as const;
+
+/** How long a fault lasts, in milliseconds. */
+const LENGTH_MS = { min: 100, max: 4_000 } as const;
+
+/** Share of the plan, in percent, in which the next fault follows at once. */
+const OVERLAP_PERCENT = 25;
+
+const LINKS = ["peer", "worker", "agent_store", "entry_store"] as const;
+
+const ACTIONS: readonly LinkAction[] = [
+  "refuse",
+  "hold",
+  "hold_forward",
+  "hold_backward",
+  "delay",
+  "reset",
+  "silence",
+];
+
+const STORE_FAULTS = [
+  { isUnavailable: true },
+  { isSilent: true },
+  { delayMs: 800 },
+  { losesAnswers: true },
+  { appendsLateMs: 2_000 },
+] as const;
+
+const WORKER_FAULTS = [
+  { losesAnswers: true },
+  { ordersLateMs: 2_500 },
+  { failsRuns: true },
+  { stallsRuns: true },
+] as const;
+
+const KINDS = [
+  ...["kill", "kill", "stop", "stop", "pause", "pause", "hup"] as const,
+  ...["link", "link", "link", "link", "store", "store_history"] as const,
+  ...["worker", "worker", "worker_crash", "worker_crash"] as const,
+  ...["worker_drain", "zone_out", "config", "config", "burst"] as const,
+  "kill_all",
+] as const;
+
+export interface SoakPlanOptions {
+  seed: number;
+  lengthMs: number;
+  entries: number;
+  agents: number;
+  zones: readonly string[];
+}
+
+/** Creates the faults of a run; the same options give the same faults. */
+export function createSoakPlan(options: SoakPlanOptions): SoakFault[] {
+  const { seed, lengthMs, entries, agents, zones } = options;
+  const generator = xoroshiro128plus(seed);
+  const getInt = (from: number, to: number) =>
+    unsafeUniformIntDistribution(from, to, generator);
+  const select = <T>(items: readonly T[]): T =>
+    items[getInt(0, items.length - 1)] as T;
+  const faults: SoakFault[] = [];
+  let atMs = GAP_MS.max;
+  while (atMs < lengthMs) {
+    faults.push(createFault(atMs));
+    const isOverlap = getInt(1, 100) <= OVERLAP_PERCENT;
+    atMs += isOverlap ? GAP_MS.min : getInt(GAP_MS.min, GAP_MS.max);
+  }
+  return faults;
+
+  function createFault(at: number): SoakFault {
+    const kind = select(KINDS);
+    const base = { atMs: at, forMs: getInt(LENGTH_MS.min, LENGTH_MS.max) };
+    switch (kind) {
+      case "kill":
+      case "stop":
+      case "pause":
+      case "hup": {
+        const role = select(["entry", "agent"] as const);
+        const count = role === "entry" ? entries : agents;
+        return { ...base, kind, role, target: getInt(0, count - 1) };
+      }
+      case "link": {
+        const link = select(LINKS);
+        const count = link === "entry_store" ? entries : agents;
+        const target = getInt(0, count - 1);
+        return { ...base, kind, link, action: select(ACTIONS), target };
+      }
+      case "store":
+        return { ...base, kind, faults: select(STORE_FAULTS) };
+      case "worker":
+        return {
+          ...base,
+          kind,
+          target: getInt(0, agents - 1),
+          faults: select(WORKER_FAULTS),
+        };
+      case "worker_crash":
+        return {
+          ...base,
+          kind,
+          target: getInt(0, agents - 1),
+          keepsId: getInt(0, 1) === 1,
+        };
+      case "worker_drain":
+        return { ...base, kind, target: getInt(0, agents - 1) };
+      case "zone_out":
+        // Long enough for its bound to pass.
+        return { ...base, forMs: 8_000, kind, zone: select(zones) };
+      case "burst":
+        return { ...base, kind, factor: getInt(2, 5) };
+      case "kill_all":
+      case "store_history":
+      case "config":
+        return { ...base, kind };
+      default:
+        return kind satisfies never;
+    }
+  }
+}
--- /dev/null
+++ b/scripts/soak/run_soak_seed.ts
@@ -0,0 +1,103 @@
+import { setTimeout as wait } from "node:timers/promises";
+import { applySoakFault } from "./apply_soak_fault.ts";
+import { createSoakPlan } from "./create_soak_plan.ts";
+import { Disturbances } from "./disturbances.ts";
+import { SoakClients } from "./soak_clients.ts";
+import { SoakCluster } from "./soak_cluster.ts";
+import { SoakOperator } from "./soak_operator.ts";
+import { SoakOracle } from "./soak_oracle.ts";
+
+const ZONES = ["a", "b", "c"] as const;
+const SERVICES = ["render", "stamp"] as const;
+
+/** Time after the last fault in which the system recovers, in milliseconds. */
+const RECOVERY_MS = 6_000;
+
+/** Jobs that must all be served after the recovery. */
+const ORDINARY_JOBS = 20;
+
+/** Time after the last job in which all runs have ended, in milliseconds. */
+const QUIET_MS = 2_500;
+
+export interface SoakSeedOptions {
+  seed: number;
+  /** Length of the time with faults, in milliseconds. */
+  lengthMs: number;
+  entries: number;
+  agents: number;
+  /** Folder for settings and logs. */
+  folder: string;
+}
+
+export interface SoakResult {
+  readonly violations: readonly string[];
+  readonly faults: readonly string[];
+  readonly jobs: number;
+  readonly starts: number;
+  readonly answers: Record<string, number>;
+}
+
+/** Runs the programs under the faults of one seed. */
+export async function runSoakSeed(
+  options: SoakSeedOptions,
+): Promise<SoakResult> {
+  const { seed, lengthMs, entries, agents, folder } = options;
+  const disturbances = new Disturbances();
+  const oracle = new SoakOracle(disturbances);
+  const cluster = new SoakCluster({
+    ...{ folder, entries, agents, zones: ZONES, services: SERVICES },
+    findTask: (task) => {
+      const job = oracle.getJob(task.slice(0, task.indexOf(".")));
+      return job === undefined
+        ? undefined
+        : { cpuMillis: job.cpuMillis, runMs: job.expectedMs };
+    },
+    onEvent: (event, place) => oracle.handleEvent(event, place),
+  });
+  const operator = new SoakOperator({
+    ...{ store: cluster.store, oracle, services: SERVICES },
+  });
+  const clients = new SoakClients({
+    ...{ seed, entries: cluster.entries, oracle, disturbances },
+    getRoutes: () => operator.getServedRoutes(),
+  });
+  const plan = createSoakPlan({
+    seed,
+    lengthMs,
+    entries,
+    agents,
+    zones: ZONES,
+  });
+  try {
+    await cluster.start();
+    operator.changeRoutes();
+    await cluster.waitUntilReady();
+    const load = clients.run();
+    const startedAt = performance.now();
+    const open: Promise<void>[] = [];
+    for (const fault of plan) {
+      await wait(Math.max(0, startedAt + fault.atMs - performance.now()));
+      open.push(
+        applySoakFault(fault, { cluster, clients, operator, disturbances }),
+      );
+    }
+    await Promise.all(open);
+    await wait(RECOVERY_MS);
+    await clients.stop();
+    await load;
+    const ids = await clients.runOrdinaryJobs(ORDINARY_JOBS);
+    oracle.checkServed(ids);
+    await wait(QUIET_MS);
+    oracle.checkEnd();
+  } finally {
+    clients.close();
+    await cluster.stop();
+  }
+  return {
+    violations: oracle.violations,
+    faults: plan.map((fault) => JSON.stringify(fault)),
+    jobs: oracle.jobCount,
+    starts: oracle.startCount,
+    answers: clients.answers,
+  };
+}
--- /dev/null
+++ b/scripts/soak/soak_cluster.ts
@@ -0,0 +1,177 @@
+import { mkdirSync } from "node:fs";
+import {
+  type StandInTask,
+  StoreStandIn,
+  type WorkerEvent,
+  WorkerStandIn,
+} from "../../platform/stand_in/mod.ts";
+import { findFreePort } from "../lib/find_free_port.ts";
+import { Relay } from "../lib/relay.ts";
+import { waitFor } from "../lib/wait_for.ts";
+import { SoakProcess } from "./soak_process.ts";
+import type { WorkerPlace } from "./worker_place.ts";
+
+/** Cores of a worker, in thousandths: eight tasks of the soak at a time. */
+const WORKER_CPU_MILLIS = 16_000;
+
+/** Slowdown of tasks away from their data's rack; jobs of the soak name none. */
+const FAR_FACTOR = 1.5;
+
+export interface SoakEntry {
+  readonly process: SoakProcess;
+  /** Address for clients, without a relay. */
+  readonly address: string;
+  readonly readyAddress: string;
+  readonly storeRelay: Relay;
+}
+
+export interface SoakAgent {
+  readonly process: SoakProcess;
+  readonly zone: string;
+  readonly worker: WorkerStandIn;
+  /** Between entries and the agent. */
+  readonly peerRelay: Relay;
+  /** Between the agent and its worker. */
+  readonly workerRelay: Relay;
+  readonly storeRelay: Relay;
+}
+
+export interface SoakClusterOptions {
+  /** Folder for settings and logs. */
+  folder: string;
+  entries: number;
+  agents: number;
+  zones: readonly string[];
+  services: readonly string[];
+  findTask: (task: string) => StandInTask | undefined;
+  onEvent: (event: WorkerEvent, place: WorkerPlace) => void;
+}
+
+/**
+ * The programs of the platform as separate processes, with the store and the
+ * workers as stand-ins, and a relay on each link between them.
+ */
+export class SoakCluster {
+  readonly entries: SoakEntry[] = [];
+  readonly agents: SoakAgent[] = [];
+  readonly store: StoreStandIn;
+  readonly #options: SoakClusterOptions;
+  readonly #peerAddresses = new Map<string, string>();
+  #storeAddress = "";
+
+  constructor(options: SoakClusterOptions) {
+    this.#options = options;
+    mkdirSync(options.folder, { recursive: true });
+    this.store = new StoreStandIn({
+      // Entries reach an agent through its relay.
+      mapValue: ({ key, value }) => {
+        const address = this.#peerAddresses.get(key);
+        return address === undefined
+          ? value
+          : JSON.stringify({ ...JSON.parse(value), address });
+      },
+    });
+  }
+
+  /** Starts all processes; they may not be ready yet. */
+  async start(): Promise<void> {
+    const { entries, agents } = this.#options;
+    this.#storeAddress = await this.store.start();
+    for (let n = 0; n < agents; n++) {
+      this.agents.push(await this.#createAgent(n));
+    }
+    for (let n = 0; n < entries; n++) {
+      this.entries.push(await this.#createEntry(n));
+    }
+    for (const { process } of [...this.agents, ...this.entries]) {
+      process.start();
+    }
+  }
+
+  /** Waits until the balancer would send clients to each entry. */
+  async waitUntilReady(): Promise<void> {
+    for (const { process, readyAddress } of this.entries) {
+      await waitFor(process.name, async () => {
+        const answer = await fetch(`http://${readyAddress}/`);
+        await answer.arrayBuffer();
+        return answer.ok;
+      });
+    }
+  }
+
+  async stop(): Promise<void> {
+    const all = [...this.entries, ...this.agents];
+    await Promise.all(all.map(({ process }) => process.stop()));
+    for (const { storeRelay } of all) {
+      storeRelay.stop();
+    }
+    for (const { worker, peerRelay, workerRelay } of this.agents) {
+      worker.stop();
+      peerRelay.stop();
+      workerRelay.stop();
+    }
+    this.store.stop();
+  }
+
+  async #createEntry(n: number): Promise<SoakEntry> {
+    const name = `entry-${n + 1}`;
+    const address = `127.0.0.1:${await findFreePort()}`;
+    const readyAddress = `127.0.0.1:${await findFreePort()}`;
+    const storeRelay = new Relay(this.#storeAddress);
+    const settings = {
+      name,
+      zone: this.#getZone(n),
+      storeAddress: await storeRelay.start(),
+      metricsPort: await findFreePort(),
+      jobAddress: address,
+      readyAddress,
+      farFactor: FAR_FACTOR,
+    };
+    const { folder } = this.#options;
+    const process = new SoakProcess({ role: "entry", name, folder, settings });
+    return { process, address, readyAddress, storeRelay };
+  }
+
+  async #createAgent(n: number): Promise<SoakAgent> {
+    const { folder, services, findTask, onEvent } = this.#options;
+    const name = `agent-${n + 1}`;
+    const zone = this.#getZone(n);
+    const service = services[n % services.length] as string;
+    const reportAddress = `127.0.0.1:${await findFreePort()}`;
+    const peerAddress = `127.0.0.1:${await findFreePort()}`;
+    const worker = new WorkerStandIn({
+      name: `worker-${n + 1}`,
+      service,
+      zone,
+      cpuMillis: WORKER_CPU_MILLIS,
+      slowdown: 0.7 + 0.3 * (n % 3),
+      // Clocks of workers may run up to 2% slow.
+      clockRate: n % 2 === 0 ? 1 : 0.98,
+      reportAddress,
+      findTask,
+      onEvent: (event) => onEvent(event, { agent: name, zone, service }),
+    });
+    const peerRelay = new Relay(peerAddress);
+    const workerRelay = new Relay(await worker.start());
+    const storeRelay = new Relay(this.#storeAddress);
+    const settings = {
+      name,
+      zone,
+      storeAddress: await storeRelay.start(),
+      metricsPort: await findFreePort(),
+      peerAddress,
+      workerAddress: await workerRelay.start(),
+      service,
+      maxLeaseMs: 1_000,
+      reportAddress,
+    };
+    this.#peerAddresses.set(name, await peerRelay.start());
+    const process = new SoakProcess({ role: "agent", name, folder, settings });
+    return { process, zone, worker, peerRelay, workerRelay, storeRelay };
+  }
+
+  #getZone(n: number): string {
+    const { zones } = this.#options;
+    return zones[n % zones.length] as string;
+  }
+}
--- /dev/null
+++ b/scripts/soak/soak_fault.ts
@@ -0,0 +1,45 @@
+import type { StoreFaults, WorkerFaults } from "../../platform/stand_in/mod.ts";
+
+/** What is done to a link for a time, or once. */
+export type LinkAction =
+  | "refuse"
+  | "hold"
+  | "hold_forward"
+  | "hold_backward"
+  | "delay"
+  | "reset"
+  | "silence";
+
+/** One fault of a plan. Targets are numbers of processes, counted from 0. */
+export type SoakFault =
+  & { readonly atMs: number; readonly forMs: number }
+  & (
+    | {
+      readonly kind: "kill" | "stop" | "pause" | "hup";
+      readonly role: "entry" | "agent";
+      readonly target: number;
+    }
+    | { readonly kind: "kill_all" }
+    | {
+      readonly kind: "link";
+      readonly link: "peer" | "worker" | "agent_store" | "entry_store";
+      readonly action: LinkAction;
+      readonly target: number;
+    }
+    | { readonly kind: "store"; readonly faults: StoreFaults }
+    | { readonly kind: "store_history" }
+    | {
+      readonly kind: "worker";
+      readonly target: number;
+      readonly faults: WorkerFaults;
+    }
+    | {
+      readonly kind: "worker_crash";
+      readonly target: number;
+      readonly keepsId: boolean;
+    }
+    | { readonly kind: "worker_drain"; readonly target: number }
+    | { readonly kind: "zone_out"; readonly zone: string }
+    | { readonly kind: "config" }
+    | { readonly kind: "burst"; readonly factor: number }
+  );
--- /dev/null
+++ b/scripts/soak/soak_oracle.ts
@@ -0,0 +1,253 @@
+import type { SubmittedJob, WorkerEvent } from "../../platform/stand_in/mod.ts";
+import type { Disturbances } from "./disturbances.ts";
+import type { WorkerPlace } from "./worker_place.ts";
+
+/** Bounds of the platform, in milliseconds. */
+const BOUNDS = { drain: 2_000, zoneOut: 5_000, calm: 3_000 } as const;
+
+/** Time for a stand-in's event to be seen on a busy machine, in milliseconds. */
+const SLACK_MS = 500;
+
+/** Runs of a task that may fail before its job fails. */
+const MAX_ATTEMPTS = 2;
+
+/** What a client saw of one submission of a job. */
+export type SubmissionOutcome =
+  | {
+    readonly kind: "answer";
+    readonly status: number;
+    readonly state?: string;
+  }
+  | { readonly kind: "not_connected" }
+  | { readonly kind: "broken" }
+  | { readonly kind: "left" }
+  | { readonly kind: "no_answer" };
+
+interface JobRecord {
+  readonly job: SubmittedJob;
+  /** Service whose workers may run the job. */
+  readonly service: string;
+  readonly outcomes: SubmissionOutcome[];
+}
+
+interface TaskRecord {
+  /** Worker at which a run is at work. */
+  workerId: string | undefined;
+  starts: number;
+  done: number;
+  failed: number;
+}
+
+/**
+ * Checks what clients and workers see against the promises of the system. It
+ * knows nothing of the processes but when they were disturbed.
+ */
+export class SoakOracle {
+  readonly violations: string[] = [];
+  readonly #disturbances: Disturbances;
+  readonly #jobs = new Map<string, JobRecord>();
+  readonly #tasks = new Map<string, TaskRecord>();
+  readonly #drainedAt = new Map<string, number>();
+  readonly #zonesOutAt = new Map<string, number>();
+
+  constructor(disturbances: Disturbances) {
+    this.#disturbances = disturbances;
+  }
+
+  get jobCount(): number {
+    return this.#jobs.size;
+  }
+
+  get startCount(): number {
+    return [...this.#tasks.values()].reduce(
+      (sum, { starts }) => sum + starts,
+      0,
+    );
+  }
+
+  addJob(job: SubmittedJob, service: string): void {
+    this.#jobs.set(job.id, { job, service, outcomes: [] });
+  }
+
+  getJob(id: string): SubmittedJob | undefined {
+    return this.#jobs.get(id)?.job;
+  }
+
+  /** Records that the operator took a zone out, or put it in again. */
+  setZone(zone: string, state: "in" | "out"): void {
+    if (state === "in") {
+      this.#zonesOutAt.delete(zone);
+    } else {
+      this.#zonesOutAt.set(zone, performance.now());
+    }
+  }
+
+  /** Records what a client saw, and checks an answer against the runs. */
+  recordOutcome(jobId: string, outcome: SubmissionOutcome): void {
+    const record = this.#jobs.get(jobId) as JobRecord;
+    record.outcomes.push(outcome);
+    if (outcome.kind !== "answer") {
+      return;
+    }
+    const tasks = this.#getTasks(record.job);
+    if (
+      outcome.state === "completed" &&
+      tasks.some((task) => (task?.done ?? 0) === 0)
+    ) {
+      this.#add(`${jobId} is answered as completed, and a task is not done`);
+    }
+    const mayFail = record.job.cpuMillis > 16_000 ||
+      tasks.some((task) => (task?.failed ?? 0) >= MAX_ATTEMPTS);
+    if (outcome.state === "failed" && !mayFail) {
+      this.#add(`${jobId} is answered as failed without a cause`);
+    }
+  }
+
+  /** Checks what a worker has seen. */
+  handleEvent(event: WorkerEvent, place: WorkerPlace): void {
+    switch (event.kind) {
+      case "started":
+        this.#handleStart(event, place);
+        return;
+      case "ended": {
+        const task = this.#tasks.get(event.task);
+        if (task !== undefined && task.workerId === event.workerId) {
+          task.workerId = undefined;
+          task.done += event.how === "done" ? 1 : 0;
+          task.failed += event.how === "failed" ? 1 : 0;
+        }
+        return;
+      }
+      case "drain_confirmed":
+        if (!this.#drainedAt.has(event.workerId)) {
+          this.#drainedAt.set(event.workerId, event.at);
+        }
+        return;
+      case "life_started":
+        this.#drainedAt.delete(event.workerId);
+        return;
+      default:
+        event satisfies never;
+    }
+  }
+
+  /** Checks what can be told only when all work has ended. */
+  checkEnd(): void {
+    for (const { job, outcomes } of this.#jobs.values()) {
+      const isRefused = outcomes.length > 0 &&
+        outcomes.every((outcome) =>
+          outcome.kind === "not_connected" ||
+          (outcome.kind === "answer" && [429, 503].includes(outcome.status))
+        );
+      if (isRefused && this.#getTasks(job).some((task) => task !== undefined)) {
+        this.#add(`${job.id} was refused by each entry, and has run`);
+      }
+    }
+    for (const [name, { workerId }] of this.#tasks) {
+      if (workerId !== undefined) {
+        this.#add(`${name} is still at work at ${workerId}`);
+      }
+    }
+  }
+
+  /** Checks that jobs of a time without faults were all completed. */
+  checkServed(jobIds: readonly string[]): void {
+    for (const id of jobIds) {
+      const outcomes = this.#jobs.get(id)?.outcomes ?? [];
+      if (
+        !outcomes.some((outcome) =>
+          outcome.kind === "answer" && outcome.state === "completed"
+        )
+      ) {
+        this.#add(
+          `${id} is not served after the faults: ${JSON.stringify(outcomes)}`,
+        );
+      }
+    }
+  }
+
+  /** Records a broken promise that a client has seen. */
+  add(violation: string): void {
+    this.#add(violation);
+  }
+
+  #handleStart(
+    event: WorkerEvent & { kind: "started" },
+    place: WorkerPlace,
+  ): void {
+    const { workerId, at } = event;
+    const [id, , step] = event.task.split(".") as [string, string, string];
+    const record = this.#jobs.get(id);
+    if (record === undefined || record.job.spec !== event.spec) {
+      this.#add(`${event.task} was not submitted so`);
+      return;
+    }
+    const task = this.#tasks.get(event.task) ??
+      { workerId: undefined, starts: 0, done: 0, failed: 0 };
+    if (task.workerId !== undefined) {
+      this.#add(`${event.task} runs at ${task.workerId} and at ${workerId}`);
+    }
+    task.workerId = workerId;
+    task.starts++;
+    this.#tasks.set(event.task, task);
+    if (record.service !== place.service) {
+      this.#add(`${event.task} starts at a worker of ${place.service}`);
+    }
+    const before = this.#getStep(record.job, Number(step) - 1);
+    if (before.some((other) => (other?.done ?? 0) === 0)) {
+      this.#add(`${event.task} starts before the step that it depends on`);
+    }
+    this.#checkBound(event, this.#drainedAt.get(workerId), {
+      agent: place.agent,
+      boundMs: BOUNDS.drain,
+      what: "a draining worker",
+      at,
+    });
+    this.#checkBound(event, this.#zonesOutAt.get(place.zone), {
+      agent: place.agent,
+      boundMs: BOUNDS.zoneOut,
+      what: "a zone that is out of service",
+      at,
+    });
+  }
+
+  /** Checks a start against a bound that holds for undisturbed agents. */
+  #checkBound(
+    event: WorkerEvent & { kind: "started" },
+    since: number | undefined,
+    options: { agent: string; boundMs: number; what: string; at: number },
+  ): void {
+    const { agent, boundMs, what, at } = options;
+    const calmSince = at - BOUNDS.calm;
+    const isInTouch = this.#disturbances.isCalmSince(agent, calmSince) &&
+      this.#disturbances.isCalmSince("store", calmSince);
+    if (
+      since !== undefined && at - since > boundMs + SLACK_MS &&
+      !event.isLate && isInTouch
+    ) {
+      this.#add(
+        `${event.task} starts at ${what} after ${
+          Math.round(at - since)
+        } ms (${agent})`,
+      );
+    }
+  }
+
+  #getTasks(job: SubmittedJob): (TaskRecord | undefined)[] {
+    return Array.from(
+      { length: job.steps },
+      (_, step) => this.#getStep(job, step),
+    ).flat();
+  }
+
+  #getStep(job: SubmittedJob, step: number): (TaskRecord | undefined)[] {
+    return step < 0 ? [] : Array.from(
+      { length: job.tasksPerStep },
+      (_, index) => this.#tasks.get(`${job.id}.0.${step}.${index}`),
+    );
+  }
+
+  #add(violation: string): void {
+    this.violations.push(`${Math.round(performance.now())} ms: ${violation}`);
+  }
+}
--- /dev/null
+++ b/scripts/soak/soak_process.ts
@@ -0,0 +1,78 @@
+import { type ChildProcess, spawn } from "node:child_process";
+import { createWriteStream, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { SETTINGS_PATH_VARIABLE } from "../../platform/settings_path_variable.ts";
+import { stopChild } from "../lib/stop_child.ts";
+
+/** Delay of the restart of a process that has ended, in milliseconds. */
+const RESTART_MS = 300;
+
+export interface SoakProcessOptions {
+  role: "entry" | "agent";
+  name: string;
+  /** Folder for the settings file and the log of the process. */
+  folder: string;
+  settings: Record<string, unknown>;
+}
+
+/**
+ * One program of the system as a process. It is started again whenever it ends,
+ * as the platform does.
+ */
+export class SoakProcess {
+  readonly name: string;
+  readonly #options: SoakProcessOptions;
+  #child: ChildProcess | undefined;
+  #isStopped = false;
+
+  constructor(options: SoakProcessOptions) {
+    this.#options = options;
+    this.name = options.name;
+    writeFileSync(this.#settingsPath, JSON.stringify(options.settings));
+  }
+
+  get #settingsPath(): string {
+    return join(this.#options.folder, `${this.#options.name}.json`);
+  }
+
+  start(): void {
+    const { role, folder } = this.#options;
+    const program = new URL(`../../platform/${role}.js`, import.meta.url);
+    const log = createWriteStream(join(folder, `${this.name}.log`), {
+      flags: "a",
+    });
+    const child = spawn(process.execPath, [program.pathname], {
+      stdio: ["ignore", "pipe", "pipe"],
+      env: { ...process.env, [SETTINGS_PATH_VARIABLE]: this.#settingsPath },
+    });
+    child.stdout.pipe(log, { end: false });
+    child.stderr.pipe(log, { end: false });
+    child.once("exit", () => {
+      if (!this.#isStopped) {
+        setTimeout(() => this.#isStopped || this.start(), RESTART_MS);
+      }
+    });
+    this.#child = child;
+  }
+
+  /** Sends a signal; SIGSTOP pauses the process, SIGCONT resumes it. */
+  sendSignal(signal: NodeJS.Signals): void {
+    this.#child?.kill(signal);
+  }
+
+  /** Waits until the process ends, for good, and gets its exit code. */
+  async waitForEnd(): Promise<number | null> {
+    this.#isStopped = true;
+    const child = this.#child as ChildProcess;
+    return await new Promise((resolve) => child.once("exit", resolve));
+  }
+
+  /** Stops the process gracefully, for good. */
+  async stop(): Promise<void> {
+    this.#isStopped = true;
+    this.sendSignal("SIGCONT");
+    if (this.#child !== undefined) {
+      await stopChild(this.#child);
+    }
+  }
+}
--- /dev/null
+++ b/scripts/soak/worker_place.ts
@@ -0,0 +1,7 @@
+/** Where a worker is, and what it serves. */
+export interface WorkerPlace {
+  /** Name of the agent beside it. */
+  readonly agent: string;
+  readonly zone: string;
+  readonly service: string;
+}
