--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -18,11 +18,11 @@
 const TICK_MS = 50;
 
 /**
- * Shortest interval of status frames for each entry that listens, in
- * milliseconds: the frames of all agents together cost an entry as much with
- * many entries as with few.
+ * Shortest interval of status frames to all entries, in milliseconds for each
+ * entry that listens: an agent sends as many of them with many entries as with
+ * few. An entry whose run ends gets a status at once.
  */
-const STATUS_INTERVAL_PER_ENTRY_MS = 8;
+const STATUS_INTERVAL_PER_ENTRY_MS = 25;
 
 /**
  * Longest wait of one read of the operator's records, in milliseconds. Entries
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -52,7 +52,10 @@
       this.#getTime() - this.#link.provenAt < BATCH_LIMITS.silentEntryMs;
   }
 
-  /** Queues the end of a run; ends of one turn share a frame. */
+  /**
+   * Queues the end of a run. Ends of one turn share a frame, and the status
+   * after them leaves in the same write.
+   */
   handleEnd(end: RunEnd): void {
     if (this.#ends.length === 0) {
       queueMicrotask(() => this.#sendEnds());
@@ -204,5 +207,6 @@
     const ends = this.#ends;
     this.#ends = [];
     this.#link.send({ case: "runEnds", value: { ends } });
+    this.sendStatus();
   }
 }
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -5,7 +5,7 @@
   EventLog,
   KeyedPage,
   KeyedStore,
-  PeerCaller,
+  PeerOpener,
 } from "../../links/mod.ts";
 import {
   MemberRecord,
@@ -22,7 +22,7 @@
   name: string;
   incarnation: string;
   store: KeyedStore;
-  caller: PeerCaller;
+  caller: PeerOpener;
   log: EventLog;
   metrics: Metrics;
   parseOperatorRecord: ParseOperatorRecord;
--- a/src/coordination/links/mod.ts
+++ b/src/coordination/links/mod.ts
@@ -1,6 +1,7 @@
 export type { LogPage } from "./log_page.ts";
 export type { LogService } from "./log_service.ts";
 export type { PeerCaller } from "./peer_caller.ts";
+export type { PeerOpener } from "./peer_opener.ts";
 export type { PeerStream } from "./peer_stream.ts";
 export type { UpstreamAnswer } from "./upstream_answer.ts";
 export type { UpstreamCaller } from "./upstream_caller.ts";
--- a/src/state/metrics/metrics.ts
+++ b/src/state/metrics/metrics.ts
@@ -1,4 +1,7 @@
-import { build, type Histogram } from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The library's index also loads formatters for languages, which costs a tenth
+// of the start of a process.
+import { build } from "hdr-histogram-js/dist/HistogramBuilder.js";
 
 /**
  * Quantiles that are reported for each histogram, with the percentiles that the
--- a/src/transport/peer/frame_stream.ts
+++ b/src/transport/peer/frame_stream.ts
@@ -2,7 +2,7 @@
 import type { PeerMessage } from "../../coordination/messages/mod.ts";
 import type { Frame } from "../../protocol/gen/peer_pb.ts";
 import { createFrame, readFrame } from "../../protocol/peer/mod.ts";
-import { MessageQueue } from "./message_queue.ts";
+import { MessageQueue } from "../message_queue.ts";
 
 /** A stream of frames as a `PeerStream`. */
 export class FrameStream implements PeerStream {
--- /dev/null
+++ b/src/transport/stream/mod.ts
@@ -0,0 +1,2 @@
+export { StreamCaller } from "./stream_caller.ts";
+export { StreamServer } from "./stream_server.ts";
--- a/tests/lib/memory_stream.ts
+++ b/tests/lib/memory_stream.ts
@@ -1,6 +1,6 @@
 import type { PeerStream } from "../../src/coordination/links/mod.ts";
 import type { PeerMessage } from "../../src/coordination/messages/mod.ts";
-import { MessageQueue } from "../../src/transport/peer/message_queue.ts";
+import { MessageQueue } from "../../src/transport/message_queue.ts";
 
 /** One end of a stream in memory. */
 export class MemoryStream implements PeerStream {
--- /dev/null
+++ b/tests/transport/stream/stream_test.ts
@@ -0,0 +1,143 @@
+import { expect } from "chai";
+import { connect, createServer, type Socket } from "node:net";
+import type { PeerStream } from "../../../src/coordination/links/mod.ts";
+import { FrameSocket } from "../../../src/transport/stream/frame_socket.ts";
+import {
+  StreamCaller,
+  StreamServer,
+} from "../../../src/transport/stream/mod.ts";
+import { waitUntil } from "../../lib/wait_until.ts";
+
+describe("streams over TCP", () => {
+  const served: PeerStream[] = [];
+  const offsets: number[] = [];
+  let server: StreamServer;
+  let address = "";
+
+  beforeEach(async () => {
+    served.length = 0;
+    offsets.length = 0;
+    server = new StreamServer({
+      host: "127.0.0.1",
+      port: 0,
+      serve: async (stream) => {
+        served.push(stream);
+        try {
+          for await (const message of stream.received) {
+            if (message.case === "batch") {
+              offsets.push(message.value.sentAtMs);
+            }
+          }
+        } finally {
+          stream.close();
+        }
+      },
+    });
+    address = `127.0.0.1:${await server.start()}`;
+  });
+
+  afterEach(() => server.stop());
+
+  const createPing = (sentAtMs: number) => ({
+    case: "batch" as const,
+    value: {
+      sentAtMs,
+      echoAtMs: 0,
+      kind: { case: "ping" as const, value: { operatorOffset: 0 } },
+    },
+  });
+
+  it("keeps the order of frames, and delivers those sent before the close", async () => {
+    const stream = new StreamCaller().open(address);
+    const sent = Array.from({ length: 500 }, (_, n) => n + 1);
+    sent.forEach((n) => stream.send(createPing(n)));
+    stream.close();
+    await waitUntil(() => offsets.length === sent.length, "the frames");
+    expect(offsets).to.deep.equal(sent);
+  });
+
+  it("reads frames that arrive in pieces", async () => {
+    const bytes: Buffer[] = [];
+    const recorder = createServer((socket) =>
+      socket.on("data", (chunk) => bytes.push(chunk))
+    );
+    await new Promise<void>((resolve) =>
+      recorder.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = recorder.address() as { port: number };
+    const stream = new StreamCaller().open(`127.0.0.1:${port}`);
+    stream.send(createPing(1));
+    stream.send(createPing(2));
+    await waitUntil(() => bytes.length > 0, "the bytes");
+    stream.close();
+    recorder.close();
+    const [host, serverPort] = address.split(":") as [string, string];
+    const socket = connect(Number(serverPort), host);
+    socket.setNoDelay(true);
+    for (const byte of Buffer.concat(bytes)) {
+      socket.write(Uint8Array.of(byte));
+      await new Promise((resolve) => setTimeout(resolve, 1));
+    }
+    await waitUntil(() => offsets.length === 2, "the frames");
+    socket.destroy();
+    expect(offsets).to.deep.equal([1, 2]);
+  });
+
+  it("closes a stream on which something else than frames arrives", async () => {
+    const [host, port] = address.split(":") as [string, string];
+    const socket = connect(Number(port), host);
+    socket.on("error", () => {});
+    socket.write("GET / HTTP/1.1\r\n\r\n");
+    await waitUntil(() => socket.destroyed, "the end");
+    expect(offsets).to.deep.equal([]);
+  });
+
+  it("ends with an error when nothing listens", async () => {
+    server.stop();
+    const stream = new StreamCaller().open(address);
+    let message = "";
+    try {
+      for await (const _ of stream.received) {
+        // Nothing arrives.
+      }
+    } catch (error) {
+      message = (error as Error).message;
+    }
+    expect(message).to.contain("ECONNREFUSED");
+    expect(stream.isClosed).to.equal(true);
+  });
+
+  it("gives up a peer that does not read", async () => {
+    const sockets: Socket[] = [];
+    const silent = createServer((socket) => {
+      socket.pause();
+      sockets.push(socket);
+    });
+    await new Promise<void>((resolve) =>
+      silent.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = silent.address() as { port: number };
+    const socket = connect(port, "127.0.0.1");
+    const stream = new FrameSocket(socket);
+    const failed = (async () => {
+      for await (const _ of stream.received) {
+        // Nothing arrives.
+      }
+    })().catch((error: Error) => error.message);
+    const key = "k".repeat(100_000);
+    for (let n = 0; n < 200 && !stream.isClosed; n++) {
+      stream.send({
+        case: "batch",
+        value: {
+          sentAtMs: n,
+          echoAtMs: 0,
+          kind: { case: "cancelJob", value: { jobId: key } },
+        },
+      });
+      await new Promise((resolve) => setTimeout(resolve, 1));
+    }
+    expect(await failed).to.equal("the peer does not read");
+    sockets.forEach((other) => other.destroy());
+    silent.close();
+  });
+});
