Write log lines of 50 ms together

Cause: each turn of the event loop with a log line cost a write on the thread pool; the write is among the first rows of an agent's profile. Change: lines wait up to 50 ms for others. A killed process loses as much of its log. The bounds of the buffer are as before.

--- a/src/processes/event_writer.ts
+++ b/src/processes/event_writer.ts
@@ -16,6 +16,12 @@
 /** Bytes of lines about requests that are written in one second. */
 const REQUEST_BYTES_PER_SECOND = 200_000;
 
+/**
+ * Default of `collectMs`: a write costs more than the lines in it, and a process
+ * that is killed loses as much of its log.
+ */
+const COLLECT_MS = 50;
+
 /** Interval of the check whether all is written, in milliseconds. */
 const FLUSH_CHECK_MS = 5;
 
@@ -29,6 +35,8 @@
   /** Writes text and calls back when it is written. */
   write?: (text: string, callback: () => void) => void;
   getWallClock?: () => number;
+  /** Lines of this time share a write, in milliseconds. */
+  collectMs?: number;
 }
 
 /**
@@ -40,6 +48,7 @@
   readonly #metrics: Metrics;
   readonly #write: (text: string, callback: () => void) => void;
   readonly #getWallClock: () => number;
+  readonly #collectMs: number;
   readonly #logger: Logger<Record<string, unknown>>;
   #lines: string[] = [];
   #bytes = 0;
@@ -52,6 +61,7 @@
     this.#metrics = options.metrics;
     this.#write = options.write ?? writeToStandardOutput;
     this.#getWallClock = options.getWallClock ?? Date.now;
+    this.#collectMs = options.collectMs ?? COLLECT_MS;
     this.#logger = new Logger({
       type: "hidden",
       hideLogPositionForProduction: true,
@@ -119,8 +129,7 @@
       return;
     }
     this.#isWriting = true;
-    // Lines of one turn of the event loop share a write.
-    setImmediate(() => {
+    setTimeout(() => {
       const text = this.#lines.join("");
       this.#lines = [];
       this.#bytes = 0;
@@ -128,7 +137,7 @@
         this.#isWriting = false;
         this.#writeNext();
       });
-    });
+    }, this.#collectMs);
   }
 }
 
