--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -151,8 +151,9 @@
     this.#statusTimer = setTimeout(() => {
       this.#statusTimer = undefined;
       this.#statusSentAt = performance.now();
+      const status = this.runner.getStatus();
       for (const session of this.#sessions) {
-        session.sendStatus();
+        session.sendStatus(status);
       }
     }, Math.max(0, due));
   }
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -109,10 +109,10 @@
   }
 
   /** Sends the state and load of the worker. */
-  sendStatus(): void {
+  sendStatus(status = this.#options.runner.getStatus()): void {
     const { runner } = this.#options;
     const value = {
-      ...runner.getStatus(),
+      ...status,
       isSettled: !runner.hasRunsOfOthers(this),
       receivedBatch: this.#receivedBatch,
       entries: this.#options.countSessions(),
