--- a/scripts/check_platform_names.ts
+++ b/scripts/check_platform_names.ts
@@ -27,7 +27,7 @@
   "X-Cranberrybank",
 ];
 
-const FOLDERS = ["src"];
+const FOLDERS = ["src", "scripts/soak", "tests/soak"];
 
 let problems = 0;
 for (const folder of FOLDERS) {
--- a/scripts/soak/apply_soak_fault.ts
+++ b/scripts/soak/apply_soak_fault.ts
@@ -1,9 +1,12 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { Relay } from "../lib/relay.ts";
 import type { Disturbances } from "./disturbances.ts";
-import type { SoakAgent, SoakCluster, SoakEntry } from "./soak_cluster.ts";
+import type { SoakAgent } from "./soak_agent.ts";
+import type { SoakCluster } from "./soak_cluster.ts";
+import type { SoakEntry } from "./soak_entry.ts";
 import type { SoakClients } from "./soak_clients.ts";
-import type { LinkAction, SoakFault } from "./soak_fault.ts";
+import type { LinkAction } from "./link_action.ts";
+import type { SoakFault } from "./soak_fault.ts";
 import type { SoakOperator } from "./soak_operator.ts";
 
 /** Time in which a killed process is back, in milliseconds. */
--- a/scripts/soak/create_soak_plan.ts
+++ b/scripts/soak/create_soak_plan.ts
@@ -1,5 +1,6 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
-import type { LinkAction, SoakFault } from "./soak_fault.ts";
+import type { LinkAction } from "./link_action.ts";
+import type { SoakFault } from "./soak_fault.ts";
 
 /** Time between two faults, in milliseconds; several are open at a time. */
 const GAP_MS = { min: 50, max: 1_500 } as const;
--- a/scripts/soak/disturbances.ts
+++ b/scripts/soak/disturbances.ts
@@ -1,27 +1,24 @@
-/** What can be disturbed: a process by its name, or the store. */
-export type DisturbedThing = string;
-
 /**
- * When processes and the store were last disturbed. Promises with a time bound
+ * When processes (by name) and the store were last disturbed. Promises with a time bound
  * hold only for what has been undisturbed for a while.
  */
 export class Disturbances {
-  readonly #open = new Map<DisturbedThing, number>();
-  readonly #endedAt = new Map<DisturbedThing, number>();
+  readonly #open = new Map<string, number>();
+  readonly #endedAt = new Map<string, number>();
 
   /** Records that a disturbance begins. */
-  start(thing: DisturbedThing): void {
+  start(thing: string): void {
     this.#open.set(thing, (this.#open.get(thing) ?? 0) + 1);
   }
 
   /** Records that a disturbance has ended. */
-  end(thing: DisturbedThing): void {
+  end(thing: string): void {
     this.#open.set(thing, (this.#open.get(thing) ?? 1) - 1);
     this.#endedAt.set(thing, performance.now());
   }
 
   /** Has the thing been undisturbed since a time on the monotonic clock? */
-  isCalmSince(thing: DisturbedThing, since: number): boolean {
+  isCalmSince(thing: string, since: number): boolean {
     return (this.#open.get(thing) ?? 0) === 0 &&
       (this.#endedAt.get(thing) ?? -Infinity) < since;
   }
--- a/scripts/soak/run_soak_seed.ts
+++ b/scripts/soak/run_soak_seed.ts
@@ -6,6 +6,7 @@
 import { SoakCluster } from "./soak_cluster.ts";
 import { SoakOperator } from "./soak_operator.ts";
 import { SoakOracle } from "./soak_oracle.ts";
+import type { SoakResult } from "./soak_result.ts";
 
 const ZONES = ["a", "b", "c"] as const;
 const SERVICES = ["render", "stamp"] as const;
@@ -29,14 +30,6 @@
   folder: string;
 }
 
-export interface SoakResult {
-  readonly violations: readonly string[];
-  readonly faults: readonly string[];
-  readonly jobs: number;
-  readonly starts: number;
-  readonly answers: Record<string, number>;
-}
-
 /** Runs the programs under the faults of one seed. */
 export async function runSoakSeed(
   options: SoakSeedOptions,
--- a/scripts/soak/soak_clients.ts
+++ b/scripts/soak/soak_clients.ts
@@ -3,8 +3,10 @@
 import { sendJob, type SubmittedJob } from "../../platform/stand_in/mod.ts";
 import { HttpCaller } from "../../src/transport/http/mod.ts";
 import type { Disturbances } from "./disturbances.ts";
-import type { SoakEntry } from "./soak_cluster.ts";
-import type { SoakOracle, SubmissionOutcome } from "./soak_oracle.ts";
+import type { SoakEntry } from "./soak_entry.ts";
+import type { SoakOracle } from "./soak_oracle.ts";
+import type { SoakRoute } from "./soak_route.ts";
+import type { SubmissionOutcome } from "./submission_outcome.ts";
 
 /** Interval of jobs, in milliseconds: about half of the workers' capacity. */
 const INTERVAL_MS = 25;
@@ -33,12 +35,6 @@
 /** An entry is taken as undisturbed after this time, in milliseconds. */
 const CALM_MS = 3_000;
 
-export interface SoakRoute {
-  readonly host: string;
-  readonly pathPrefix: string;
-  readonly service: string;
-}
-
 export interface SoakClientsOptions {
   seed: number;
   entries: readonly SoakEntry[];
@@ -179,7 +175,9 @@
       const { status, state } = reply.value;
       const isKnownRoute = status !== 404;
       if (!isKnownRoute && isCalm && this.#isStoreCalm(sentAt)) {
-        oracle.add(`${job.id}: ${name} does not know ${route.pathPrefix}`);
+        oracle.addViolation(
+          `${job.id}: ${name} does not know ${route.pathPrefix}`,
+        );
       }
       return state === undefined
         ? { kind: "answer", status }
@@ -193,12 +191,12 @@
           return { kind: "left" };
         }
         if (isCalm) {
-          oracle.add(`${job.id}: ${name} has not answered in time`);
+          oracle.addViolation(`${job.id}: ${name} has not answered in time`);
         }
         return { kind: "no_answer" };
       default:
         if (isCalm && tookMs > CLOSE_RACE_MS) {
-          oracle.add(
+          oracle.addViolation(
             `${job.id}: ${name} broke the connection (${
               Math.round(tookMs)
             } ms after the request)`,
--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -8,6 +8,8 @@
 import { findFreePort } from "../lib/find_free_port.ts";
 import { Relay } from "../lib/relay.ts";
 import { waitFor } from "../lib/wait_for.ts";
+import type { SoakAgent } from "./soak_agent.ts";
+import type { SoakEntry } from "./soak_entry.ts";
 import { SoakProcess } from "./soak_process.ts";
 import type { WorkerPlace } from "./worker_place.ts";
 
@@ -17,25 +19,6 @@
 /** Slowdown of tasks away from their data's rack; jobs of the soak name none. */
 const FAR_FACTOR = 1.5;
 
-export interface SoakEntry {
-  readonly process: SoakProcess;
-  /** Address for clients, without a relay. */
-  readonly address: string;
-  readonly readyAddress: string;
-  readonly storeRelay: Relay;
-}
-
-export interface SoakAgent {
-  readonly process: SoakProcess;
-  readonly zone: string;
-  readonly worker: WorkerStandIn;
-  /** Between entries and the agent. */
-  readonly peerRelay: Relay;
-  /** Between the agent and its worker. */
-  readonly workerRelay: Relay;
-  readonly storeRelay: Relay;
-}
-
 export interface SoakClusterOptions {
   /** Folder for settings and logs. */
   folder: string;
--- /dev/null
+++ b/scripts/soak/soak_entry.ts
@@ -0,0 +1,11 @@
+import type { Relay } from "../lib/relay.ts";
+import type { SoakProcess } from "./soak_process.ts";
+
+/** An entry of the soak, and the relay on its link to the store. */
+export interface SoakEntry {
+  readonly process: SoakProcess;
+  /** Address for clients, without a relay. */
+  readonly address: string;
+  readonly readyAddress: string;
+  readonly storeRelay: Relay;
+}
--- a/scripts/soak/soak_fault.ts
+++ b/scripts/soak/soak_fault.ts
@@ -1,14 +1,5 @@
 import type { StoreFaults, WorkerFaults } from "../../platform/stand_in/mod.ts";
-
-/** What is done to a link for a time, or once. */
-export type LinkAction =
-  | "refuse"
-  | "hold"
-  | "hold_forward"
-  | "hold_backward"
-  | "delay"
-  | "reset"
-  | "silence";
+import type { LinkAction } from "./link_action.ts";
 
 /** One fault of a plan. Targets are numbers of processes, counted from 0. */
 export type SoakFault =
--- a/scripts/soak/soak_operator.ts
+++ b/scripts/soak/soak_operator.ts
@@ -3,8 +3,8 @@
   formatZoneRecord,
   type StoreStandIn,
 } from "../../platform/stand_in/mod.ts";
-import type { SoakRoute } from "./soak_clients.ts";
 import type { SoakOracle } from "./soak_oracle.ts";
+import type { SoakRoute } from "./soak_route.ts";
 
 /**
  * Time after which every undisturbed entry serves a published route, in
--- a/scripts/soak/soak_oracle.ts
+++ b/scripts/soak/soak_oracle.ts
@@ -1,5 +1,6 @@
 import type { SubmittedJob, WorkerEvent } from "../../platform/stand_in/mod.ts";
 import type { Disturbances } from "./disturbances.ts";
+import type { SubmissionOutcome } from "./submission_outcome.ts";
 import type { WorkerPlace } from "./worker_place.ts";
 
 /** Bounds of the platform, in milliseconds. */
@@ -11,18 +12,6 @@
 /** Runs of a task that may fail before its job fails. */
 const MAX_ATTEMPTS = 2;
 
-/** What a client saw of one submission of a job. */
-export type SubmissionOutcome =
-  | {
-    readonly kind: "answer";
-    readonly status: number;
-    readonly state?: string;
-  }
-  | { readonly kind: "not_connected" }
-  | { readonly kind: "broken" }
-  | { readonly kind: "left" }
-  | { readonly kind: "no_answer" };
-
 interface JobRecord {
   readonly job: SubmittedJob;
   /** Service whose workers may run the job. */
@@ -94,12 +83,14 @@
       outcome.state === "completed" &&
       tasks.some((task) => (task?.done ?? 0) === 0)
     ) {
-      this.#add(`${jobId} is answered as completed, and a task is not done`);
+      this.addViolation(
+        `${jobId} is answered as completed, and a task is not done`,
+      );
     }
     const mayFail = record.job.cpuMillis > 16_000 ||
       tasks.some((task) => (task?.failed ?? 0) >= MAX_ATTEMPTS);
     if (outcome.state === "failed" && !mayFail) {
-      this.#add(`${jobId} is answered as failed without a cause`);
+      this.addViolation(`${jobId} is answered as failed without a cause`);
     }
   }
 
@@ -140,12 +131,12 @@
           (outcome.kind === "answer" && [429, 503].includes(outcome.status))
         );
       if (isRefused && this.#getTasks(job).some((task) => task !== undefined)) {
-        this.#add(`${job.id} was refused by each entry, and has run`);
+        this.addViolation(`${job.id} was refused by each entry, and has run`);
       }
     }
     for (const [name, { workerId }] of this.#tasks) {
       if (workerId !== undefined) {
-        this.#add(`${name} is still at work at ${workerId}`);
+        this.addViolation(`${name} is still at work at ${workerId}`);
       }
     }
   }
@@ -159,18 +150,13 @@
           outcome.kind === "answer" && outcome.state === "completed"
         )
       ) {
-        this.#add(
+        this.addViolation(
           `${id} is not served after the faults: ${JSON.stringify(outcomes)}`,
         );
       }
     }
   }
 
-  /** Records a broken promise that a client has seen. */
-  add(violation: string): void {
-    this.#add(violation);
-  }
-
   #handleStart(
     event: WorkerEvent & { kind: "started" },
     place: WorkerPlace,
@@ -179,23 +165,27 @@
     const [id, , step] = event.task.split(".") as [string, string, string];
     const record = this.#jobs.get(id);
     if (record === undefined || record.job.spec !== event.spec) {
-      this.#add(`${event.task} was not submitted so`);
+      this.addViolation(`${event.task} was not submitted so`);
       return;
     }
     const task = this.#tasks.get(event.task) ??
       { workerId: undefined, starts: 0, done: 0, failed: 0 };
     if (task.workerId !== undefined) {
-      this.#add(`${event.task} runs at ${task.workerId} and at ${workerId}`);
+      this.addViolation(
+        `${event.task} runs at ${task.workerId} and at ${workerId}`,
+      );
     }
     task.workerId = workerId;
     task.starts++;
     this.#tasks.set(event.task, task);
     if (record.service !== place.service) {
-      this.#add(`${event.task} starts at a worker of ${place.service}`);
+      this.addViolation(`${event.task} starts at a worker of ${place.service}`);
     }
     const before = this.#getStep(record.job, Number(step) - 1);
     if (before.some((other) => (other?.done ?? 0) === 0)) {
-      this.#add(`${event.task} starts before the step that it depends on`);
+      this.addViolation(
+        `${event.task} starts before the step that it depends on`,
+      );
     }
     this.#checkBound(event, this.#drainedAt.get(workerId), {
       agent: place.agent,
@@ -225,7 +215,7 @@
       since !== undefined && at - since > boundMs + SLACK_MS &&
       !event.isLate && isInTouch
     ) {
-      this.#add(
+      this.addViolation(
         `${event.task} starts at ${what} after ${
           Math.round(at - since)
         } ms (${agent})`,
@@ -247,7 +237,8 @@
     );
   }
 
-  #add(violation: string): void {
+  /** Records a broken promise. */
+  addViolation(violation: string): void {
     this.violations.push(`${Math.round(performance.now())} ms: ${violation}`);
   }
 }
--- /dev/null
+++ b/scripts/soak/soak_route.ts
@@ -0,0 +1,6 @@
+/** A route to the workers of one service. */
+export interface SoakRoute {
+  readonly host: string;
+  readonly pathPrefix: string;
+  readonly service: string;
+}
--- /dev/null
+++ b/scripts/soak/submission_outcome.ts
@@ -0,0 +1,11 @@
+/** What a client saw of one submission of a job. */
+export type SubmissionOutcome =
+  | {
+    readonly kind: "answer";
+    readonly status: number;
+    readonly state?: string;
+  }
+  | { readonly kind: "not_connected" }
+  | { readonly kind: "broken" }
+  | { readonly kind: "left" }
+  | { readonly kind: "no_answer" };
