--- a/scripts/soak/soak_clients.ts
+++ b/scripts/soak/soak_clients.ts
@@ -4,6 +4,7 @@
 import { HttpCaller } from "../../src/transport/http/mod.ts";
 import type { Disturbances } from "./disturbances.ts";
 import type { SoakEntry } from "./soak_entry.ts";
+import { SOAK_LIMITS } from "./soak_limits.ts";
 import type { SoakOracle } from "./soak_oracle.ts";
 import type { SoakRoute } from "./soak_route.ts";
 import type { SubmissionOutcome } from "./submission_outcome.ts";
@@ -32,9 +33,6 @@
 /** Share of jobs whose client leaves, and of those that fit no worker. */
 const PERCENT = { leaving: 4, unplaceable: 2 } as const;
 
-/** An entry is taken as undisturbed after this time, in milliseconds. */
-const CALM_MS = 3_000;
-
 export interface SoakClientsOptions {
   seed: number;
   entries: readonly SoakEntry[];
@@ -170,7 +168,7 @@
       waitMs: isLeaving ? timeoutMs / 8 : timeoutMs + OVERDUE_MS,
     });
     const tookMs = performance.now() - sentAt;
-    const isCalm = disturbances.isCalmSince(name, sentAt - CALM_MS);
+    const isCalm = disturbances.isCalmSince(name, sentAt - SOAK_LIMITS.calmMs);
     if (reply.isOk()) {
       const { status, state } = reply.value;
       const isKnownRoute = status !== 404;
@@ -207,6 +205,9 @@
   }
 
   #isStoreCalm(sentAt: number): boolean {
-    return this.#options.disturbances.isCalmSince("store", sentAt - CALM_MS);
+    return this.#options.disturbances.isCalmSince(
+      "store",
+      sentAt - SOAK_LIMITS.calmMs,
+    );
   }
 }
--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -10,12 +10,10 @@
 import { waitFor } from "../lib/wait_for.ts";
 import type { SoakAgent } from "./soak_agent.ts";
 import type { SoakEntry } from "./soak_entry.ts";
+import { SOAK_LIMITS } from "./soak_limits.ts";
 import { SoakProcess } from "./soak_process.ts";
 import type { WorkerPlace } from "./worker_place.ts";
 
-/** Cores of a worker, in thousandths: eight tasks of the soak at a time. */
-const WORKER_CPU_MILLIS = 16_000;
-
 /** Slowdown of tasks away from their data's rack; jobs of the soak name none. */
 const FAR_FACTOR = 1.5;
 
@@ -126,7 +124,7 @@
       name: `worker-${n + 1}`,
       service,
       zone,
-      cpuMillis: WORKER_CPU_MILLIS,
+      cpuMillis: SOAK_LIMITS.workerCpuMillis,
       slowdown: 0.7 + 0.3 * (n % 3),
       // Clocks of workers may run up to 2% slow.
       clockRate: n % 2 === 0 ? 1 : 0.98,
--- a/scripts/soak/soak_operator.ts
+++ b/scripts/soak/soak_operator.ts
@@ -3,6 +3,7 @@
   formatZoneRecord,
   type StoreStandIn,
 } from "../../platform/stand_in/mod.ts";
+import { SOAK_LIMITS } from "./soak_limits.ts";
 import type { SoakOracle } from "./soak_oracle.ts";
 import type { SoakRoute } from "./soak_route.ts";
 
@@ -64,7 +65,7 @@
         timeoutMs: 1_500,
         stretch: 1.6,
         latencyTargetMs: 60,
-        maxAttempts: 2,
+        maxAttempts: SOAK_LIMITS.maxAttempts,
       })),
     });
     store.publish(key, value);
--- a/scripts/soak/soak_oracle.ts
+++ b/scripts/soak/soak_oracle.ts
@@ -1,17 +1,15 @@
 import type { SubmittedJob, WorkerEvent } from "../../platform/stand_in/mod.ts";
 import type { Disturbances } from "./disturbances.ts";
+import { SOAK_LIMITS } from "./soak_limits.ts";
 import type { SubmissionOutcome } from "./submission_outcome.ts";
 import type { WorkerPlace } from "./worker_place.ts";
 
 /** Bounds of the platform, in milliseconds. */
-const BOUNDS = { drain: 2_000, zoneOut: 5_000, calm: 3_000 } as const;
+const BOUNDS = { drain: 2_000, zoneOut: 5_000 } as const;
 
 /** Time for a stand-in's event to be seen on a busy machine, in milliseconds. */
 const SLACK_MS = 500;
 
-/** Runs of a task that may fail before its job fails. */
-const MAX_ATTEMPTS = 2;
-
 interface JobRecord {
   readonly job: SubmittedJob;
   /** Service whose workers may run the job. */
@@ -87,8 +85,8 @@
         `${jobId} is answered as completed, and a task is not done`,
       );
     }
-    const mayFail = record.job.cpuMillis > 16_000 ||
-      tasks.some((task) => (task?.failed ?? 0) >= MAX_ATTEMPTS);
+    const mayFail = record.job.cpuMillis > SOAK_LIMITS.workerCpuMillis ||
+      tasks.some((task) => (task?.failed ?? 0) >= SOAK_LIMITS.maxAttempts);
     if (outcome.state === "failed" && !mayFail) {
       this.addViolation(`${jobId} is answered as failed without a cause`);
     }
@@ -208,7 +206,7 @@
     options: { agent: string; boundMs: number; what: string; at: number },
   ): void {
     const { agent, boundMs, what, at } = options;
-    const calmSince = at - BOUNDS.calm;
+    const calmSince = at - SOAK_LIMITS.calmMs;
     const isInTouch = this.#disturbances.isCalmSince(agent, calmSince) &&
       this.#disturbances.isCalmSince("store", calmSince);
     if (
