Keep the runs of an entry that is behind queued, refuse at once what it can't answer

From 0.9 s on their agents returned every start at once (12,000 returns for 16,000 tasks, 'no start is allowed now'), the entry placed each again after 25 ms, and spent its time on that: 12 of 100 jobs served in the last 20 s. Ruled out: the accept queue and the link alone (no connection only after the entries were seconds behind). Change: the agent's queue skips the runs of an entry that has not acknowledged a recent frame, and goes on when it has; LoopDelayMonitor measures how far an entry is behind; decideIntake refuses a job (kind 'overloaded', 503, retries spread over 1 to 3 s) that misses its target through that delay, and every job above 0.45 s. The profile of a worker is sent apart from its status, which halves a status frame.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -9,6 +9,7 @@
 import { BatchStream } from "../batch_stream.ts";
 import type { OperatorFollower } from "../directory/mod.ts";
 import type { RunOwner } from "./run_owner.ts";
+import type { WorkerDescription } from "./worker_description.ts";
 import type { WorkerRunner } from "./worker_runner.ts";
 
 export interface BatchEntrySessionOptions {
@@ -39,10 +40,14 @@
   readonly #stream: BatchStream;
   #name = "";
   #isClosed = false;
-  #isUnresponsive = false;
+  /** An entry is not responsive until it has acknowledged a frame. */
+  #isUnresponsive = true;
   #receivedBatch = 0;
   #pendingEnds: RunEnd[] = [];
   #pingReceivedAt: number | undefined;
+  /** Profile of the worker that the entry was last told, as JSON. */
+  #sentProfile = "";
+  #profiledWorker: WorkerDescription | undefined;
 
   constructor(options: BatchEntrySessionOptions) {
     this.#options = options;
@@ -79,6 +84,7 @@
     let reason: string | undefined;
     try {
       for await (const body of this.#stream.receive()) {
+        this.#checkResponsiveness();
         this.#handleFrame(body);
       }
     } catch (error) {
@@ -118,12 +124,17 @@
       });
       this.#options.runner.stopWhere((run) => run.owner === this);
     }
+    const hasReturned = this.#isUnresponsive && !isUnresponsive;
     this.#isUnresponsive = isUnresponsive;
+    if (hasReturned) {
+      this.#options.runner.processQueue();
+    }
   }
 
   /** Sends the state and load of the worker to the entry. */
   sendStatus(status = this.#options.runner.getStatus()): void {
     const { runner } = this.#options;
+    this.#sendChangedProfile();
     const value = {
       ...status,
       isSettled: !runner.hasRunsOfEarlierSessions(this),
@@ -133,6 +144,20 @@
     this.#stream.send({ case: "workerStatus", value });
   }
 
+  #sendChangedProfile(): void {
+    const { runner } = this.#options;
+    if (this.#sentProfile !== "" && runner.worker === this.#profiledWorker) {
+      return;
+    }
+    this.#profiledWorker = runner.worker;
+    const value = runner.getProfile();
+    const profile = JSON.stringify(value);
+    if (profile !== this.#sentProfile) {
+      this.#sentProfile = profile;
+      this.#stream.send({ case: "workerProfile", value });
+    }
+  }
+
   #handleFrame(body: BatchBody): void {
     const { runner } = this.#options;
     switch (body.case) {
@@ -164,6 +189,7 @@
         this.#options.cancelJob(body.value.jobId);
         return;
       case "runEnds":
+      case "workerProfile":
       case "workerStatus":
         return;
       default:
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -14,7 +14,7 @@
   WorkerControl,
   WorkerReply,
 } from "../../ports/mod.ts";
-import type { WorkerStatus } from "../../messages/mod.ts";
+import type { WorkerProfile, WorkerStatus } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { Fence } from "./fence.ts";
 import type { LocalRun } from "./local_run.ts";
@@ -233,6 +233,8 @@
     const takeOptions = {
       now: this.#getTime(),
       slowdown: this.#slowdown.value,
+      // The runs of an entry that is behind wait: it would only send them again.
+      canStart: (run: LocalRun) => run.owner.isResponsive(),
     };
     for (const run of this.#queue.takeExpired(takeOptions)) {
       this.#endRun(run, "expired", "can't end before its deadline");
@@ -247,29 +249,34 @@
     this.#options.onChange();
   }
 
-  /** Gets the state and load of the worker that entries are told. */
-  getStatus(): Omit<WorkerStatus, "isSettled" | "receivedBatch" | "entries"> {
+  /** Gets what entries are told of the worker when it changes. */
+  getProfile(): WorkerProfile {
     const worker = this.#worker;
-    const capacity = worker?.capacity ?? NO_RESOURCES;
-    const free = this.#getFreeResources();
-    const backlog = this.#queue.getBacklog();
     return {
       workerId: worker?.workerId ?? "",
-      acceptsWork: this.acceptsWork,
-      ...capacity,
+      ...worker?.capacity ?? NO_RESOURCES,
       labels: [...worker?.labels ?? []],
       zone: worker?.zone ?? "",
       service: worker?.service ?? "",
+    };
+  }
+
+  /** Gets the state and load of the worker that entries are told. */
+  getStatus(): Omit<WorkerStatus, "isSettled" | "receivedBatch" | "entries"> {
+    const free = this.#getFreeResources();
+    const backlog = this.#queue.getBacklog();
+    return {
+      acceptsWork: this.acceptsWork,
       freeCpuMillis: Math.max(0, free.cpuMillis),
       freeMemoryMb: Math.max(0, free.memoryMb),
       freeGpus: Math.max(0, free.gpus),
-      slowdown: this.#slowdown.value,
+      slowdown: round(this.#slowdown.value),
       runningLeftMs: this.#getRemainingRunTimesMs(),
       queuedRuns: backlog.runs,
       queuedMs: backlog.expectedMs.map((ms) =>
         Math.round(ms * this.#slowdown.value)
       ),
-      failureShare: this.#failureShare,
+      failureShare: round(this.#failureShare),
     };
   }
 
@@ -708,3 +715,8 @@
     (report.bornAtMs === known.bornAtMs &&
       report.workerId === known.workerId && report.sequence < known.sequence);
 }
+
+/** Rounds a ratio to three decimals, which keeps its message short. */
+function round(ratio: number): number {
+  return Math.round(ratio * 1_000) / 1_000;
+}
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -6,6 +6,7 @@
   BatchFrame,
   RunEnd,
   StartRuns,
+  WorkerProfile,
   WorkerStatus,
 } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
@@ -53,6 +54,7 @@
   readonly #options: BatchAgentLinkOptions;
   readonly #getTime: () => number;
   #stream: BatchStream | undefined;
+  #profile: WorkerProfile | undefined;
   #status: WorkerStatus | undefined;
   #load: WorkerLoad | undefined;
   #lastBatch = 0;
@@ -97,7 +99,7 @@
    * undefined when it doesn't accept work of the service.
    */
   getLoad(service: string): WorkerLoad | undefined {
-    return this.isUsable && this.#status?.service === service
+    return this.isUsable && this.#profile?.service === service
       ? this.#load
       : undefined;
   }
@@ -169,6 +171,7 @@
     stream.close();
     const hadStatus = this.#status !== undefined;
     this.#stream = undefined;
+    this.#profile = undefined;
     this.#status = undefined;
     this.#load = undefined;
     this.#unacknowledgedStarts = [];
@@ -222,6 +225,9 @@
       case "runEnds":
         onRunEnds(this.agentId, body.value.ends);
         return;
+      case "workerProfile":
+        this.#handleProfile(body.value);
+        return;
       case "workerStatus":
         this.#handleStatus(body.value);
         return;
@@ -234,25 +240,37 @@
     }
   }
 
+  /** Handles a change of the worker; its status follows. */
+  #handleProfile(profile: WorkerProfile): void {
+    if (this.#profile?.workerId !== profile.workerId) {
+      this.#options.log.record("worker_profile", {
+        agent: this.agentId,
+        ...profile,
+      });
+    }
+    this.#profile = profile;
+    this.#load = undefined;
+  }
+
   #handleStatus(status: WorkerStatus): void {
+    if (this.#profile === undefined) {
+      return;
+    }
     const previous = this.#status;
     this.#status = status;
     this.#unacknowledgedStarts = this.#unacknowledgedStarts.filter((message) =>
       message.batch > status.receivedBatch
     );
-    this.#load = createLoad(this.agentId, status);
+    this.#load = createLoad(this.agentId, this.#profile, status);
     for (const message of this.#unacknowledgedStarts) {
       this.#addRunsToLoad(message);
     }
-    if (
-      previous?.acceptsWork !== status.acceptsWork ||
-      previous.workerId !== status.workerId
-    ) {
+    if (previous?.acceptsWork !== status.acceptsWork) {
       this.#options.log.record("worker_status", {
         agent: this.agentId,
-        workerId: status.workerId,
+        workerId: this.#profile.workerId,
         acceptsWork: status.acceptsWork,
-        zone: status.zone,
+        zone: this.#profile.zone,
       });
     }
     if (status.isSettled && !this.#hasReportedRunsEnded) {
@@ -273,12 +291,16 @@
   }
 }
 
-function createLoad(agentId: string, status: WorkerStatus): WorkerLoad {
+function createLoad(
+  agentId: string,
+  profile: WorkerProfile,
+  status: WorkerStatus,
+): WorkerLoad {
   return {
     agentId,
-    zone: status.zone,
-    labels: status.labels,
-    capacity: status,
+    zone: profile.zone,
+    labels: profile.labels,
+    capacity: profile,
     free: {
       cpuMillis: status.freeCpuMillis,
       memoryMb: status.freeMemoryMb,
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -1,4 +1,11 @@
-import type { BatchJob, Route, WorkerLoad } from "../../../state/batch/mod.ts";
+import {
+  type BatchJob,
+  decideIntake,
+  getResponseTimes,
+  type IntakeDecision,
+  type Route,
+  type WorkerLoad,
+} from "../../../state/batch/mod.ts";
 import { parseJson } from "../../../state/errors/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
 import type { BatchFrame } from "../../messages/mod.ts";
@@ -17,6 +24,7 @@
 import { BatchAgentLink } from "./batch_agent_link.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
+import { LoopDelayMonitor } from "./loop_delay_monitor.ts";
 import { WarmUpGate } from "./warm_up_gate.ts";
 
 export interface BatchEntryOptions {
@@ -52,6 +60,7 @@
   readonly #members: TopicFollower;
   readonly #links = new Map<string, BatchAgentLink>();
   readonly #jobs = new Map<string, BatchJobRun>();
+  readonly #loopDelay = new LoopDelayMonitor();
   readonly #warmUpGate = new WarmUpGate({
     getKnownAgentCount: () => this.#links.size,
     getUsableAgentCount: () =>
@@ -75,6 +84,10 @@
     });
     options.metrics.setGauge("jobs_open", () => this.#jobs.size);
     options.metrics.setGauge("agents_open", () => this.#countOpenLinks());
+    options.metrics.setGauge(
+      "loop_delay_seconds",
+      () => this.#loopDelay.delayMs / 1_000,
+    );
   }
 
   /** Gets whether jobs can be served now. */
@@ -89,11 +102,13 @@
   }
 
   start(): void {
+    this.#loopDelay.start();
     void this.operatorFollower.run();
     void this.#members.run();
   }
 
   stop(): void {
+    this.#loopDelay.stop();
     this.operatorFollower.stop();
     this.#members.stop();
     for (const link of this.#links.values()) {
@@ -108,6 +123,11 @@
     if (existingRun !== undefined) {
       return existingRun.answer;
     }
+    const intake = this.#decideIntake(job, route);
+    if (intake.kind === "refused") {
+      const { retryAfterMs } = intake;
+      return { kind: "error", error: "overloaded", retryAfterMs };
+    }
     const { log, farFactor, metrics } = this.#options;
     const startedAt = performance.now();
     await this.#warmUpGate.wait(signal);
@@ -160,6 +180,27 @@
     return run !== undefined;
   }
 
+  /** Decides whether this entry has the processor time for another job. */
+  #decideIntake(job: BatchJob, route: Route): IntakeDecision {
+    const { criticalPathMs, targetMs } = getResponseTimes(job, route);
+    const { delayMs } = this.#loopDelay;
+    const slackMs = targetMs - criticalPathMs;
+    const decision = decideIntake({ delayMs, slackMs });
+    if (decision.kind === "refused") {
+      this.#options.log.record("job_intake", {
+        job: job.id,
+        route: route.name,
+        delayMs: Math.round(delayMs),
+        slackMs: Math.round(slackMs),
+        ...decision,
+      });
+      this.#options.metrics.incrementCounter("jobs", 1, {
+        labels: { outcome: "overloaded" },
+      });
+    }
+    return decision;
+  }
+
   #countOpenLinks(): number {
     return [...this.#links.values()].filter(({ hasStatus }) => hasStatus)
       .length;
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -1,6 +1,7 @@
 import {
   type BatchJob,
   decideAdmission,
+  getResponseTimes,
   type PlacedTask,
   placeTasks,
   type Route,
@@ -65,7 +66,7 @@
     this.#getTime = options.getTime ?? (() => performance.now());
     this.#deadlineAt = this.#getTime() + options.timeLeftMs;
     this.#latencyTargetAt = this.#getTime() +
-      getMaxResponseTimeMs(options.job, options.route);
+      getResponseTimes(options.job, options.route).targetMs;
     this.answer = new Promise((resolve) => this.#resolve = resolve);
     this.#tasks = createTasks(options.job);
     for (const task of this.#tasks.flat()) {
@@ -372,21 +373,6 @@
   }
 }
 
-/**
- * Gets the response time up to which a job meets its latency target, in
- * milliseconds: its critical path times the stretch, plus the target.
- */
-function getMaxResponseTimeMs(job: BatchJob, route: Route): number {
-  const criticalPathsMs: number[] = [];
-  for (const step of job.steps) {
-    const dependencyMs = step.dependsOn.map((number) =>
-      criticalPathsMs[number] ?? 0
-    );
-    criticalPathsMs.push(Math.max(0, ...dependencyMs) + step.expectedMs);
-  }
-  return route.stretch * Math.max(...criticalPathsMs) + route.latencyTargetMs;
-}
-
 function createTasks(job: BatchJob): BatchTask[][] {
   return job.steps.map((step, stepNumber) =>
     Array.from({ length: step.count }, (_, index): BatchTask => ({
--- a/src/coordination/messages/batch_body.ts
+++ b/src/coordination/messages/batch_body.ts
@@ -1,5 +1,6 @@
 import type { RunEnd } from "./run_end.ts";
 import type { StartRuns } from "./start_runs.ts";
+import type { WorkerProfile } from "./worker_profile.ts";
 import type { WorkerStatus } from "./worker_status.ts";
 
 /** The content of a batch frame. */
@@ -9,6 +10,7 @@
   | { case: "startRuns"; value: StartRuns }
   | { case: "stopRuns"; value: { tasks: string[] } }
   | { case: "runEnds"; value: { ends: RunEnd[] } }
+  | { case: "workerProfile"; value: WorkerProfile }
   | { case: "workerStatus"; value: WorkerStatus }
   | { case: "operatorSnapshot"; value: { offset: number; state: string } }
   | { case: "cancelJob"; value: { jobId: string } };
--- /dev/null
+++ b/src/coordination/messages/worker_profile.ts
@@ -0,0 +1,14 @@
+/**
+ * What an agent knows of its worker that seldom changes. It is sent before the
+ * first status of a stream and after a change, so that each status is short.
+ */
+export interface WorkerProfile {
+  /** Empty if the agent knows no worker. */
+  workerId: string;
+  cpuMillis: number;
+  memoryMb: number;
+  gpus: number;
+  labels: string[];
+  zone: string;
+  service: string;
+}
--- a/src/coordination/messages/worker_status.ts
+++ b/src/coordination/messages/worker_status.ts
@@ -1,16 +1,8 @@
-/** Status of an agent's worker and of its runs. */
+/** State of an agent's worker and of its runs. */
 export interface WorkerStatus {
-  /** Empty if the agent knows no worker. */
-  workerId: string;
   acceptsWork: boolean;
   /** True if no run from an earlier stream can still run at this worker. */
   isSettled: boolean;
-  cpuMillis: number;
-  memoryMb: number;
-  gpus: number;
-  labels: string[];
-  zone: string;
-  service: string;
   freeCpuMillis: number;
   freeMemoryMb: number;
   freeGpus: number;
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -10,6 +10,7 @@
   BatchFrame,
   RunEnd,
   RunOrder,
+  WorkerProfile,
   WorkerStatus,
 } from "../../coordination/messages/mod.ts";
 
@@ -41,6 +42,8 @@
       return body.value.tasks;
     case "runEnds":
       return body.value.ends.map(createRunEndRow);
+    case "workerProfile":
+      return createProfileRow(body.value);
     case "workerStatus":
       return createStatusRow(body.value);
     case "operatorSnapshot":
@@ -61,17 +64,16 @@
   return [end.task, end.run, end.outcome, end.runMs, end.detail];
 }
 
+function createProfileRow(profile: WorkerProfile): unknown[] {
+  const { workerId, cpuMillis, memoryMb, gpus } = profile;
+  const { labels, zone, service } = profile;
+  return [workerId, cpuMillis, memoryMb, gpus, labels, zone, service];
+}
+
 function createStatusRow(status: WorkerStatus): unknown[] {
   return [
-    status.workerId,
     status.acceptsWork,
     status.isSettled,
-    status.cpuMillis,
-    status.memoryMb,
-    status.gpus,
-    status.labels,
-    status.zone,
-    status.service,
     status.freeCpuMillis,
     status.freeMemoryMb,
     status.freeGpus,
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -7,6 +7,7 @@
   BatchFrame,
   RunEnd,
   RunOrder,
+  WorkerProfile,
   WorkerStatus,
 } from "../../coordination/messages/mod.ts";
 
@@ -14,16 +15,11 @@
 
 type RunEndRow = [string, number, string, number, string];
 
+type ProfileRow = [string, number, number, number, string[], string, string];
+
 type StatusRow = [
-  workerId: string,
   acceptsWork: boolean,
   isSettled: boolean,
-  cpuMillis: number,
-  memoryMb: number,
-  gpus: number,
-  labels: string[],
-  zone: string,
-  service: string,
   freeCpuMillis: number,
   freeMemoryMb: number,
   freeGpus: number,
@@ -91,6 +87,8 @@
       const ends = (fields as RunEndRow[]).map(parseRunEnd);
       return { case: kindCase, value: { ends } };
     }
+    case "workerProfile":
+      return { case: kindCase, value: parseProfile(fields as ProfileRow) };
     case "workerStatus":
       return { case: kindCase, value: parseStatus(fields as StatusRow) };
     case "operatorSnapshot": {
@@ -116,17 +114,15 @@
   return { task, run, outcome, runMs, detail };
 }
 
+function parseProfile(row: ProfileRow): WorkerProfile {
+  const [workerId, cpuMillis, memoryMb, gpus, labels, zone, service] = row;
+  return { workerId, cpuMillis, memoryMb, gpus, labels, zone, service };
+}
+
 function parseStatus(row: StatusRow): WorkerStatus {
   const [
-    workerId,
     acceptsWork,
     isSettled,
-    cpuMillis,
-    memoryMb,
-    gpus,
-    labels,
-    zone,
-    service,
     freeCpuMillis,
     freeMemoryMb,
     freeGpus,
@@ -139,15 +135,8 @@
     failureShare,
   ] = row;
   return {
-    workerId,
     acceptsWork,
     isSettled,
-    cpuMillis,
-    memoryMb,
-    gpus,
-    labels,
-    zone,
-    service,
     freeCpuMillis,
     freeMemoryMb,
     freeGpus,
--- /dev/null
+++ b/src/state/batch/decide_intake.ts
@@ -0,0 +1,60 @@
+/**
+ * Decides whether an entry that is short of processor time takes a new request.
+ * The load it answers: more requests than the entry can read, place and answer,
+ * while the workers may have room. Without this, each request waits longer than
+ * the one before, until all of them miss their deadlines.
+ */
+import type { IntakeDecision } from "./intake_decision.ts";
+
+/**
+ * Delay of the event loop above which an entry is overloaded, in milliseconds.
+ * Longer than a collection of garbage, and short enough that the agents, which
+ * wait 900 ms for an acknowledgement, still count the entry as responsive.
+ */
+const OVERLOAD_DELAY_MS = 150;
+
+/** Delay above which no request can be answered in time, in milliseconds. */
+const MAX_DELAY_MS = 450;
+
+/**
+ * Turns of the event loop that a job takes: its placement, the ends of its
+ * tasks, and its answer.
+ */
+const TURNS_PER_JOB = 2;
+
+/** Shortest and longest time after which a retry is advised, in milliseconds. */
+const RETRY_AFTER_MS = { min: 1_000, max: 3_000 } as const;
+
+export interface DecideIntakeOptions {
+  /** Delay of this entry's event loop, in milliseconds. */
+  delayMs: number;
+  /**
+   * Time that the job may take beyond its run time and still meet its latency
+   * target, in milliseconds.
+   */
+  slackMs: number;
+  /** Returns a number from 0 up to 1, which spreads the retries. */
+  getRandom?: () => number;
+}
+
+/**
+ * Refuses a job that would miss its latency target because of the entry's own
+ * delay, and every job while the delay is too long. The retries of the refused
+ * clients are spread, so that they do not return together.
+ */
+export function decideIntake(
+  options: DecideIntakeOptions,
+): IntakeDecision {
+  const { delayMs, slackMs } = options;
+  const isTooSlow = delayMs > MAX_DELAY_MS ||
+    (delayMs > OVERLOAD_DELAY_MS && TURNS_PER_JOB * delayMs > slackMs);
+  if (!isTooSlow) {
+    return { kind: "accepted" };
+  }
+  const random = (options.getRandom ?? Math.random)();
+  const { min, max } = RETRY_AFTER_MS;
+  return {
+    kind: "refused",
+    retryAfterMs: min + random * (max - min),
+  };
+}
--- /dev/null
+++ b/src/state/batch/intake_decision.ts
@@ -0,0 +1,8 @@
+/** Whether an entry takes a request, and if not, when to try again. */
+export type IntakeDecision =
+  | { readonly kind: "accepted" }
+  | {
+    readonly kind: "refused";
+    /** Time after which a retry may succeed, in milliseconds. */
+    readonly retryAfterMs: number;
+  };
--- a/src/state/batch/run_queue.ts
+++ b/src/state/batch/run_queue.ts
@@ -8,11 +8,13 @@
  */
 const PRIORITY_COUNT = 4;
 
-export interface TakeRunOptions {
+export interface TakeRunOptions<T extends QueuedRun = QueuedRun> {
   /** Current time on the monotonic clock, in milliseconds. */
   now: number;
   /** Estimated factor by which the worker exceeds expected run times. */
   slowdown: number;
+  /** Returns whether a run may be started now; by default all may. */
+  canStart?: (run: T) => boolean;
 }
 
 /**
@@ -39,31 +41,33 @@
   }
 
   /**
-   * Takes the next run that fits into the free resources: among the most urgent
-   * of these, the first one whose job can still meet its latency target, or the
-   * first one if there is none.
+   * Takes the next run that may start and fits into the free resources: among
+   * the most urgent of these, the first one whose job can still meet its latency
+   * target, or the first one if there is none.
    */
   takeNext(
     free: TaskResources,
-    options: TakeRunOptions,
+    options: TakeRunOptions<T>,
   ): T | undefined {
-    const firstIndex = this.#runs.findIndex((run) =>
-      hasRoom(free, run.resources)
-    );
+    const isCandidate = (run: T) =>
+      hasRoom(free, run.resources) && (options.canStart?.(run) ?? true);
+    const firstIndex = this.#runs.findIndex(isCandidate);
     if (firstIndex < 0) {
       return undefined;
     }
     const { now, slowdown } = options;
     const { priority } = this.#runs[firstIndex] as T;
     const inTimeIndex = this.#runs.findIndex((run) =>
-      run.priority === priority && hasRoom(free, run.resources) &&
+      run.priority === priority && isCandidate(run) &&
       now + run.expectedMs * slowdown <= run.latencyTargetAt
     );
     return this.#runs.splice(inTimeIndex < 0 ? firstIndex : inTimeIndex, 1)[0];
   }
 
   /** Takes out the runs that can't end before their deadline. */
-  takeExpired({ now, slowdown }: TakeRunOptions): T[] {
+  takeExpired(
+    { now, slowdown }: Pick<TakeRunOptions, "now" | "slowdown">,
+  ): T[] {
     return this.removeWhere((run) =>
       now + run.expectedMs * slowdown > run.deadlineAt
     );
--- a/src/state/errors/error_kind.ts
+++ b/src/state/errors/error_kind.ts
@@ -13,6 +13,7 @@
   | "unplaceable"
   | "quota_exceeded"
   | "queue_full"
+  | "overloaded"
   | "deadline_unreachable"
   | "no_capacity"
   | "view_stale"
--- a/src/state/errors/error_responses.ts
+++ b/src/state/errors/error_responses.ts
@@ -15,6 +15,7 @@
   unplaceable: { status: 422, outcome: "not run" },
   quota_exceeded: { status: 429, outcome: "not run" },
   queue_full: { status: 503, outcome: "not run" },
+  overloaded: { status: 503, outcome: "not run" },
   deadline_unreachable: { status: 503, outcome: "not run" },
   no_capacity: { status: 503, outcome: "not run" },
   view_stale: { status: 503, outcome: "not run" },
--- /dev/null
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -0,0 +1,94 @@
+import { expect } from "chai";
+import type { BatchBody } from "../../../src/coordination/messages/mod.ts";
+import {
+  formatBatchFrame,
+  parseBatchFrame,
+} from "../../../src/protocol/batch/mod.ts";
+
+const TASK = "00000000000000aa.0.0.1";
+
+const BODIES: BatchBody[] = [
+  { case: "hello", value: { name: "entry-1", incarnation: "i" } },
+  { case: "ping", value: { operatorOffset: 3 } },
+  {
+    case: "startRuns",
+    value: {
+      batch: 2,
+      jobId: "00000000000000aa",
+      spec: "line\nbreak and ünicode",
+      priority: 1,
+      timeLeftMs: 1_500,
+      targetLeftMs: -20,
+      runs: [{
+        task: TASK,
+        run: 1,
+        cpuMillis: 2_000,
+        memoryMb: 64,
+        gpus: 0,
+        expectedMs: 86,
+      }],
+    },
+  },
+  { case: "stopRuns", value: { tasks: [TASK] } },
+  {
+    case: "runEnds",
+    value: {
+      ends: [
+        { task: TASK, run: 1, outcome: "done", runMs: 80, detail: "" },
+        { task: TASK, run: 2, outcome: "lost", runMs: 0, detail: "no worker" },
+      ],
+    },
+  },
+  {
+    case: "workerProfile",
+    value: {
+      workerId: "w",
+      cpuMillis: 16_000,
+      memoryMb: 1_024,
+      gpus: 2,
+      labels: ["a", "r1"],
+      zone: "z",
+      service: "s",
+    },
+  },
+  {
+    case: "workerStatus",
+    value: {
+      acceptsWork: true,
+      isSettled: false,
+      freeCpuMillis: 100,
+      freeMemoryMb: 200,
+      freeGpus: 1,
+      entries: 3,
+      slowdown: 0.712,
+      runningLeftMs: [10, 20],
+      queuedRuns: [0, 1, 0, 0],
+      queuedMs: [0, 86, 0, 0],
+      receivedBatch: 7,
+      failureShare: 0.125,
+    },
+  },
+  { case: "operatorSnapshot", value: { offset: 5, state: "{}" } },
+  { case: "cancelJob", value: { jobId: "00000000000000aa" } },
+];
+
+describe("batch frames", () => {
+  for (const kind of BODIES) {
+    it(`carry ${kind.case} on one line without a loss`, () => {
+      const frame = { sentAtMs: 12_345, echoAtMs: 67, kind };
+      const line = formatBatchFrame(frame);
+      expect(line).not.to.contain("\n");
+      expect(parseBatchFrame(line)).to.deep.equal(frame);
+    });
+  }
+
+  it("of a kind that this version does not know are passed over", () => {
+    expect(parseBatchFrame('[1,0,"newKind",5]')).to.equal(undefined);
+  });
+
+  it("are told from other data", () => {
+    for (const text of ["GET / HTTP/1.1", "{}", "[]", "[1,2,3]", "null"]) {
+      expect(() => parseBatchFrame(text), text).to.throw();
+    }
+  });
+});
