Do not run jobs for answers of no use; count only sustained delays of an entry

Cause: in bursts tasks were started for jobs whose answers came beyond three times their latency objective and so were of no use to their callers, and such jobs were admitted up to the client's deadline. Change: Route.maxLateness; a job is admitted, placed and queued only if it can end within four times its target (three, and a margin for rough estimates); an answer that is complete later is still delivered until the deadline. LoopDelayMonitor reports what two consecutive turns of the event loop have at least been late.

--- a/scripts/bench_entry.ts
+++ b/scripts/bench_entry.ts
@@ -27,6 +27,7 @@
   maxAttempts: 3,
   stretch: 1.6,
   latencyTargetMs: 60,
+  maxLateness: 4,
 };
 
 /** Shapes of the jobs, which are submitted in turn. */
--- a/scripts/soak/soak_operator.ts
+++ b/scripts/soak/soak_operator.ts
@@ -69,6 +69,7 @@
         timeoutMs: 1_500,
         stretch: 1.6,
         latencyTargetMs: 60,
+        maxLateness: 4,
         maxAttempts: SOAK_LIMITS.maxAttempts,
       })),
     });
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -53,6 +53,12 @@
   readonly #tasks: BatchTask[][];
   readonly #tasksByName = new Map<string, BatchTask>();
   readonly #deadlineAt: number;
+  /**
+   * Time until which an answer is of use to the caller, on the monotonic clock.
+   * Tasks that end later are not started; an answer that is complete later is
+   * still delivered until the deadline.
+   */
+  readonly #usefulUntil: number;
   /** Time at which the latency target is missed, on the monotonic clock. */
   readonly #latencyTargetAt: number;
   readonly #timers = new Set<NodeJS.Timeout>();
@@ -64,9 +70,12 @@
   constructor(options: BatchJobRunOptions) {
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
-    this.#deadlineAt = this.#getTime() + options.timeLeftMs;
-    this.#latencyTargetAt = this.#getTime() +
-      getResponseTimes(options.job, options.route).targetMs;
+    const { job, route, timeLeftMs } = options;
+    const now = this.#getTime();
+    const { targetMs, maxUsefulMs } = getResponseTimes(job, route);
+    this.#deadlineAt = now + timeLeftMs;
+    this.#usefulUntil = now + Math.min(timeLeftMs, maxUsefulMs);
+    this.#latencyTargetAt = now + targetMs;
     this.answer = new Promise((resolve) => this.#resolve = resolve);
     this.#tasks = createTasks(options.job);
     for (const task of this.#tasks.flat()) {
@@ -86,7 +95,7 @@
       taskCount: ready.flat().length,
       placements: placements.flat(),
       hasWorkers: loads.length > 0,
-      timeLeftMs,
+      timeLeftMs: this.#usefulUntil - this.#getTime(),
     });
     log.record("job_admission", {
       job: job.id,
@@ -247,7 +256,7 @@
     const { route, getLoads } = this.#options;
     const loads = getLoads(route.service);
     const placements = this.#place(tasks, loads);
-    const timeLeftMs = this.#deadlineAt - this.#getTime();
+    const timeLeftMs = this.#usefulUntil - this.#getTime();
     const endMs = Math.max(0, ...placements.map((placed) => placed.endMs));
     if (endMs > timeLeftMs) {
       this.#settleWithError("deadline_unreachable");
@@ -308,7 +317,7 @@
         jobId: job.id,
         spec: job.spec,
         priority: route.priority,
-        timeLeftMs: Math.max(0, Math.round(this.#deadlineAt - now)),
+        timeLeftMs: Math.max(0, Math.round(this.#usefulUntil - now)),
         targetLeftMs: Math.round(this.#latencyTargetAt - now),
         runs: sent.map((task) => ({
           task: task.name,
--- a/src/coordination/batch/entry/loop_delay_monitor.ts
+++ b/src/coordination/batch/entry/loop_delay_monitor.ts
@@ -15,6 +15,7 @@
 export class LoopDelayMonitor {
   readonly #getTime: () => number;
   #lastTickAt: number;
+  #previousDelayMs = 0;
   #lastDelayMs = 0;
   #timer: NodeJS.Timeout | undefined;
 
@@ -24,11 +25,15 @@
   }
 
   /**
-   * Gets the delay in milliseconds: that of the last turn of the event loop or
-   * that of the current one, whichever is longer.
+   * Gets the delay that two consecutive turns of the event loop, the current one
+   * included, have at least had, in milliseconds. A single long turn, such as a
+   * collection of garbage, does not count.
    */
   get delayMs(): number {
-    return Math.max(this.#lastDelayMs, this.#getCurrentDelayMs());
+    return Math.max(
+      Math.min(this.#previousDelayMs, this.#lastDelayMs),
+      Math.min(this.#lastDelayMs, this.#getCurrentDelayMs()),
+    );
   }
 
   start(): void {
@@ -42,6 +47,7 @@
 
   /** Records that the timer has fired. */
   recordTick(): void {
+    this.#previousDelayMs = this.#lastDelayMs;
     this.#lastDelayMs = this.#getCurrentDelayMs();
     this.#lastTickAt = this.#getTime();
   }
--- a/src/coordination/batch/entry/mod.ts
+++ b/src/coordination/batch/entry/mod.ts
@@ -2,4 +2,5 @@
 export { BatchEntry } from "./batch_entry.ts";
 export { BatchJobRun } from "./batch_job_run.ts";
 export { EntryDrain } from "./entry_drain.ts";
+export { LoopDelayMonitor } from "./loop_delay_monitor.ts";
 export { WarmUpGate } from "./warm_up_gate.ts";
--- a/src/state/batch/get_response_times.ts
+++ b/src/state/batch/get_response_times.ts
@@ -6,14 +6,15 @@
 import type { Route } from "./route.ts";
 
 /**
- * Gets the run time of the longest chain of dependent steps of a job on workers
- * of average speed (`criticalPathMs`), and the response time up to which the job
- * meets its latency target (`targetMs`), both in milliseconds.
+ * Gets times of a job in milliseconds: the run time of its longest chain of
+ * dependent steps on workers of average speed (`criticalPathMs`), the response
+ * time up to which it meets its latency target (`targetMs`), and the one up to
+ * which its answer is of use to the caller (`maxUsefulMs`).
  */
 export function getResponseTimes(
   job: BatchJob,
   route: Route,
-): { criticalPathMs: number; targetMs: number } {
+): { criticalPathMs: number; targetMs: number; maxUsefulMs: number } {
   const pathsMs: number[] = [];
   for (const step of job.steps) {
     const dependencyMs = step.dependsOn.map((number) => pathsMs[number] ?? 0);
@@ -21,5 +22,6 @@
   }
   const criticalPathMs = Math.max(...pathsMs);
   const targetMs = route.stretch * criticalPathMs + route.latencyTargetMs;
-  return { criticalPathMs, targetMs };
+  const maxUsefulMs = route.maxLateness * targetMs;
+  return { criticalPathMs, targetMs, maxUsefulMs };
 }
--- a/src/state/batch/route.ts
+++ b/src/state/batch/route.ts
@@ -15,6 +15,11 @@
    */
   readonly stretch: number;
   readonly latencyTargetMs: number;
+  /**
+   * Multiple of the latency target after which the answer to a job is of no use
+   * to its caller. Tasks are not started for such an answer.
+   */
+  readonly maxLateness: number;
   /** Number of failed runs of one task after which its job fails. */
   readonly maxAttempts: number;
 }
--- a/tests/platform/parse_operator_record_test.ts
+++ b/tests/platform/parse_operator_record_test.ts
@@ -36,6 +36,7 @@
           maxAttempts: 4,
           stretch: 1.6,
           latencyTargetMs: 60,
+          maxLateness: 4,
         }],
       },
     });
--- a/tests/state/batch/operator_state_test.ts
+++ b/tests/state/batch/operator_state_test.ts
@@ -16,6 +16,7 @@
     maxAttempts: 3,
     stretch: 1.6,
     latencyTargetMs: 60,
+    maxLateness: 4,
     ...changes,
   };
 }
