Wait for the first start instead of 300 ms in the tests of claims

Cause: the tests paused or killed the entry 300 ms after the submission. Beside load the entry had then started no task or claimed nothing yet. Change: the tests wait until a start of the job has been recorded; all assertions stay.

--- a/tests/cluster/claims_test.ts
+++ b/tests/cluster/claims_test.ts
@@ -76,7 +76,7 @@
     entryZones: ["a", "b", "c", "a"],
     agentZones: ["a", "a", "b", "b", "c"],
   });
-  const { submit, findViolations } = createHelpers(cluster);
+  const { submit, findViolations, waitForStart } = createHelpers(cluster);
 
   before(() => cluster.start());
   after(() => cluster.stop());
@@ -86,7 +86,7 @@
     const entry = cluster.entries[3] as ClusterProcess;
     const options = { runMs: 1_500, tasks: 100 };
     const first = submit(3, ["paused"], options);
-    await sleep(300);
+    await waitForStart(0);
     cluster.pause(entry);
     const [resubmitted] = await submit(0, ["paused"], options);
     expect(getKind(resubmitted)).to.equal("coordinator_lost");
@@ -111,8 +111,9 @@
   it("answers unknown when the entry was killed", async () => {
     // Guards against running a job again when its coordinator is lost, and
     // against waiting for the coordinator forever.
+    const earlierStarts = (await cluster.getTaskStarts()).length;
     const first = submit(0, ["entry"], { runMs: 1_500 });
-    await sleep(300);
+    await waitForStart(earlierStarts);
     await cluster.kill(cluster.entries[0] as ClusterProcess);
     expect(await first).to.deep.equal([undefined]);
     const [answer] = await submit(1, ["entry"], { runMs: 1_500 });
@@ -124,8 +125,9 @@
     // Guards against losing a claim that only start records still show.
     const home = cluster.agents[0] as ClusterProcess;
     const [key = "", unusedKey = ""] = await findKeys(cluster, home, "both");
+    const earlierStarts = (await cluster.getTaskStarts()).length;
     const first = submit(1, [key], { runMs: 1_500 });
-    await sleep(300);
+    await waitForStart(earlierStarts);
     await cluster.kill(home);
     await cluster.kill(cluster.entries[1] as ClusterProcess);
     expect(await first).to.deep.equal([undefined]);
@@ -152,6 +154,12 @@
         return (await caller.submit(job)).answer;
       })),
     findViolations: () => caller.findViolations(cluster),
+    /** Waits until more task starts than `count` have been recorded. */
+    waitForStart: async (count: number): Promise<void> => {
+      while ((await cluster.getTaskStarts()).length <= count) {
+        await sleep(10);
+      }
+    },
   };
 }
 
