Log which runs a worker had when it crashed

The lines could not tell the hypotheses on tasks that crash workers apart: no line named the runs of a crashed worker, and entries logged nothing about a run that was lost. runs_interrupted and run_lost do, ctl explain shows both for a job, and worker_crashes counts them.

No decision is changed.

--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -324,6 +324,7 @@
 
   #startIncarnation(worker: WorkerDescription): void {
     const { control, log } = this.#options;
+    this.#recordInterruptedRuns("the worker has restarted");
     this.#endRuns("the worker has restarted");
     this.#lease?.stop();
     this.#clock.reset();
@@ -356,12 +357,32 @@
       reason,
     });
     this.#lease?.stop();
+    this.#recordInterruptedRuns(reason);
     this.#lease = undefined;
     this.#worker = undefined;
     this.#endRuns(reason);
     this.processQueue();
   }
 
+  /** Records which runs the worker had when its incarnation ended. */
+  #recordInterruptedRuns(reason: string): void {
+    const runs = [...this.#runs.values()].filter(({ state }) =>
+      state !== "queued"
+    );
+    if (runs.length === 0) {
+      return;
+    }
+    const now = this.#getTime();
+    this.#options.metrics.incrementCounter("worker_crashes", 1);
+    this.#options.log.record("runs_interrupted", {
+      workerId: this.#worker?.workerId,
+      reason,
+      tasks: runs.map(({ task, run, startedAt }) =>
+        `${task} run ${run}, ${Math.round(now - startedAt)} ms`
+      ),
+    });
+  }
+
   /**
    * Returns the queued runs, and reports the others as lost. It is called only
    * when no run can still be running on the worker.
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -167,6 +167,17 @@
       case "expired":
         this.#settleWithError("deadline_unreachable");
         return;
+      case "lost":
+        this.#options.log.record("run_lost", {
+          job: this.#options.job.id,
+          task: task.name,
+          run: task.run,
+          agent: agentId,
+          reason: end.detail,
+        });
+        task.avoidedAgents.add(agentId);
+        this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
+        return;
       default:
         task.avoidedAgents.add(agentId);
         this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
--- a/src/ctl/explain_job.ts
+++ b/src/ctl/explain_job.ts
@@ -95,9 +95,12 @@
 }
 
 function isAboutJob(line: LogLine, jobId: string): boolean {
-  const task = line["task"];
+  const { task, tasks } = line;
+  const names: unknown[] = [task, ...(Array.isArray(tasks) ? tasks : [])];
   return line["job"] === jobId ||
-    (typeof task === "string" && task.startsWith(`${jobId}.`));
+    names.some((name) =>
+      typeof name === "string" && name.startsWith(`${jobId}.`)
+    );
 }
 
 function formatFields(
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -254,6 +254,8 @@
     await waitUntil(() => owner.ends.length === 1, "the run is lost");
     expect(owner.getOutcomes()).to.deep.equal(["lost"]);
     expect(runner.acceptsWork).to.equal(false);
+    const crash = log.events.find(({ event }) => event === "runs_interrupted");
+    expect(crash?.fields["tasks"]).to.have.length(1);
   });
 
   it("reports runs of an unresponsive worker as lost after their lease", async () => {
--- a/tests/ctl/explain_job_test.ts
+++ b/tests/ctl/explain_job_test.ts
@@ -39,6 +39,19 @@
     expect(result.text).to.contain('run_started    task="0.0.1"');
   });
 
+  it("includes the crash of a worker that was running a task of the job", () => {
+    const crash = createLine(1_350, "agent-1", "runs_interrupted", {
+      reason: "refused",
+      tasks: [
+        "00000000000000aa.0.0.0 run 1, 20 ms",
+        `${JOB}.0.0.1 run 1, 9 ms`,
+      ],
+    });
+    const result = explainJob([entry, crash], JOB);
+    const events = result.value["events"] as { event: string }[];
+    expect(events.map(({ event }) => event)).to.include("runs_interrupted");
+  });
+
   it("reports that no log line is about the job", () => {
     const result = explainJob([entry], "0000000000000000");
     expect(result.exitCode).to.equal(1);
