--- a/tests/lib/fake_worker.ts
+++ b/tests/lib/fake_worker.ts
@@ -42,6 +42,8 @@
   /** Delay of starts with the fault `carried_out_late`, in milliseconds. */
   lateStartDelayMs = 250;
   leaseUntilMs = 0;
+  /** Called with the task of each run that starts. */
+  onStart: (task: string) => void = () => {};
   #fence = 0;
   #sequence = 0;
   #ended: EndedRun[] = [];
@@ -132,6 +134,17 @@
     }
   }
 
+  /** Ends this incarnation; the next one knows nothing of its runs. */
+  crash(): void {
+    this.isDown = true;
+    this.bornAtMs++;
+    this.running.clear();
+    this.#ended = [];
+    this.#sequence = 0;
+    this.#fence = 0;
+    this.#pendingRenewals.splice(0).forEach((resolve) => resolve());
+  }
+
   #executeStart(order: StartRunOrder): WorkerReply {
     if (order.fence < this.#fence) {
       return this.#createReply("stale_fence");
@@ -140,6 +153,7 @@
     const run = { task: order.task, run: order.run };
     this.starts.push(run);
     this.running.set(order.task, run);
+    this.onStart(order.task);
     return this.#createReply(undefined);
   }
 
