Give up a task under which two workers have crashed

What callers saw: one request took down worker after worker.

Cause: a run that ended with its worker counted as nobody's failure. It was placed again as long as its job had time, next to the same tasks. Nothing told the crash of a worker from an expired lease, and nothing outlived the job, so a second submission began at zero.

Change: agents tell all entries which runs a worker had when it ended without notice (a worker that drains is none, and a start that met a refused connection did not run). A task under which two workers crashed fails its job, also when it is submitted again elsewhere. Tasks with one crash run one at a time on a worker and are spread over workers, so that a second crash says which of them is the cause.

Frames change; entries and agents are replaced together.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -1,6 +1,7 @@
 import { setTimeout as wait } from "node:timers/promises";
+import type { CrashedRun } from "../../../state/batch/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
-import type { BatchFrame } from "../../messages/mod.ts";
+import type { BatchFrame, WorkerCrashReport } from "../../messages/mod.ts";
 import type {
   EventLog,
   KeyedStore,
@@ -35,6 +36,12 @@
  */
 const MAX_READ_WAIT_MS = 4_000;
 
+/**
+ * Number of crashes of the worker that an agent keeps, and tells to an entry
+ * that connects.
+ */
+const MAX_KEPT_CRASHES = 20;
+
 /** Longest wait for the runs to end when the agent stops, in milliseconds. */
 const DRAIN_TIMEOUT_MS = 5_200;
 
@@ -67,6 +74,7 @@
   readonly operatorFollower: OperatorFollower;
   readonly #options: BatchAgentOptions;
   readonly #sessions = new Set<BatchEntrySession>();
+  readonly #crashes: { id: string; at: number; runs: CrashedRun[] }[] = [];
   readonly #abortController = new AbortController();
   #sessionCheckTimer: NodeJS.Timeout | undefined;
   #statusTimer: NodeJS.Timeout | undefined;
@@ -77,11 +85,13 @@
     const { store, log, metrics, zone, control } = options;
     this.runner = new WorkerRunner({
       control,
+      incarnation: options.incarnation,
       log,
       metrics,
       maxLeaseMs: options.maxLeaseMs,
       isInService: () => !this.operatorFollower.state.isZoneOut(zone),
       onChange: () => this.#scheduleStatus(),
+      onCrash: (id, runs) => this.#reportCrash(id, [...runs]),
     });
     this.operatorFollower = new OperatorFollower({
       store,
@@ -122,6 +132,12 @@
       name: this.#options.name,
       incarnation: this.#options.incarnation,
       countSessions: () => this.#sessions.size,
+      getCrashes: () =>
+        this.#crashes.map(({ id, at, runs }) => ({
+          id,
+          ageMs: Math.round(performance.now() - at),
+          runs,
+        })),
       cancelJob: (jobId) => this.#cancelJob(jobId),
     });
     this.#sessions.add(session);
@@ -156,6 +172,16 @@
     this.runner.stopWhere((run) => run.jobId === jobId);
   }
 
+  /** Tells all entries, so that none starts the tasks as if for the first time. */
+  #reportCrash(id: string, runs: CrashedRun[]): void {
+    this.#crashes.push({ id, at: performance.now(), runs });
+    if (this.#crashes.length > MAX_KEPT_CRASHES) {
+      this.#crashes.shift();
+    }
+    const report: WorkerCrashReport = { id, ageMs: 0, runs };
+    this.#sessions.forEach((session) => session.sendCrash(report));
+  }
+
   #scheduleStatus(): void {
     if (this.#statusTimer !== undefined || this.#sessions.size === 0) {
       return;
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -4,6 +4,7 @@
   BatchFrame,
   RunEnd,
   StartRuns,
+  WorkerCrashReport,
 } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchStream } from "../batch_stream.ts";
@@ -24,6 +25,8 @@
   incarnation: string;
   /** Returns the number of open sessions of the agent. */
   countSessions: () => number;
+  /** Gets the crashes that a newly connected entry is told. */
+  getCrashes: () => WorkerCrashReport[];
   /** Stops the runs of a job in all sessions. */
   cancelJob: (jobId: string) => void;
   getTime?: () => number;
@@ -76,10 +79,16 @@
     this.#pendingEnds.push(end);
   }
 
+  /** Reports the crash of a worker to the entry. */
+  sendCrash(report: WorkerCrashReport): void {
+    this.#stream.send({ case: "workerCrash", value: report });
+  }
+
   /** Serves the stream until it ends. */
   async serve(): Promise<void> {
     const { name, incarnation, runner, log } = this.#options;
     this.#stream.send({ case: "hello", value: { name, incarnation } });
+    this.#options.getCrashes().forEach((report) => this.sendCrash(report));
     this.sendStatus();
     let reason: string | undefined;
     try {
@@ -189,6 +198,7 @@
         this.#options.cancelJob(body.value.jobId);
         return;
       case "runEnds":
+      case "workerCrash":
       case "workerProfile":
       case "workerStatus":
         return;
@@ -219,6 +229,8 @@
         task: order.task,
         run: order.run,
         jobId: message.jobId,
+        route: message.route,
+        crashes: order.crashes,
         spec: message.spec,
         owner: this,
         resources: {
--- a/src/coordination/batch/agent/local_run.ts
+++ b/src/coordination/batch/agent/local_run.ts
@@ -1,4 +1,5 @@
 import type { QueuedRun } from "../../../state/batch/mod.ts";
+import type { WorkerEnd } from "./worker_end.ts";
 import type { RunOwner } from "./run_owner.ts";
 
 /** A run that an agent holds for an entry. */
@@ -9,9 +10,22 @@
    */
   run: number;
   readonly jobId: string;
+  /** Name of the route of its job. */
+  readonly route: string;
+  /** Number of workers that have crashed under the task. */
+  readonly crashes: number;
   readonly spec: string;
   readonly owner: RunOwner;
-  state: "queued" | "starting" | "uncertain" | "running" | "stopping";
+  /** `interrupted`: the worker ended before the reply to the start. */
+  state:
+    | "queued"
+    | "starting"
+    | "uncertain"
+    | "running"
+    | "stopping"
+    | "interrupted";
+  /** Why the worker ended before the reply to the start. */
+  workerEnd?: WorkerEnd;
   /** Whether to stop the run once it is known that it has started. */
   isStopRequested: boolean;
   /**
--- /dev/null
+++ b/src/coordination/batch/agent/worker_end.ts
@@ -0,0 +1,8 @@
+/** The end of an incarnation of a worker, as its runs are told. */
+export interface WorkerEnd {
+  /** Identifies the end in reports to the entries. */
+  readonly id: string;
+  /** `lost`: the worker had announced that it leaves. */
+  readonly outcome: "crashed" | "lost";
+  readonly reason: string;
+}
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -1,5 +1,6 @@
 import {
   addResources,
+  type CrashedRun,
   type RunOutcome,
   RunQueue,
   SlowdownEstimate,
@@ -17,8 +18,10 @@
 import type { WorkerProfile, WorkerStatus } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { Fence } from "./fence.ts";
+import type { DispatchError } from "../../../state/errors/mod.ts";
 import type { LocalRun } from "./local_run.ts";
 import type { RunOwner } from "./run_owner.ts";
+import type { WorkerEnd } from "./worker_end.ts";
 import { WorkerClock } from "./worker_clock.ts";
 import type { WorkerDescription } from "./worker_description.ts";
 import { WorkerLease } from "./worker_lease.ts";
@@ -64,6 +67,8 @@
 
 export interface WorkerRunnerOptions {
   control: WorkerControl;
+  /** Identifies one start of the agent process. */
+  incarnation: string;
   log: EventLog;
   metrics: Metrics;
   /** Longest lease that the worker grants, in milliseconds. */
@@ -72,6 +77,8 @@
   isInService: () => boolean;
   /** Called when the load or the state of the worker has changed. */
   onChange: () => void;
+  /** Called with the runs of a worker that has crashed, before they end. */
+  onCrash?: (id: string, runs: readonly CrashedRun[]) => void;
   getTime?: () => number;
   getWallClock?: () => number;
 }
@@ -98,6 +105,12 @@
    */
   #isSettled = false;
   #isStopping = false;
+  /**
+   * Runs whose lease has expired since the worker was last heard. If another
+   * incarnation follows, the worker may have crashed under them.
+   */
+  #expiredRuns: LocalRun[] = [];
+  #crashCount = 0;
   #unhealthyUntil = 0;
   #failureShare = 0;
 
@@ -152,7 +165,7 @@
       known.workerId === worker.workerId && known.bornAtMs === worker.bornAtMs;
     this.#worker = worker;
     if (!isSameIncarnation) {
-      this.#startIncarnation(worker);
+      this.#startIncarnation(worker, known);
     } else if (known.isDraining !== worker.isDraining) {
       this.#options.log.record("worker_state", {
         workerId: worker.workerId,
@@ -234,7 +247,8 @@
       now: this.#getTime(),
       slowdown: this.#slowdown.value,
       // The runs of an entry that is behind wait: it would only send them again.
-      canStart: (run: LocalRun) => run.owner.isResponsive(),
+      canStart: (run: LocalRun) =>
+        run.owner.isResponsive() && !this.#mustWaitForSuspect(run),
     };
     for (const run of this.#queue.takeExpired(takeOptions)) {
       this.#endRun(run, "expired", "can't end before its deadline");
@@ -249,6 +263,18 @@
     this.#options.onChange();
   }
 
+  /**
+   * Returns whether a run must wait since a worker has crashed under its task,
+   * and under that of a started run: two such tasks are kept apart, so that a
+   * further crash tells which of them is the cause.
+   */
+  #mustWaitForSuspect(run: LocalRun): boolean {
+    return run.crashes > 0 &&
+      [...this.#runs.values()].some((other) =>
+        other.state !== "queued" && other.crashes > 0
+      );
+  }
+
   /** Gets what entries are told of the worker when it changes. */
   getProfile(): WorkerProfile {
     const worker = this.#worker;
@@ -277,6 +303,8 @@
         Math.round(ms * this.#slowdown.value)
       ),
       failureShare: round(this.#failureShare),
+      suspectRuns: [...this.#runs.values()].filter(({ crashes }) => crashes > 0)
+        .length,
     };
   }
 
@@ -322,10 +350,12 @@
     return remainingTimesMs;
   }
 
-  #startIncarnation(worker: WorkerDescription): void {
+  #startIncarnation(
+    worker: WorkerDescription,
+    known: WorkerDescription | undefined,
+  ): void {
     const { control, log } = this.#options;
-    this.#recordInterruptedRuns("the worker has restarted");
-    this.#endRuns("the worker has restarted");
+    this.#interruptRuns(known, "the worker has restarted");
     this.#lease?.stop();
     this.#clock.reset();
     this.#isSettled = false;
@@ -344,7 +374,7 @@
       ),
       getTime: this.#getTime,
       onReport: (report, request) => this.#handleReport(lease, report, request),
-      onExpired: () => this.#endRuns("the lease has expired"),
+      onExpired: () => this.#handleLeaseExpired(),
       onLost: (reason) => this.#endIncarnation(reason),
     });
     this.#lease = lease;
@@ -357,30 +387,91 @@
       reason,
     });
     this.#lease?.stop();
-    this.#recordInterruptedRuns(reason);
+    const worker = this.#worker;
     this.#lease = undefined;
     this.#worker = undefined;
-    this.#endRuns(reason);
+    this.#interruptRuns(worker, reason);
     this.processQueue();
   }
 
-  /** Records which runs the worker had when its incarnation ended. */
-  #recordInterruptedRuns(reason: string): void {
-    const runs = [...this.#runs.values()].filter(({ state }) =>
-      state !== "queued"
+  /**
+   * Ends the runs of an incarnation that has ended. Those whose start was not
+   * answered yet end with the reply, which tells whether the worker got it.
+   */
+  #interruptRuns(worker: WorkerDescription | undefined, reason: string): void {
+    this.#returnQueuedRuns(reason);
+    this.#crashCount++;
+    const end: WorkerEnd = {
+      id: `${this.#options.incarnation}/${this.#crashCount}`,
+      outcome: worker?.isDraining === true ? "lost" : "crashed",
+      reason,
+    };
+    const runs = [...this.#runs.values()];
+    const started = runs.filter(({ state }) =>
+      state !== "starting" && state !== "interrupted"
     );
+    this.#recordWorkerEnd(end, [...this.#expiredRuns, ...started]);
+    this.#expiredRuns = [];
+    for (const run of runs) {
+      if (run.state === "starting") {
+        run.state = "interrupted";
+        run.workerEnd = end;
+      }
+    }
+    for (const run of started) {
+      this.#endRun(run, end.outcome, reason);
+    }
+  }
+
+  /** Ends a run whose worker ended before the reply to its start. */
+  #endInterruptedRun(
+    run: LocalRun,
+    end: WorkerEnd,
+    error: DispatchError | undefined,
+  ): void {
+    if (error?.kind === "upstream_unreachable") {
+      this.#endRun(run, "returned", end.reason);
+      return;
+    }
+    this.#recordWorkerEnd(end, [run]);
+    this.#endRun(run, end.outcome, end.reason);
+  }
+
+  /** Logs the runs of a worker that has ended, and reports a crash. */
+  #recordWorkerEnd(end: WorkerEnd, runs: readonly LocalRun[]): void {
     if (runs.length === 0) {
       return;
     }
     const now = this.#getTime();
-    this.#options.metrics.incrementCounter("worker_crashes", 1);
-    this.#options.log.record("runs_interrupted", {
-      workerId: this.#worker?.workerId,
-      reason,
-      tasks: runs.map(({ task, run, startedAt }) =>
-        `${task} run ${run}, ${Math.round(now - startedAt)} ms`
+    const { log, metrics, onCrash } = this.#options;
+    log.record("runs_interrupted", {
+      crash: end.id,
+      outcome: end.outcome,
+      reason: end.reason,
+      tasks: runs.map(({ task, run, startedAt, crashes }) =>
+        `${task} run ${run}, ${
+          Math.round(now - startedAt)
+        } ms, ${crashes} crashes before`
       ),
     });
+    if (end.outcome === "crashed") {
+      metrics.incrementCounter("worker_crashes", 1);
+      onCrash?.(
+        end.id,
+        runs.map(({ task, route, crashes }) => ({
+          task,
+          route,
+          earlierCrashes: crashes,
+        })),
+      );
+    }
+  }
+
+  #handleLeaseExpired(): void {
+    this.#expiredRuns.push(
+      ...[...this.#runs.values()].filter(({ state }) => state !== "queued"),
+    );
+    this.#endRuns("the lease has expired");
   }
 
   /**
@@ -414,6 +505,7 @@
       this.#handleOtherIncarnation(worker, bornAtMs);
       return;
     }
+    this.#expiredRuns = [];
     for (const ended of report.ended) {
       if (ended.sequence > lease.confirmedUpTo) {
         lease.confirmedUpTo = ended.sequence;
@@ -491,6 +583,7 @@
     switch (run.state) {
       case "queued":
       case "starting":
+      case "interrupted":
         return;
       case "uncertain":
         if (listed !== undefined) {
@@ -550,6 +643,12 @@
       if (this.#runs.get(run.task) !== run) {
         return;
       }
+      const { workerEnd } = run;
+      if (workerEnd !== undefined) {
+        const error = reply.isErr() ? reply.error : undefined;
+        this.#endInterruptedRun(run, workerEnd, error);
+        return;
+      }
       if (reply.isErr()) {
         this.#handleStartError(run, reply.error.kind, reply.error.message);
         return;
@@ -627,6 +726,7 @@
       reason,
     });
     if (kind === "upstream_unreachable") {
+      this.#endRun(run, "returned", reason);
       this.#endIncarnation(reason);
       return;
     }
@@ -644,6 +744,7 @@
         return;
       case "starting":
       case "uncertain":
+      case "interrupted":
         run.isStopRequested = true;
         return;
       case "running":
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -6,6 +6,7 @@
   BatchFrame,
   RunEnd,
   StartRuns,
+  WorkerCrashReport,
   WorkerProfile,
   WorkerStatus,
 } from "../../messages/mod.ts";
@@ -36,6 +37,8 @@
   /** Identifies one start of the process; differs after each restart. */
   incarnation: string;
   onRunEnds: (agentId: string, ends: readonly RunEnd[]) => void;
+  /** Called when the agent's worker has crashed, before its runs end. */
+  onWorkerCrash: (agentId: string, report: WorkerCrashReport) => void;
   /**
    * Called when the connection to the agent is lost; its runs may still be
    * executing.
@@ -225,6 +228,9 @@
       case "runEnds":
         onRunEnds(this.agentId, body.value.ends);
         return;
+      case "workerCrash":
+        this.#options.onWorkerCrash(this.agentId, body.value);
+        return;
       case "workerProfile":
         this.#handleProfile(body.value);
         return;
@@ -284,7 +290,8 @@
       if (this.#load !== undefined) {
         const { priority } = message;
         const { expectedMs } = order;
-        const task = { resources: order, expectedMs, priority };
+        const isSuspect = order.crashes > 0;
+        const task = { resources: order, expectedMs, priority, isSuspect };
         this.#load = addTaskToLoad(this.#load, task);
       }
     }
@@ -313,5 +320,6 @@
     queuedRuns: status.queuedRuns,
     queuedMs: status.queuedMs,
     failureShare: status.failureShare,
+    suspectRuns: status.suspectRuns,
   };
 }
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -1,5 +1,6 @@
 import {
   type BatchJob,
+  CrashHistory,
   decideIntake,
   getResponseTimes,
   type IntakeDecision,
@@ -8,7 +9,7 @@
 } from "../../../state/batch/mod.ts";
 import { parseJson } from "../../../state/errors/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
-import type { BatchFrame } from "../../messages/mod.ts";
+import type { BatchFrame, WorkerCrashReport } from "../../messages/mod.ts";
 import type {
   EventLog,
   KeyedPage,
@@ -60,6 +61,7 @@
   readonly #members: TopicFollower;
   readonly #links = new Map<string, BatchAgentLink>();
   readonly #jobs = new Map<string, BatchJobRun>();
+  readonly #crashHistory = new CrashHistory();
   readonly #loopDelay = new LoopDelayMonitor();
   readonly #warmUpGate = new WarmUpGate({
     getKnownAgentCount: () => this.#links.size,
@@ -137,6 +139,7 @@
       timeLeftMs: timeLeftMs - (performance.now() - startedAt),
       log,
       farFactor,
+      crashHistory: this.#crashHistory,
       getLoads: (service) => this.#getLoads(service),
       sendStart: (agentId, message) =>
         this.#links.get(agentId)?.startRuns(message),
@@ -255,6 +258,8 @@
           this.#jobs.get(jobId)?.handleEnd(agentId, end);
         }
       },
+      onWorkerCrash: (agentId, report) =>
+        this.#handleWorkerCrash(agentId, report),
       onLost: (agentId) => {
         for (const job of [...this.#jobs.values()]) {
           job.handleAgentLost(agentId);
@@ -270,6 +275,23 @@
     void link.run();
   }
 
+  #handleWorkerCrash(agentId: string, report: WorkerCrashReport): void {
+    const at = performance.now() - report.ageMs;
+    const { id, runs } = report;
+    const crash = this.#crashHistory.record({ id, agentId, at, runs });
+    if (crash.runs.length === 0) {
+      return;
+    }
+    this.#options.log.record("worker_crashed", {
+      agent: agentId,
+      crash: id,
+      ageMs: report.ageMs,
+      runs: crash.runs.length,
+      suspects: crash.runs.filter(({ earlierCrashes }) => earlierCrashes > 0)
+        .map(({ task, route }) => `${task} of ${route}`),
+    });
+  }
+
   #removeLink(name: string): void {
     this.#links.get(name)?.stop();
     this.#links.delete(name);
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -1,5 +1,6 @@
 import {
   type BatchJob,
+  type CrashHistory,
   decideAdmission,
   getResponseTimes,
   type PlacedTask,
@@ -33,6 +34,8 @@
   /** Time in which the job must be answered, in milliseconds. */
   timeLeftMs: number;
   log: EventLog;
+  /** Crashes of workers that the agents have reported. */
+  crashHistory: CrashHistory;
   getLoads: (service: string) => WorkerLoad[];
   sendStart: (agentId: string, message: Omit<StartRuns, "batch">) => void;
   sendStop: (agentId: string, tasks: string[]) => void;
@@ -86,6 +89,11 @@
   /** Admits the job and sends its first tasks, or refuses it. */
   start(): void {
     const { job, route, log, timeLeftMs, getLoads } = this.#options;
+    for (const task of this.#tasksByName.values()) {
+      if (this.#giveUpCrashing(task)) {
+        return;
+      }
+    }
     const loads = getLoads(route.service);
     const ready = this.#tasks.filter((tasks) =>
       this.#hasDependenciesDone(tasks)
@@ -168,15 +176,20 @@
         this.#settleWithError("deadline_unreachable");
         return;
       case "lost":
+      case "crashed":
         this.#options.log.record("run_lost", {
           job: this.#options.job.id,
           task: task.name,
           run: task.run,
           agent: agentId,
+          outcome: end.outcome,
+          crashes: this.#options.crashHistory.getCount(task.name),
           reason: end.detail,
         });
-        task.avoidedAgents.add(agentId);
-        this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
+        if (!this.#giveUpCrashing(task)) {
+          task.avoidedAgents.add(agentId);
+          this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
+        }
         return;
       default:
         task.avoidedAgents.add(agentId);
@@ -220,6 +233,27 @@
     }
   }
 
+  /**
+   * Fails the job if so many workers have crashed under the task that it must
+   * not be started again.
+   * @returns Whether the job has failed.
+   */
+  #giveUpCrashing(task: BatchTask): boolean {
+    const { crashHistory, log, job, route } = this.#options;
+    if (!crashHistory.isGivenUp(task.name)) {
+      return false;
+    }
+    log.record("task_given_up", {
+      job: job.id,
+      route: route.name,
+      task: task.name,
+      crashes: crashHistory.getCount(task.name),
+      agents: crashHistory.getCrashes(task.name).map(({ agentId }) => agentId),
+    });
+    this.#settle({ kind: "failed" });
+    return true;
+  }
+
   #getSentTo(agentId: string): BatchTask[] {
     return [...this.#tasksByName.values()].filter((task) =>
       task.state === "sent" && task.agentId === agentId
@@ -306,14 +340,30 @@
       loads,
       placedCounts,
       avoidedAgents: new Map(
-        tasks.map((task) => [task.index, task.avoidedAgents]),
+        tasks.map((task) => [task.index, this.#getAvoidedAgents(task, loads)]),
       ),
       farFactor: this.#options.farFactor,
     });
   }
 
+  /**
+   * Gets the agents that a task is better not placed on. Tasks under which a
+   * worker has crashed are kept apart from each other.
+   */
+  #getAvoidedAgents(
+    task: BatchTask,
+    loads: readonly WorkerLoad[],
+  ): ReadonlySet<string> {
+    if (this.#options.crashHistory.getCount(task.name) === 0) {
+      return task.avoidedAgents;
+    }
+    const suspectAgents = loads.filter(({ suspectRuns }) => suspectRuns > 0)
+      .map(({ agentId }) => agentId);
+    return new Set([...task.avoidedAgents, ...suspectAgents]);
+  }
+
   #send(tasks: readonly BatchTask[], placements: readonly PlacedTask[]): void {
-    const { job, route, sendStart } = this.#options;
+    const { job, route, sendStart, crashHistory } = this.#options;
     const now = this.#getTime();
     const byAgent = new Map<string, BatchTask[]>();
     for (const { index, agentId } of placements) {
@@ -326,6 +376,7 @@
     for (const [agentId, sent] of byAgent) {
       sendStart(agentId, {
         jobId: job.id,
+        route: route.name,
         spec: job.spec,
         priority: route.priority,
         timeLeftMs: Math.max(0, Math.round(this.#usefulUntil - now)),
@@ -335,6 +386,7 @@
           run: task.run,
           ...task.step.resources,
           expectedMs: task.step.expectedMs,
+          crashes: crashHistory.getCount(task.name),
         })),
       });
     }
--- a/src/coordination/messages/batch_body.ts
+++ b/src/coordination/messages/batch_body.ts
@@ -1,5 +1,6 @@
 import type { RunEnd } from "./run_end.ts";
 import type { StartRuns } from "./start_runs.ts";
+import type { WorkerCrashReport } from "./worker_crash_report.ts";
 import type { WorkerProfile } from "./worker_profile.ts";
 import type { WorkerStatus } from "./worker_status.ts";
 
@@ -11,6 +12,7 @@
   | { case: "stopRuns"; value: { tasks: string[] } }
   | { case: "runEnds"; value: { ends: RunEnd[] } }
   | { case: "workerProfile"; value: WorkerProfile }
+  | { case: "workerCrash"; value: WorkerCrashReport }
   | { case: "workerStatus"; value: WorkerStatus }
   | { case: "operatorSnapshot"; value: { offset: number; state: string } }
   | { case: "cancelJob"; value: { jobId: string } };
--- a/src/coordination/messages/mod.ts
+++ b/src/coordination/messages/mod.ts
@@ -24,5 +24,6 @@
 export type { RunEnd } from "./run_end.ts";
 export type { RunOrder } from "./run_order.ts";
 export type { StartRuns } from "./start_runs.ts";
+export type { WorkerCrashReport } from "./worker_crash_report.ts";
 export type { WorkerProfile } from "./worker_profile.ts";
 export type { WorkerStatus } from "./worker_status.ts";
--- a/src/coordination/messages/run_order.ts
+++ b/src/coordination/messages/run_order.ts
@@ -8,4 +8,6 @@
   gpus: number;
   /** Estimated run time on a worker of average speed, in milliseconds. */
   expectedMs: number;
+  /** Number of workers that have crashed under the task. */
+  crashes: number;
 }
--- a/src/coordination/messages/start_runs.ts
+++ b/src/coordination/messages/start_runs.ts
@@ -8,6 +8,8 @@
    */
   batch: number;
   jobId: string;
+  /** Name of the route of the job. */
+  route: string;
   spec: string;
   /** Priority of the job; 0 is the most urgent. */
   priority: number;
--- a/src/coordination/messages/worker_status.ts
+++ b/src/coordination/messages/worker_status.ts
@@ -26,4 +26,6 @@
   receivedBatch: number;
   /** Fraction of the latest runs that failed, 0 to 1. */
   failureShare: number;
+  /** Number of queued and started runs of tasks under which a worker crashed. */
+  suspectRuns: number;
 }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -5,6 +5,7 @@
  * from the first frame of a process on, and arrays leave out the field names.
  * A later version may append fields; receivers ignore those they don't know.
  */
+import type { CrashedRun } from "../../state/batch/mod.ts";
 import type {
   BatchBody,
   BatchFrame,
@@ -36,6 +37,7 @@
         value.timeLeftMs,
         value.targetLeftMs,
         value.runs.map(createRunOrderRow),
+        value.route,
       ];
     }
     case "stopRuns":
@@ -44,6 +46,12 @@
       return body.value.ends.map(createRunEndRow);
     case "workerProfile":
       return createProfileRow(body.value);
+    case "workerCrash":
+      return [
+        body.value.id,
+        body.value.ageMs,
+        body.value.runs.map(createCrashedRunRow),
+      ];
     case "workerStatus":
       return createStatusRow(body.value);
     case "operatorSnapshot":
@@ -56,8 +64,12 @@
 }
 
 function createRunOrderRow(order: RunOrder): unknown[] {
-  const { task, run, cpuMillis, memoryMb, gpus, expectedMs } = order;
-  return [task, run, cpuMillis, memoryMb, gpus, expectedMs];
+  const { task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes } = order;
+  return [task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes];
+}
+
+function createCrashedRunRow(run: CrashedRun): unknown[] {
+  return [run.task, run.route, run.earlierCrashes];
 }
 
 function createRunEndRow(end: RunEnd): unknown[] {
@@ -84,5 +96,6 @@
     status.queuedMs,
     status.receivedBatch,
     status.failureShare,
+    status.suspectRuns,
   ];
 }
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -2,6 +2,7 @@
  * Decodes the frames that `formatBatchFrame` encodes. Frames come from the
  * project's own processes, so only their outer form is checked.
  */
+import type { CrashedRun } from "../../state/batch/mod.ts";
 import type {
   BatchBody,
   BatchFrame,
@@ -11,7 +12,17 @@
   WorkerStatus,
 } from "../../coordination/messages/mod.ts";
 
-type RunOrderRow = [string, number, number, number, number, number];
+type RunOrderRow = [
+  task: string,
+  run: number,
+  cpuMillis: number,
+  memoryMb: number,
+  gpus: number,
+  expectedMs: number,
+  crashes: number,
+];
+
+type CrashedRunRow = [task: string, route: string, earlierCrashes: number];
 
 type RunEndRow = [string, number, string, number, string];
 
@@ -30,6 +41,7 @@
   queuedMs: number[],
   receivedBatch: number,
   failureShare: number,
+  suspectRuns: number,
 ];
 
 /**
@@ -65,20 +77,37 @@
       return { case: kindCase, value: { operatorOffset } };
     }
     case "startRuns": {
-      const [batch, jobId, spec, priority, timeLeftMs, targetLeftMs, rows] =
-        fields as [
-          number,
-          string,
-          string,
-          number,
-          number,
-          number,
-          RunOrderRow[],
-        ];
-      const runs = rows.map(parseRunOrder);
+      const [
+        batch,
+        jobId,
+        spec,
+        priority,
+        timeLeftMs,
+        targetLeftMs,
+        rows,
+        route,
+      ] = fields as [
+        number,
+        string,
+        string,
+        number,
+        number,
+        number,
+        RunOrderRow[],
+        string,
+      ];
       return {
         case: kindCase,
-        value: { batch, jobId, spec, priority, timeLeftMs, targetLeftMs, runs },
+        value: {
+          batch,
+          jobId,
+          route,
+          spec,
+          priority,
+          timeLeftMs,
+          targetLeftMs,
+          runs: rows.map(parseRunOrder),
+        },
       };
     }
     case "stopRuns":
@@ -89,6 +118,11 @@
     }
     case "workerProfile":
       return { case: kindCase, value: parseProfile(fields as ProfileRow) };
+    case "workerCrash": {
+      const [id, ageMs, rows] = fields as [string, number, CrashedRunRow[]];
+      const runs = rows.map(parseCrashedRun);
+      return { case: kindCase, value: { id, ageMs, runs } };
+    }
     case "workerStatus":
       return { case: kindCase, value: parseStatus(fields as StatusRow) };
     case "operatorSnapshot": {
@@ -106,8 +140,13 @@
 }
 
 function parseRunOrder(row: RunOrderRow): RunOrder {
-  const [task, run, cpuMillis, memoryMb, gpus, expectedMs] = row;
-  return { task, run, cpuMillis, memoryMb, gpus, expectedMs };
+  const [task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes] = row;
+  return { task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes };
+}
+
+function parseCrashedRun(row: CrashedRunRow): CrashedRun {
+  const [task, route, earlierCrashes] = row;
+  return { task, route, earlierCrashes };
 }
 
 function parseRunEnd([task, run, outcome, runMs, detail]: RunEndRow): RunEnd {
@@ -133,6 +172,7 @@
     queuedMs,
     receivedBatch,
     failureShare,
+    suspectRuns,
   ] = row;
   return {
     acceptsWork,
@@ -147,5 +187,6 @@
     queuedMs,
     receivedBatch,
     failureShare,
+    suspectRuns,
   };
 }
--- a/src/state/batch/add_task_to_load.ts
+++ b/src/state/batch/add_task_to_load.ts
@@ -8,6 +8,8 @@
   /** Declared run time, in milliseconds. */
   expectedMs: number;
   priority: number;
+  /** Whether a worker has crashed under the task. */
+  isSuspect?: boolean;
 }
 
 /** Gets the load of a worker after one more task has been sent to it. */
@@ -17,9 +19,11 @@
 ): WorkerLoad {
   const { resources, priority } = task;
   const runMs = task.expectedMs * load.slowdown;
+  const suspectRuns = load.suspectRuns + (task.isSuspect === true ? 1 : 0);
   if (hasRoom(load.free, resources)) {
     return {
       ...load,
+      suspectRuns,
       free: addResources(load.free, resources, -1),
       runningLeftMs: [...load.runningLeftMs, runMs],
     };
@@ -28,5 +32,5 @@
   queuedRuns[priority] = (queuedRuns[priority] ?? 0) + 1;
   const queuedMs = [...load.queuedMs];
   queuedMs[priority] = (queuedMs[priority] ?? 0) + runMs;
-  return { ...load, queuedRuns, queuedMs };
+  return { ...load, suspectRuns, queuedRuns, queuedMs };
 }
--- a/src/state/batch/run_outcome.ts
+++ b/src/state/batch/run_outcome.ts
@@ -1,7 +1,8 @@
 /**
  * How a run ended: `done`; `failed` through its own or the worker's fault;
- * `stopped` on an order; `lost` with its lease or worker; `returned`, because
- * the agent could not start it; `expired`, because it could not end before its
+ * `stopped` on an order; `lost` with its lease or a worker that left;
+ * `crashed`, because its worker ended without notice; `returned`, because the
+ * agent could not start it; `expired`, because it could not end before its
  * deadline. Runs with the last two outcomes never started.
  */
 export type RunOutcome =
@@ -9,5 +10,6 @@
   | "failed"
   | "stopped"
   | "lost"
+  | "crashed"
   | "returned"
   | "expired";
--- a/src/state/batch/worker_load.ts
+++ b/src/state/batch/worker_load.ts
@@ -30,4 +30,6 @@
   readonly queuedMs: readonly number[];
   /** Share of the latest runs that failed, 0 to 1. */
   readonly failureShare: number;
+  /** Number of its runs whose tasks were under a crash of another worker. */
+  readonly suspectRuns: number;
 }
--- a/tests/lib/create_worker_load.ts
+++ b/tests/lib/create_worker_load.ts
@@ -17,6 +17,7 @@
     queuedRuns: [0, 0, 0, 0],
     queuedMs: [0, 0, 0, 0],
     failureShare: 0,
+    suspectRuns: 0,
     ...changes,
   };
 }
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -15,6 +15,7 @@
     value: {
       batch: 2,
       jobId: "00000000000000aa",
+      route: "r-1",
       spec: "line\nbreak and ünicode",
       priority: 1,
       timeLeftMs: 1_500,
@@ -26,6 +27,7 @@
         memoryMb: 64,
         gpus: 0,
         expectedMs: 86,
+        crashes: 1,
       }],
     },
   },
@@ -51,6 +53,14 @@
       service: "s",
     },
   },
+  {
+    case: "workerCrash",
+    value: {
+      id: "i/1",
+      ageMs: 12,
+      runs: [{ task: TASK, route: "r-1", earlierCrashes: 1 }],
+    },
+  },
   {
     case: "workerStatus",
     value: {
@@ -66,6 +76,7 @@
       queuedMs: [0, 86, 0, 0],
       receivedBatch: 7,
       failureShare: 0.125,
+      suspectRuns: 2,
     },
   },
   { case: "operatorSnapshot", value: { offset: 5, state: "{}" } },
