Confine a route whose tasks crash workers to the workers it took down

What callers saw: with each task given up after two crashes, still all workers were down three times; under a third of all requests was served in these seconds, also of kinds that crash nothing.

Cause: nothing limits how many workers the requests of one route may take down. 2.4 crashing jobs a second with two crashes each and 3.3 s of absence are more than eleven workers.

Change: RouteContainment. A run with an earlier crash is blamed for the next one, with more weight if both came at the same point of its work; once the blamed tasks of a route took down a quarter of the workers it may use only these, and the other routes only the rest, until 5 s after the last crash. A job with nothing left to run on is refused at once. The agent takes the break of the open lease call as the time of a crash, and asks again at once instead of after 50 ms.

Ruled out on the way: blame without the point of the crash confined the route of full-match too; times that include the wait for the next call differ by 50 ms between two crashes of one task; a route blamed for each crash on its workers stays confined when another one crashes them.

--- a/src/coordination/batch/agent/worker_end.ts
+++ b/src/coordination/batch/agent/worker_end.ts
@@ -4,5 +4,10 @@
   readonly id: string;
   /** `lost`: the worker had announced that it leaves. */
   readonly outcome: "crashed" | "lost";
+  /**
+   * Time of the end on the monotonic clock, as far as the agent knows it, in
+   * milliseconds.
+   */
+  readonly at: number;
   readonly reason: string;
 }
--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -59,6 +59,7 @@
   /** Latest possible end of the lease, on the monotonic clock. */
   #expiresAt: number;
   #failedCallCount = 0;
+  #failedSince: number | undefined;
   #isRequestingReport = false;
   #isReportRequested = false;
 
@@ -72,6 +73,14 @@
     return this.#hasReport && this.#failedCallCount < MAX_FAILED_CALLS;
   }
 
+  /**
+   * Gets the time of the first failed call since the last report, on the
+   * monotonic clock; undefined when the latest call did not fail.
+   */
+  get failedSince(): number | undefined {
+    return this.#failedSince;
+  }
+
   /** Records that an order that extends the lease was sent. */
   recordRenewal(sentAt: number): void {
     this.#expiresAt = Math.max(
@@ -152,6 +161,7 @@
       case "report":
         this.#hasReport = true;
         this.#failedCallCount = 0;
+        this.#failedSince = undefined;
         this.#options.clock.record(answer.workerClockMs, getTime());
         this.#options.onReport(answer, request);
         return;
@@ -173,6 +183,7 @@
 
   async #handleFailure(kind: string, reason: string): Promise<void> {
     this.#failedCallCount++;
+    this.#failedSince ??= this.#options.getTime();
     const { log, workerId, getTime, onLost, onExpired } = this.#options;
     // The worker must ignore the lost renewal if it arrives later.
     this.#options.fence.raise();
@@ -186,7 +197,10 @@
     if (getTime() > this.#expiresAt) {
       onExpired();
     }
-    await wait(RETRY_PAUSE_MS);
+    // A worker that crashes breaks the call; the next one is refused at once.
+    if (kind !== "upstream_reset" || this.#failedCallCount > 1) {
+      await wait(RETRY_PAUSE_MS);
+    }
   }
 }
 
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -387,10 +387,9 @@
       reason,
     });
     this.#lease?.stop();
-    const worker = this.#worker;
+    this.#interruptRuns(this.#worker, reason);
     this.#lease = undefined;
     this.#worker = undefined;
-    this.#interruptRuns(worker, reason);
     this.processQueue();
   }
 
@@ -404,6 +403,7 @@
     const end: WorkerEnd = {
       id: `${this.#options.incarnation}/${this.#crashCount}`,
       outcome: worker?.isDraining === true ? "lost" : "crashed",
+      at: this.#lease?.failedSince ?? this.#getTime(),
       reason,
     };
     const runs = [...this.#runs.values()];
@@ -442,28 +442,24 @@
     if (runs.length === 0) {
       return;
     }
-    const now = this.#getTime();
     const { log, metrics, onCrash } = this.#options;
+    const crashedRuns = runs.map(({ task, route, startedAt, crashes }) => ({
+      task,
+      route,
+      ranMs: Math.max(0, Math.round(end.at - startedAt)),
+      earlierCrashes: crashes,
+    }));
     log.record("runs_interrupted", {
       crash: end.id,
       outcome: end.outcome,
       reason: end.reason,
-      tasks: runs.map(({ task, run, startedAt, crashes }) =>
-        `${task} run ${run}, ${
-          Math.round(now - startedAt)
-        } ms, ${crashes} crashes before`
-      ),
+      tasks: crashedRuns.map(({ task, ranMs }) => `${task} ${ranMs} ms`),
+      suspects: crashedRuns.filter(({ earlierCrashes }) => earlierCrashes > 0)
+        .map(({ task }) => task),
     });
     if (end.outcome === "crashed") {
       metrics.incrementCounter("worker_crashes", 1);
-      onCrash?.(
-        end.id,
-        runs.map(({ task, route, crashes }) => ({
-          task,
-          route,
-          earlierCrashes: crashes,
-        })),
-      );
+      onCrash?.(end.id, crashedRuns);
     }
   }
 
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -59,6 +59,7 @@
   #stream: BatchStream | undefined;
   #profile: WorkerProfile | undefined;
   #status: WorkerStatus | undefined;
+  #lastService = "";
   #load: WorkerLoad | undefined;
   #lastBatch = 0;
   #unacknowledgedStarts: StartRuns[] = [];
@@ -84,6 +85,11 @@
     return this.#options.member.address;
   }
 
+  /** Gets the service of the agent's worker, or of the last one that it had. */
+  get lastService(): string {
+    return this.#lastService;
+  }
+
   /** Gets whether the agent has reported its status on the current stream. */
   get hasStatus(): boolean {
     return this.#status !== undefined;
@@ -255,6 +261,9 @@
       });
     }
     this.#profile = profile;
+    this.#lastService = profile.service === ""
+      ? this.#lastService
+      : profile.service;
     this.#load = undefined;
   }
 
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -5,6 +5,8 @@
   getResponseTimes,
   type IntakeDecision,
   type Route,
+  RouteContainment,
+  type WorkerCrash,
   type WorkerLoad,
 } from "../../../state/batch/mod.ts";
 import { parseJson } from "../../../state/errors/mod.ts";
@@ -62,6 +64,9 @@
   readonly #links = new Map<string, BatchAgentLink>();
   readonly #jobs = new Map<string, BatchJobRun>();
   readonly #crashHistory = new CrashHistory();
+  readonly #containment = new RouteContainment({
+    onRelease: (route) => this.#options.log.record("route_released", { route }),
+  });
   readonly #loopDelay = new LoopDelayMonitor();
   readonly #warmUpGate = new WarmUpGate({
     getKnownAgentCount: () => this.#links.size,
@@ -140,7 +145,8 @@
       log,
       farFactor,
       crashHistory: this.#crashHistory,
-      getLoads: (service) => this.#getLoads(service),
+      getLoads: () => this.#getLoads(route),
+      isConfined: () => this.#getConfinement(route) !== undefined,
       sendStart: (agentId, message) =>
         this.#links.get(agentId)?.startRuns(message),
       sendStop: (agentId, tasks) => this.#links.get(agentId)?.stopRuns(tasks),
@@ -209,17 +215,22 @@
       .length;
   }
 
-  #getLoads(service: string): WorkerLoad[] {
+  /** Gets the agents that a route is confined to; undefined if it is not. */
+  #getConfinement(route: Route): ReadonlySet<string> | undefined {
+    return this.#containment.getAgents(route.name, performance.now());
+  }
+
+  #getLoads(route: Route): WorkerLoad[] {
     const loads: WorkerLoad[] = [];
     for (const link of this.#links.values()) {
-      const load = link.getLoad(service);
+      const load = link.getLoad(route.service);
       if (
         load !== undefined && !this.operatorFollower.state.isZoneOut(load.zone)
       ) {
         loads.push(load);
       }
     }
-    return loads;
+    return this.#containment.filterLoads(route.name, loads, performance.now());
   }
 
   #applyMembers(page: KeyedPage): void {
@@ -290,6 +301,29 @@
       suspects: crash.runs.filter(({ earlierCrashes }) => earlierCrashes > 0)
         .map(({ task, route }) => `${task} of ${route}`),
     });
+    this.#confineRoutes(crash);
+  }
+
+  #confineRoutes(crash: WorkerCrash): void {
+    const links = [...this.#links.values()];
+    const service = this.#links.get(crash.agentId)?.lastService;
+    const agentCount =
+      links.filter(({ lastService }) => lastService === service).length;
+    const routes = this.#containment.record({
+      crash,
+      history: this.#crashHistory,
+      agentCount,
+    });
+    for (const route of routes) {
+      const agents = this.#containment.getAgents(route, crash.at) ?? [];
+      this.#options.metrics.incrementCounter("routes_confined", 1);
+      this.#options.log.record("route_confined", {
+        route,
+        crash: crash.id,
+        agentCount,
+        agents: [...agents],
+      });
+    }
   }
 
   #removeLink(name: string): void {
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -36,7 +36,13 @@
   log: EventLog;
   /** Crashes of workers that the agents have reported. */
   crashHistory: CrashHistory;
-  getLoads: (service: string) => WorkerLoad[];
+  /** Gets the workers that the job may use now. */
+  getLoads: () => WorkerLoad[];
+  /**
+   * Returns whether the job may use only some of the workers, since tasks of its
+   * route crash them.
+   */
+  isConfined: () => boolean;
   sendStart: (agentId: string, message: Omit<StartRuns, "batch">) => void;
   sendStop: (agentId: string, tasks: string[]) => void;
   /** Factor by which tasks run longer away from the rack of their data. */
@@ -94,7 +100,7 @@
         return;
       }
     }
-    const loads = getLoads(route.service);
+    const loads = getLoads();
     const ready = this.#tasks.filter((tasks) =>
       this.#hasDependenciesDone(tasks)
     );
@@ -298,8 +304,13 @@
   }
 
   #placeAndSend(tasks: readonly BatchTask[]): void {
-    const { route, getLoads } = this.#options;
-    const loads = getLoads(route.service);
+    const { getLoads, isConfined } = this.#options;
+    const loads = getLoads();
+    if (loads.length === 0 && isConfined()) {
+      // The workers that the job may use have crashed, and take seconds to return.
+      this.#settleWithError("no_capacity");
+      return;
+    }
     const placements = this.#place(tasks, loads);
     const timeLeftMs = this.#usefulUntil - this.#getTime();
     const endMs = Math.max(0, ...placements.map((placed) => placed.endMs));
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -69,7 +69,7 @@
 }
 
 function createCrashedRunRow(run: CrashedRun): unknown[] {
-  return [run.task, run.route, run.earlierCrashes];
+  return [run.task, run.route, run.ranMs, run.earlierCrashes];
 }
 
 function createRunEndRow(end: RunEnd): unknown[] {
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -22,7 +22,12 @@
   crashes: number,
 ];
 
-type CrashedRunRow = [task: string, route: string, earlierCrashes: number];
+type CrashedRunRow = [
+  task: string,
+  route: string,
+  ranMs: number,
+  earlierCrashes: number,
+];
 
 type RunEndRow = [string, number, string, number, string];
 
@@ -145,8 +150,8 @@
 }
 
 function parseCrashedRun(row: CrashedRunRow): CrashedRun {
-  const [task, route, earlierCrashes] = row;
-  return { task, route, earlierCrashes };
+  const [task, route, ranMs, earlierCrashes] = row;
+  return { task, route, ranMs, earlierCrashes };
 }
 
 function parseRunEnd([task, run, outcome, runMs, detail]: RunEndRow): RunEnd {
--- a/src/state/batch/mod.ts
+++ b/src/state/batch/mod.ts
@@ -19,6 +19,7 @@
 export type { Route } from "./route.ts";
 export type { RunOutcome } from "./run_outcome.ts";
 export { CapacityTimeline } from "./capacity_timeline.ts";
+export { RouteContainment } from "./route_containment.ts";
 export { RunQueue } from "./run_queue.ts";
 export { SlowdownEstimate } from "./slowdown_estimate.ts";
 export type { TaskResources } from "./task_resources.ts";
--- /dev/null
+++ b/src/state/batch/route_containment.ts
@@ -0,0 +1,190 @@
+/**
+ * Limits how many workers the tasks of one route can take down. It answers the
+ * load on which many requests of a route hold a task that crashes its worker:
+ * each one takes down a worker before it is known, and together they take down
+ * all of them. Once the tasks of a route have caused the loss of a share of the
+ * workers, the route is confined to those workers until the crashes cease, and
+ * the other routes use the rest.
+ */
+import type { CrashedRun } from "./crashed_run.ts";
+import type { CrashHistory } from "./crash_history.ts";
+import type { WorkerCrash } from "./worker_crash.ts";
+import type { WorkerLoad } from "./worker_load.ts";
+
+/**
+ * Time for which a crash counts against its route, in milliseconds. It must be
+ * longer than the restart of a worker: a route whose workers are all away
+ * causes no crash.
+ */
+const BLAME_PERIOD_MS = 5_000;
+
+/** Share of the workers that a route may take down before it is confined. */
+const MAX_CRASHED_SHARE = 0.25;
+
+/**
+ * Difference of the run times before two crashes up to which they count as the
+ * same point of the task's work, in milliseconds. Agents notice a crash within a
+ * few milliseconds.
+ */
+const SAME_POINT_TOLERANCE_MS = 15;
+
+/**
+ * Weight of a task that was under two crashes at about the same point of its
+ * work, as is one that causes them, and of one for which the points differ.
+ */
+const CULPRIT_WEIGHT = { samePoint: 1, otherPoint: 0.25 } as const;
+
+/**
+ * Total weight of the tasks of a route that must have crashed workers before it
+ * is confined. A single task may have met two crashes by chance.
+ */
+const MIN_CULPRIT_WEIGHT = 2;
+
+interface Blame {
+  readonly agentId: string;
+  /** Time of the crash on the monotonic clock, in milliseconds. */
+  readonly at: number;
+  /** The task that caused the crash, or the crash if no task stands out. */
+  readonly culprit: string;
+  readonly weight: number;
+}
+
+export interface RecordCrashOptions {
+  crash: WorkerCrash;
+  history: CrashHistory;
+  /** Number of agents whose workers serve the route of the runs. */
+  agentCount: number;
+}
+
+export interface RouteContainmentOptions {
+  /** Called when a route may use all workers again. */
+  onRelease?: (route: string) => void;
+}
+
+export class RouteContainment {
+  readonly #options: RouteContainmentOptions;
+  readonly #blamesByRoute = new Map<string, Blame[]>();
+  readonly #agentsByRoute = new Map<string, ReadonlySet<string>>();
+
+  constructor(options: RouteContainmentOptions = {}) {
+    this.#options = options;
+  }
+
+  /**
+   * Takes note of a crash. A run is blamed if its task has been under an earlier
+   * crash, since such tasks run one at a time; on an agent to which a route is
+   * confined, the route is.
+   * @returns The routes that are confined because of this crash.
+   */
+  record(options: RecordCrashOptions): string[] {
+    const { crash, history, agentCount } = options;
+    this.#removeOldBlames(crash.at);
+    const blamedRoutes = new Set<string>();
+    for (const run of crash.runs) {
+      const { task, route } = run;
+      if (run.earlierCrashes > 0) {
+        blamedRoutes.add(route);
+        const earlier = history.getCrashes(task)
+          .filter(({ id }) => id !== crash.id);
+        const weight = getCulpritWeight(run, earlier);
+        for (const { agentId, at } of [crash, ...earlier]) {
+          this.#addBlame(route, { agentId, at, culprit: task, weight });
+        }
+      }
+    }
+    this.#blameConfinedRoute(crash);
+    return [...blamedRoutes].filter((route) =>
+      this.#confine(route, agentCount)
+    );
+  }
+
+  /** Gets the agents that a route is confined to; undefined if it is not. */
+  getAgents(route: string, now: number): ReadonlySet<string> | undefined {
+    this.#removeOldBlames(now);
+    return this.#agentsByRoute.get(route);
+  }
+
+  /**
+   * Gets the workers on which tasks of a route may be placed. Those of a
+   * confined route are left to it as long as there are others.
+   */
+  filterLoads(
+    route: string,
+    loads: readonly WorkerLoad[],
+    now: number,
+  ): WorkerLoad[] {
+    const agents = this.getAgents(route, now);
+    if (agents !== undefined) {
+      return loads.filter(({ agentId }) => agents.has(agentId));
+    }
+    const others = loads.filter(({ agentId }) =>
+      ![...this.#agentsByRoute.values()].some((taken) => taken.has(agentId))
+    );
+    return others.length > 0 ? others : [...loads];
+  }
+
+  /** Blames a confined route for the crash of a worker that had no other. */
+  #blameConfinedRoute({ id, agentId, at, runs }: WorkerCrash): void {
+    const [route, ...others] = new Set(runs.map((run) => run.route));
+    if (
+      route !== undefined && others.length === 0 &&
+      this.#agentsByRoute.get(route)?.has(agentId) === true
+    ) {
+      this.#addBlame(route, { agentId, at, culprit: id, weight: 0 });
+    }
+  }
+
+  #confine(route: string, agentCount: number): boolean {
+    const blames = this.#blamesByRoute.get(route) ?? [];
+    const agents = new Set(blames.map(({ agentId }) => agentId));
+    const weights = new Map(
+      blames.map(({ culprit, weight }) => [culprit, weight]),
+    );
+    const totalWeight = [...weights.values()].reduce((sum, w) => sum + w, 0);
+    if (
+      this.#agentsByRoute.has(route) || totalWeight < MIN_CULPRIT_WEIGHT ||
+      agents.size < MAX_CRASHED_SHARE * agentCount
+    ) {
+      return false;
+    }
+    this.#agentsByRoute.set(route, agents);
+    return true;
+  }
+
+  #addBlame(route: string, blame: Blame): void {
+    const blames = this.#blamesByRoute.get(route) ?? [];
+    const isKnown = blames.some(({ agentId, at }) =>
+      agentId === blame.agentId && at === blame.at
+    );
+    if (!isKnown) {
+      this.#blamesByRoute.set(route, [...blames, blame]);
+    }
+  }
+
+  /** Removes old blames, and releases the routes that have none left. */
+  #removeOldBlames(now: number): void {
+    for (const [route, blames] of this.#blamesByRoute) {
+      const recent = blames.filter(({ at }) => now - at < BLAME_PERIOD_MS);
+      if (recent.length > 0) {
+        this.#blamesByRoute.set(route, recent);
+      } else {
+        this.#blamesByRoute.delete(route);
+        if (this.#agentsByRoute.delete(route)) {
+          this.#options.onRelease?.(route);
+        }
+      }
+    }
+  }
+}
+
+function getCulpritWeight(
+  run: CrashedRun,
+  earlierCrashes: readonly WorkerCrash[],
+): number {
+  const isSamePoint = earlierCrashes.some(({ runs }) =>
+    runs.some(({ task, ranMs }) =>
+      task === run.task && Math.abs(ranMs - run.ranMs) < SAME_POINT_TOLERANCE_MS
+    )
+  );
+  return isSamePoint ? CULPRIT_WEIGHT.samePoint : CULPRIT_WEIGHT.otherPoint;
+}
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -30,6 +30,7 @@
   readonly sentTimesLeftMs: number[] = [];
   readonly stopped: { agentId: string; tasks: string[] }[] = [];
   readonly log = new RecordedLog();
+  isConfined = false;
   readonly crashHistory = new CrashHistory();
   loads: WorkerLoad[] = ["a", "b"].map((agentId) =>
     createWorkerLoad({ agentId })
@@ -61,6 +62,7 @@
       log: this.log,
       crashHistory: this.crashHistory,
       getLoads: () => this.loads,
+      isConfined: () => this.isConfined,
       sendStart: (agentId, { runs, timeLeftMs }) => {
         this.sentTimesLeftMs.push(timeLeftMs);
         for (const { task, run } of runs) {
@@ -223,6 +225,15 @@
     expect(job.stopped.flatMap(({ tasks }) => tasks)).to.have.length(2);
   });
 
+  it("answers at once when no worker is left that its route may use", async () => {
+    const job = new JobHarness([createBatchStep()]);
+    job.loads = [];
+    job.isConfined = true;
+    job.endRun(0, "lost");
+    await wait(100);
+    expect(job.answer).to.deep.equal({ kind: "error", error: "timeout" });
+  });
+
   it("waits for a worker when there is none for a returned run", async () => {
     const job = new JobHarness([createBatchStep()]);
     job.loads = [];
