Do not start a repeatable task again that has broken three upstreams

The product's own interface has the same fault as the platform's path: a task that crashes the upstream that starts it is repeated up to its maxAttempts, which settings may raise to ten, as long as the retry budget lasts. What callers saw: one repeatable task could take down ten upstreams in turn, with all that ran beside it.

A broken connection is what an entry sees of a crash. After three of them the task fails with the last error (unknown), as it does when its attempts are used up. Three and not two, since a network fault looks the same.

The test failed before (10 attempts instead of 3).

--- a/src/coordination/entry/task_run.ts
+++ b/src/coordination/entry/task_run.ts
@@ -25,6 +25,12 @@
  */
 const MAX_RETRY_DELAY_MS = 500;
 
+/**
+ * Attempts that broke the connection to their upstream, as a crash does, after
+ * which a task is not started again. The network may have caused some of them.
+ */
+const MAX_BROKEN_UPSTREAMS = 3;
+
 export interface TaskRunOptions {
   task: PlannedTask;
   /** Aborts with a `DispatchError` as its reason. */
@@ -63,6 +69,7 @@
   #avoidedAgentId: string | undefined;
   /** The latest failure of an attempt that ran or may have run. */
   #possiblyRunFailure: TaskFailure | undefined;
+  #brokenUpstreams = 0;
 
   constructor(options: TaskRunOptions) {
     this.#options = options;
@@ -172,6 +179,9 @@
     }
     timeline.record("attempt_failed", { ...event, detail: answer.error.kind });
     this.#avoidedAgentId = attempt.agentId;
+    if (answer.error.kind === "upstream_reset") {
+      this.#brokenUpstreams++;
+    }
     if (answer.outcome !== "not run") {
       this.#possiblyRunFailure = answer;
     } else if (this.#nextNumber === attempt.number + 1) {
@@ -182,8 +192,8 @@
 
   /**
    * Returns whether the task may be placed again: always when it didn't start;
-   * when it may have run, only if it is repeatable and the attempts and the
-   * retry budget aren't used up.
+   * when it may have run, only if it is repeatable, the attempts and the retry
+   * budget aren't used up, and it doesn't seem to crash its upstreams.
    */
   #canRetry(failure: TaskFailure): boolean {
     const { task, budgets } = this.#options;
@@ -191,6 +201,7 @@
       return true;
     }
     return task.repeatable && this.#nextNumber <= task.maxAttempts &&
+      this.#brokenUpstreams < MAX_BROKEN_UPSTREAMS &&
       budgets.tryConsume(task.customer);
   }
 
--- a/tests/coordination/entry/task_run_test.ts
+++ b/tests/coordination/entry/task_run_test.ts
@@ -115,6 +115,21 @@
       expect(placed.map(({ number }) => number)).to.deep.equal([1, 2, 3]);
     });
 
+    it("doesn't start a task again that has broken three upstreams", async () => {
+      const steps = Array.from(
+        { length: 10 },
+        () => createFailedResult("upstream_reset"),
+      );
+      const { run, placed, budgets } = createRun(steps, {
+        task: { maxAttempts: 10 },
+      });
+      for (let start = 0; start < 100; start++) {
+        budgets.recordStart("c");
+      }
+      expect(await run()).to.include({ outcome: "unknown" });
+      expect(placed).to.have.length(3);
+    });
+
     it("doesn't repeat a task when the retry budget is used up", async () => {
       // Guards against retries that multiply the load during a fault.
       const { run, placed, budgets } = createRun(
