Hand back queued runs that no longer fit a worker whose capacity shrank

The capacity of a worker may shrink while it runs. Nothing was started over it, but a queued run that is larger than all of what is left waited for the growth until its job's time was over, though another worker had room.

The agent now hands such runs back to their entry, which places them elsewhere. The test failed before (no end was reported). Two more tests hold on the earlier code too: nothing starts over a capacity that has shrunk, and a run that is being stopped counts.

--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -1,6 +1,7 @@
 import {
   addResources,
   type CrashedRun,
+  hasRoom,
   type RunOutcome,
   RunQueue,
   SlowdownEstimate,
@@ -243,6 +244,11 @@
     if (!this.acceptsWork) {
       this.#returnQueuedRuns(this.#getRefusalReason());
     }
+    const capacity = this.#worker?.capacity ?? NO_RESOURCES;
+    this.#returnQueuedRuns(
+      "the worker's capacity has shrunk",
+      (run) => !hasRoom(capacity, run.resources),
+    );
     const takeOptions = {
       now: this.#getTime(),
       slowdown: this.#slowdown.value,
@@ -481,8 +487,11 @@
     }
   }
 
-  #returnQueuedRuns(reason: string): void {
-    for (const run of this.#queue.removeWhere(() => true)) {
+  #returnQueuedRuns(
+    reason: string,
+    matches: (run: LocalRun) => boolean = () => true,
+  ): void {
+    for (const run of this.#queue.removeWhere(matches)) {
       this.#endRun(run, "returned", reason);
     }
   }
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -226,6 +226,50 @@
     expect(log.count("worker_report_ignored")).to.equal(2);
   });
 
+  it("starts nothing over a capacity that has shrunk until enough runs have ended", async () => {
+    await startWorker();
+    const tasks = ["a", "b", "c"];
+    await startRun(createRun(owner, { task: "a" }));
+    await startRun(createRun(owner, { task: "b" }));
+    const capacity = { cpuMillis: 2_000, memoryMb: 1_000, gpus: 0 };
+    runner.handleWorkerReport(createDescription({ sequence: 2, capacity }));
+    runner.add(createRun(owner, { task: "c" }));
+    runner.processQueue();
+    worker.endRun("a", "done");
+    await waitUntil(() => owner.ends.length === 1, "the first run has ended");
+    await wait(50);
+    expect(worker.starts).to.have.length(2);
+    worker.endRun("b", "done");
+    await waitUntil(() => worker.starts.length === 3, "the third has started");
+    expect(worker.starts.map(({ task }) => task)).to.deep.equal(tasks);
+  });
+
+  it("counts a run that is being stopped against the capacity", async () => {
+    await startWorker();
+    await startRun(createRun(owner, { task: "a" }));
+    await startRun(createRun(owner, { task: "b" }));
+    worker.stopDelayMs = 100;
+    runner.stopWhere(({ task }) => task === "a");
+    runner.add(createRun(owner, { task: "c" }));
+    runner.processQueue();
+    await wait(60);
+    expect(worker.starts).to.have.length(2);
+    await waitUntil(() => worker.starts.length === 3, "the third has started");
+    expect(worker.running.has("a")).to.equal(false);
+  });
+
+  it("hands back the queued runs that no longer fit a worker whose capacity has shrunk", async () => {
+    await startWorker();
+    await startRun(createRun(owner, { task: "a" }));
+    await startRun(createRun(owner, { task: "b" }));
+    runner.add(createRun(owner, { task: "c" }));
+    runner.processQueue();
+    const capacity = { cpuMillis: 1_000, memoryMb: 1_000, gpus: 0 };
+    runner.handleWorkerReport(createDescription({ sequence: 2, capacity }));
+    expect(owner.getOutcomes()).to.deep.equal(["returned"]);
+    expect(owner.ends[0]?.task).to.equal("c");
+  });
+
   it("keeps the runs of a worker whose leave message comes late", async () => {
     await startWorker();
     const run = createRun(owner);
--- a/tests/lib/fake_worker.ts
+++ b/tests/lib/fake_worker.ts
@@ -42,6 +42,8 @@
   /** Delay of starts with the fault `carried_out_late`, in milliseconds. */
   lateStartDelayMs = 250;
   leaseUntilMs = 0;
+  /** Time from a stop order to the end of its run, in milliseconds. */
+  stopDelayMs = 0;
   /** Called with the task of each run that starts. */
   onStart: (task: string) => void = () => {};
   #fence = 0;
@@ -83,7 +85,14 @@
       }
       const run = this.running.get(order.task);
       if (run !== undefined && run.run <= order.run) {
-        this.endRun(order.task, "stopped");
+        if (this.stopDelayMs === 0) {
+          this.endRun(order.task, "stopped");
+        } else {
+          setTimeout(
+            () => this.endRun(order.task, "stopped"),
+            this.stopDelayMs,
+          );
+        }
       }
       return this.#createReply(undefined);
     });
