Refuse, and do not fail, a job whose workers are away or have shrunk

What callers saw: a job was answered "failed", for good, when no worker that was there at that moment could hold it, though one that had crashed, was restarting or had shrunk for a time could. With few workers left, a step that allows one task a worker was failed in the same way.

The entry keeps what each agent's workers have offered, with the largest capacity seen, and fails only a job that would not fit on all of these together. Others are refused with 503 and a retry time: nothing of them has run. With the check disabled, as before, the new test fails. The same rule counts an agent whose service is not known yet when a route's share of the workers is taken, as after the restart of an entry.

--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -1,5 +1,9 @@
 import { setTimeout as wait } from "node:timers/promises";
-import { addTaskToLoad, type WorkerLoad } from "../../../state/batch/mod.ts";
+import {
+  addTaskToLoad,
+  type WorkerLoad,
+  type WorkerOffer,
+} from "../../../state/batch/mod.ts";
 import type { EventLog, PeerConnector } from "../../ports/mod.ts";
 import type {
   BatchBody,
@@ -60,6 +64,7 @@
   #profile: WorkerProfile | undefined;
   #status: WorkerStatus | undefined;
   #lastService = "";
+  #offer: WorkerOffer | undefined;
   #load: WorkerLoad | undefined;
   #lastBatch = 0;
   #unacknowledgedStarts: StartRuns[] = [];
@@ -90,6 +95,14 @@
     return this.#lastService;
   }
 
+  /**
+   * Gets what the agent's workers have offered, with the largest capacity seen;
+   * undefined before the first worker.
+   */
+  get offer(): WorkerOffer | undefined {
+    return this.#offer;
+  }
+
   /** Gets whether the agent has reported its status on the current stream. */
   get hasStatus(): boolean {
     return this.#status !== undefined;
@@ -261,10 +274,12 @@
       });
     }
     this.#profile = profile;
-    this.#lastService = profile.service === ""
-      ? this.#lastService
-      : profile.service;
     this.#load = undefined;
+    if (profile.service !== "") {
+      const hasChanged = profile.service !== this.#lastService;
+      this.#lastService = profile.service;
+      this.#offer = mergeOffers(hasChanged ? undefined : this.#offer, profile);
+    }
   }
 
   #handleStatus(status: WorkerStatus): void {
@@ -307,6 +322,22 @@
   }
 }
 
+/** Merges what a worker offers with the largest capacity seen before. */
+function mergeOffers(
+  known: WorkerOffer | undefined,
+  { labels, cpuMillis, memoryMb, gpus }: WorkerProfile,
+): WorkerOffer {
+  const largest = known?.capacity;
+  return {
+    labels,
+    capacity: {
+      cpuMillis: Math.max(cpuMillis, largest?.cpuMillis ?? 0),
+      memoryMb: Math.max(memoryMb, largest?.memoryMb ?? 0),
+      gpus: Math.max(gpus, largest?.gpus ?? 0),
+    },
+  };
+}
+
 function createLoad(
   agentId: string,
   profile: WorkerProfile,
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -8,6 +8,7 @@
   RouteContainment,
   type WorkerCrash,
   type WorkerLoad,
+  type WorkerOffer,
 } from "../../../state/batch/mod.ts";
 import { parseJson } from "../../../state/errors/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
@@ -146,6 +147,7 @@
       farFactor,
       crashHistory: this.#crashHistory,
       getLoads: () => this.#getLoads(route),
+      getOffers: () => this.#getOffers(route),
       isConfined: () => this.#getConfinement(route) !== undefined,
       sendStart: (agentId, message) =>
         this.#links.get(agentId)?.startRuns(message),
@@ -215,6 +217,14 @@
       .length;
   }
 
+  /** Gets what all known workers of the service offer, also those away. */
+  #getOffers(route: Route): WorkerOffer[] {
+    return [...this.#links.values()]
+      .filter(({ lastService }) => lastService === route.service)
+      .map(({ offer }) => offer)
+      .filter((offer) => offer !== undefined);
+  }
+
   /** Gets the agents that a route is confined to; undefined if it is not. */
   #getConfinement(route: Route): ReadonlySet<string> | undefined {
     return this.#containment.getAgents(route.name, performance.now());
@@ -307,8 +317,11 @@
   #confineRoutes(crash: WorkerCrash): void {
     const links = [...this.#links.values()];
     const service = this.#links.get(crash.agentId)?.lastService;
+    // An agent that has not told its service yet may have the same one.
     const agentCount =
-      links.filter(({ lastService }) => lastService === service).length;
+      links.filter(({ lastService }) =>
+        lastService === service || lastService === ""
+      ).length;
     const routes = this.#containment.record({
       crash,
       history: this.#crashHistory,
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -1,5 +1,6 @@
 import {
   type BatchJob,
+  canRunStep,
   type CrashHistory,
   decideAdmission,
   getResponseTimes,
@@ -7,6 +8,7 @@
   placeTasks,
   type Route,
   type WorkerLoad,
+  type WorkerOffer,
 } from "../../../state/batch/mod.ts";
 import type { ErrorKind } from "../../../state/errors/mod.ts";
 import type { EventLog } from "../../ports/mod.ts";
@@ -38,6 +40,8 @@
   crashHistory: CrashHistory;
   /** Gets the workers that the job may use now. */
   getLoads: () => WorkerLoad[];
+  /** Gets what the known workers offer, those that are away included. */
+  getOffers: () => WorkerOffer[];
   /**
    * Returns whether the job may use only some of the workers, since tasks of its
    * route crash them.
@@ -127,11 +131,15 @@
     switch (decision.kind) {
       case "refused":
         this.#settle(
-          decision.error === "unplaceable" ? { kind: "failed" } : {
-            kind: "error",
-            error: decision.error,
-            retryAfterMs: decision.retryAfterMs,
-          },
+          decision.error === "unplaceable" && !this.#canRunLater()
+            ? { kind: "failed" }
+            : {
+              kind: "error",
+              error: decision.error === "unplaceable"
+                ? "no_capacity"
+                : decision.error,
+              retryAfterMs: decision.retryAfterMs,
+            },
         );
         return;
       case "admitted":
@@ -145,6 +153,15 @@
     }
   }
 
+  /**
+   * Returns whether the job would fit on the known workers if all of them were
+   * there with their full capacity.
+   */
+  #canRunLater(): boolean {
+    const offers = this.#options.getOffers();
+    return this.#options.job.steps.every((step) => canRunStep(step, offers));
+  }
+
   /** Cancels the job, because its client has disconnected or asked for it. */
   cancel(): void {
     this.#settleWithError("cancelled");
--- a/src/state/batch/decide_admission.ts
+++ b/src/state/batch/decide_admission.ts
@@ -27,7 +27,7 @@
     return refuse("no_capacity", MIN_RETRY_AFTER_MS);
   }
   if (placements.length < taskCount) {
-    return { kind: "refused", error: "unplaceable", retryAfterMs: 0 };
+    return refuse("unplaceable", MIN_RETRY_AFTER_MS);
   }
   const endMs = Math.max(0, ...placements.map((placed) => placed.endMs));
   return endMs > timeLeftMs
@@ -36,7 +36,7 @@
 }
 
 function refuse(
-  error: "no_capacity" | "deadline_unreachable",
+  error: "no_capacity" | "unplaceable" | "deadline_unreachable",
   retryAfterMs: number,
 ): AdmissionDecision {
   return {
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -10,6 +10,7 @@
   CrashHistory,
   type RunOutcome,
   type WorkerLoad,
+  type WorkerOffer,
 } from "../../../../src/state/batch/mod.ts";
 import { createBatchStep } from "../../../lib/create_batch_step.ts";
 import { RecordedLog } from "../../../lib/recorded_log.ts";
@@ -30,6 +31,7 @@
   readonly sentTimesLeftMs: number[] = [];
   readonly stopped: { agentId: string; tasks: string[] }[] = [];
   readonly log = new RecordedLog();
+  offers: WorkerOffer[] = [];
   isConfined = false;
   readonly crashHistory = new CrashHistory();
   loads: WorkerLoad[] = ["a", "b"].map((agentId) =>
@@ -42,7 +44,9 @@
     steps: BatchStep[],
     timeLeftMs = 10_000,
     loads?: WorkerLoad[],
+    offers: WorkerOffer[] = [],
   ) {
+    this.offers = offers;
     this.loads = loads ?? this.loads;
     this.run = new BatchJobRun({
       job: { id: JOB_ID, spec: "x", steps },
@@ -62,6 +66,7 @@
       log: this.log,
       crashHistory: this.crashHistory,
       getLoads: () => this.loads,
+      getOffers: () => this.offers,
       isConfined: () => this.isConfined,
       sendStart: (agentId, { runs, timeLeftMs }) => {
         this.sentTimesLeftMs.push(timeLeftMs);
@@ -219,6 +224,26 @@
     expect(job.answer).to.deep.equal({ kind: "failed" });
   });
 
+  it("does not fail a job whose workers are away or have shrunk", async () => {
+    const away = {
+      labels: ["big"],
+      capacity: { cpuMillis: 99_000, memoryMb: 99, gpus: 0 },
+    };
+    const resources = { cpuMillis: 90_000, memoryMb: 1, gpus: 0 };
+    const steps = [
+      createBatchStep({ resources }),
+      createBatchStep({ requiredLabel: "big" }),
+      createBatchStep({ count: 3, maxPerWorker: 1 }),
+    ];
+    for (const step of steps) {
+      const offers = [away, away, away];
+      const job = new JobHarness([step], 10_000, undefined, offers);
+      await wait(0);
+      expect(job.answer).to.include({ kind: "error", error: "no_capacity" });
+      expect(job.sent).to.have.length(0);
+    }
+  });
+
   it("stops its tasks when the client has disconnected", () => {
     const job = new JobHarness([createBatchStep({ count: 2 })]);
     job.run.cancel();
--- a/tests/lib/batch_cluster.ts
+++ b/tests/lib/batch_cluster.ts
@@ -119,6 +119,7 @@
       log: this.log,
       crashHistory: this.#crashHistory,
       getLoads: () => this.#getLoads(),
+      getOffers: () => [],
       isConfined: () => false,
       sendStart: (agentId, message) => this.#startRuns(agentId, message),
       sendStop: (agentId, tasks) =>
