Fail a job for crashes only when its task caused them

Two were counted: the start of its second run met a worker that another task had just crashed (connection reset, 16 ms after the order), and a start without an answer counted like a confirmed one. A run may also have ended unnoticed right before a crash.

Runs of a crash now say whether the worker had confirmed the start. A task fails its job after two confirmed crashes at the same point of its work, or after three at any; after four of any kind it is not started again, and the answer says that it is unknown whether it ran. So a sound task that met two crashes gets a third start. Lapsed leases count as unconfirmed.

--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -416,7 +416,12 @@
     const started = runs.filter(({ state }) =>
       state !== "starting" && state !== "interrupted"
     );
-    this.#recordWorkerEnd(end, [...this.#expiredRuns, ...started]);
+    this.#recordWorkerEnd(end, [
+      ...this.#expiredRuns.map((run) => createCrashedRun(run, end, false)),
+      ...started.map((run) =>
+        createCrashedRun(run, end, run.state !== "uncertain")
+      ),
+    ]);
     this.#expiredRuns = [];
     for (const run of runs) {
       if (run.state === "starting") {
@@ -439,33 +444,30 @@
       this.#endRun(run, "returned", end.reason);
       return;
     }
-    this.#recordWorkerEnd(end, [run]);
+    const hasStarted = error === undefined;
+    this.#recordWorkerEnd(end, [createCrashedRun(run, end, hasStarted)]);
     this.#endRun(run, end.outcome, end.reason);
   }
 
   /** Logs the runs of a worker that has ended, and reports a crash. */
-  #recordWorkerEnd(end: WorkerEnd, runs: readonly LocalRun[]): void {
+  #recordWorkerEnd(end: WorkerEnd, runs: readonly CrashedRun[]): void {
     if (runs.length === 0) {
       return;
     }
     const { log, metrics, onCrash } = this.#options;
-    const crashedRuns = runs.map(({ task, route, startedAt, crashes }) => ({
-      task,
-      route,
-      ranMs: Math.max(0, Math.round(end.at - startedAt)),
-      earlierCrashes: crashes,
-    }));
     log.record("runs_interrupted", {
       crash: end.id,
       outcome: end.outcome,
       reason: end.reason,
-      tasks: crashedRuns.map(({ task, ranMs }) => `${task} ${ranMs} ms`),
-      suspects: crashedRuns.filter(({ earlierCrashes }) => earlierCrashes > 0)
+      tasks: runs.map(({ task, ranMs, hasStarted }) =>
+        `${task} ${ranMs} ms${hasStarted ? "" : "?"}`
+      ),
+      suspects: runs.filter(({ earlierCrashes }) => earlierCrashes > 0)
         .map(({ task }) => task),
     });
     if (end.outcome === "crashed") {
       metrics.incrementCounter("worker_crashes", 1);
-      onCrash?.(end.id, crashedRuns);
+      onCrash?.(end.id, runs);
     }
   }
 
@@ -830,6 +832,21 @@
   }
 }
 
+function createCrashedRun(
+  run: LocalRun,
+  end: WorkerEnd,
+  hasStarted: boolean,
+): CrashedRun {
+  const { task, route, startedAt, crashes } = run;
+  return {
+    task,
+    route,
+    ranMs: Math.max(0, Math.round(end.at - startedAt)),
+    hasStarted,
+    earlierCrashes: crashes,
+  };
+}
+
 /** Returns whether a report was sent before the known one. */
 function isOlderReport(
   report: WorkerDescription,
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -257,24 +257,34 @@
   }
 
   /**
-   * Fails the job if so many workers have crashed under the task that it must
-   * not be started again.
-   * @returns Whether the job has failed.
+   * Settles the job if workers have crashed under the task and it must not be
+   * started again.
+   * @returns Whether the job is settled.
    */
   #giveUpCrashing(task: BatchTask): boolean {
     const { crashHistory, log, job, route } = this.#options;
-    if (!crashHistory.isGivenUp(task.name)) {
+    const verdict = crashHistory.getVerdict(task.name);
+    if (verdict === "may_start") {
       return false;
     }
     log.record("task_given_up", {
       job: job.id,
       route: route.name,
       task: task.name,
+      verdict,
       crashes: crashHistory.getCount(task.name),
       agents: crashHistory.getCrashes(task.name).map(({ agentId }) => agentId),
     });
-    this.#settle({ kind: "failed" });
-    return true;
+    switch (verdict) {
+      case "crashes_workers":
+        this.#settle({ kind: "failed" });
+        return true;
+      case "unclear":
+        this.#settle({ kind: "error", error: "agent_lost" });
+        return true;
+      default:
+        return verdict satisfies never;
+    }
   }
 
   #getSentTo(agentId: string): BatchTask[] {
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -69,7 +69,8 @@
 }
 
 function createCrashedRunRow(run: CrashedRun): unknown[] {
-  return [run.task, run.route, run.ranMs, run.earlierCrashes];
+  const { task, route, ranMs, hasStarted, earlierCrashes } = run;
+  return [task, route, ranMs, hasStarted, earlierCrashes];
 }
 
 function createRunEndRow(end: RunEnd): unknown[] {
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -26,6 +26,7 @@
   task: string,
   route: string,
   ranMs: number,
+  hasStarted: boolean,
   earlierCrashes: number,
 ];
 
@@ -150,8 +151,8 @@
 }
 
 function parseCrashedRun(row: CrashedRunRow): CrashedRun {
-  const [task, route, ranMs, earlierCrashes] = row;
-  return { task, route, ranMs, earlierCrashes };
+  const [task, route, ranMs, hasStarted, earlierCrashes] = row;
+  return { task, route, ranMs, hasStarted, earlierCrashes };
 }
 
 function parseRunEnd([task, run, outcome, runMs, detail]: RunEndRow): RunEnd {
--- a/src/state/batch/crash_history.ts
+++ b/src/state/batch/crash_history.ts
@@ -1,8 +1,10 @@
 /**
  * What is known of the tasks under which workers have crashed. Agents report
- * each crash to all entries, so the counts outlive the entry of a job, and hold
- * when its client submits it again elsewhere.
+ * each crash to all entries, so this outlives the entry of a job, and holds when
+ * its client submits it again elsewhere.
  */
+import type { CrashedRun } from "./crashed_run.ts";
+import type { CrashVerdict } from "./crash_verdict.ts";
 import type { WorkerCrash } from "./worker_crash.ts";
 
 /**
@@ -15,13 +17,25 @@
 const MAX_CRASHES = 1_000;
 
 /**
- * Crashes under a task after which it is given up. One crash may be another
- * task's doing.
+ * Difference of the run times before two crashes up to which they count as the
+ * same point of the task's work, in milliseconds. Agents notice a crash within a
+ * few milliseconds.
  */
-const MAX_CRASHES_PER_TASK = 2;
+const SAME_POINT_TOLERANCE_MS = 15;
+
+/**
+ * Crashes after which a task is the cause of at least two. A run may have ended
+ * right before a crash without the agent's knowledge.
+ */
+const MAX_CERTAIN_CRASHES = 3;
+
+/** Crashes after which a task is not started again, whatever caused them. */
+const MAX_CRASHES_PER_TASK = 4;
 
 export class CrashHistory {
   readonly #crashes = new Map<string, WorkerCrash>();
+  readonly #crashesByTask = new Map<string, WorkerCrash[]>();
+  /** Crashes that agents know of, also those before the start of this entry. */
   readonly #countsByTask = new Map<string, number>();
 
   /** Gets the number of workers that have crashed under a task. */
@@ -29,18 +43,33 @@
     return this.#countsByTask.get(task) ?? 0;
   }
 
-  /** Returns whether a task must not be started again. */
-  isGivenUp(task: string): boolean {
-    return this.getCount(task) >= MAX_CRASHES_PER_TASK;
+  /** Gets the known crashes under a task. */
+  getCrashes(task: string): readonly WorkerCrash[] {
+    return this.#crashesByTask.get(task) ?? [];
   }
 
-  /** Gets the known crashes under a task. */
-  getCrashes(task: string): WorkerCrash[] {
-    return [...this.#crashes.values()].filter(({ runs }) =>
-      runs.some((run) => run.task === task)
+  /** Returns whether a task crashed two workers at the same point of its work. */
+  hasCrashedAtSamePoint(task: string): boolean {
+    const times = this.#getCertainRuns(task).map(({ ranMs }) => ranMs)
+      .sort((a, b) => a - b);
+    return times.some((ranMs, n) =>
+      n > 0 && ranMs - (times[n - 1] as number) < SAME_POINT_TOLERANCE_MS
     );
   }
 
+  /** Decides whether a task may be started again. */
+  getVerdict(task: string): CrashVerdict {
+    if (
+      this.hasCrashedAtSamePoint(task) ||
+      this.#getCertainRuns(task).length >= MAX_CERTAIN_CRASHES
+    ) {
+      return "crashes_workers";
+    }
+    return this.getCount(task) >= MAX_CRASHES_PER_TASK
+      ? "unclear"
+      : "may_start";
+  }
+
   /**
    * Adds a crash, or further runs of a known one.
    * @returns The crash with the runs that were not known of it yet.
@@ -53,6 +82,7 @@
     for (const { task, earlierCrashes } of runs) {
       const count = Math.max(this.getCount(task), earlierCrashes) + 1;
       this.#countsByTask.set(task, count);
+      this.#crashesByTask.set(task, [...this.getCrashes(task), crash]);
     }
     this.#crashes.set(crash.id, {
       ...crash,
@@ -61,6 +91,12 @@
     return { ...crash, runs };
   }
 
+  #getCertainRuns(task: string): CrashedRun[] {
+    return this.getCrashes(task).flatMap(({ runs }) =>
+      runs.filter((run) => run.task === task && run.hasStarted)
+    );
+  }
+
   #removeOld(now: number): void {
     for (const [id, crash] of this.#crashes) {
       const isOld = now - crash.at > RETENTION_MS;
@@ -70,6 +106,7 @@
       this.#crashes.delete(id);
       for (const { task } of crash.runs) {
         this.#countsByTask.delete(task);
+        this.#crashesByTask.delete(task);
       }
     }
   }
--- a/src/state/batch/crashed_run.ts
+++ b/src/state/batch/crashed_run.ts
@@ -5,6 +5,11 @@
   readonly route: string;
   /** Time from its start to the crash, in milliseconds. */
   readonly ranMs: number;
+  /**
+   * Whether the worker had confirmed the start. Otherwise the order may have met
+   * a worker that was crashing already.
+   */
+  readonly hasStarted: boolean;
   /** Number of workers that had crashed under the task before. */
   readonly earlierCrashes: number;
 }
--- a/src/state/batch/mod.ts
+++ b/src/state/batch/mod.ts
@@ -5,6 +5,7 @@
 export type { BatchStep } from "./batch_step.ts";
 export { canRunStep } from "./can_run_step.ts";
 export type { CrashedRun } from "./crashed_run.ts";
+export type { CrashVerdict } from "./crash_verdict.ts";
 export { CrashHistory } from "./crash_history.ts";
 export { decideAdmission } from "./decide_admission.ts";
 export { decideIntake } from "./decide_intake.ts";
--- a/src/state/batch/route_containment.ts
+++ b/src/state/batch/route_containment.ts
@@ -6,7 +6,6 @@
  * workers, the route is confined to those workers until the crashes cease, and
  * the other routes use the rest.
  */
-import type { CrashedRun } from "./crashed_run.ts";
 import type { CrashHistory } from "./crash_history.ts";
 import type { WorkerCrash } from "./worker_crash.ts";
 import type { WorkerLoad } from "./worker_load.ts";
@@ -21,13 +20,6 @@
 /** Share of the workers that a route may take down before it is confined. */
 const MAX_CRASHED_SHARE = 0.25;
 
-/**
- * Difference of the run times before two crashes up to which they count as the
- * same point of the task's work, in milliseconds. Agents notice a crash within a
- * few milliseconds.
- */
-const SAME_POINT_TOLERANCE_MS = 15;
-
 /**
  * Weight of a task that was under two crashes at about the same point of its
  * work, as is one that causes them, and of one for which the points differ.
@@ -51,6 +43,7 @@
 
 export interface RecordCrashOptions {
   crash: WorkerCrash;
+  /** Contains the crash already. */
   history: CrashHistory;
   /** Number of agents whose workers serve the route of the runs. */
   agentCount: number;
@@ -82,12 +75,12 @@
     const blamedRoutes = new Set<string>();
     for (const run of crash.runs) {
       const { task, route } = run;
-      if (run.earlierCrashes > 0) {
+      if (run.earlierCrashes > 0 && run.hasStarted) {
         blamedRoutes.add(route);
-        const earlier = history.getCrashes(task)
-          .filter(({ id }) => id !== crash.id);
-        const weight = getCulpritWeight(run, earlier);
-        for (const { agentId, at } of [crash, ...earlier]) {
+        const weight = history.hasCrashedAtSamePoint(task)
+          ? CULPRIT_WEIGHT.samePoint
+          : CULPRIT_WEIGHT.otherPoint;
+        for (const { agentId, at } of history.getCrashes(task)) {
           this.#addBlame(route, { agentId, at, culprit: task, weight });
         }
       }
@@ -176,15 +169,3 @@
     }
   }
 }
-
-function getCulpritWeight(
-  run: CrashedRun,
-  earlierCrashes: readonly WorkerCrash[],
-): number {
-  const isSamePoint = earlierCrashes.some(({ runs }) =>
-    runs.some(({ task, ranMs }) =>
-      task === run.task && Math.abs(ranMs - run.ranMs) < SAME_POINT_TOLERANCE_MS
-    )
-  );
-  return isSamePoint ? CULPRIT_WEIGHT.samePoint : CULPRIT_WEIGHT.otherPoint;
-}
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -7,6 +7,7 @@
   WorkerRunner,
 } from "../../../../src/coordination/batch/agent/mod.ts";
 import type { RunEnd } from "../../../../src/coordination/messages/mod.ts";
+import type { CrashedRun } from "../../../../src/state/batch/mod.ts";
 import { Metrics } from "../../../../src/state/metrics/mod.ts";
 import { FakeWorker } from "../../../lib/fake_worker.ts";
 import { RecordedLog } from "../../../lib/recorded_log.ts";
@@ -83,12 +84,14 @@
   let runner: WorkerRunner;
   let owner: TestOwner;
   let isInService: boolean;
+  let crashes: (readonly CrashedRun[])[];
 
   beforeEach(() => {
     worker = new FakeWorker();
     log = new RecordedLog();
     owner = new TestOwner();
     isInService = true;
+    crashes = [];
     runner = new WorkerRunner({
       control: worker,
       incarnation: "i",
@@ -96,6 +99,7 @@
       metrics: new Metrics(),
       isInService: () => isInService,
       onChange: () => {},
+      onCrash: (_id, runs) => crashes.push(runs),
     });
   });
 
@@ -305,6 +309,38 @@
     expect(crash?.fields["tasks"]).to.have.length(1);
   });
 
+  it("does not hold a crash against a run whose start met a crashing worker", async () => {
+    await startWorker();
+    await startRun(createRun(owner, { task: "a" }));
+    worker.startFaults.push("connection_reset");
+    runner.add(createRun(owner, { task: "b" }));
+    runner.processQueue();
+    await waitUntil(() => owner.ends.length === 2, "both runs have ended");
+    expect(
+      crashes.flat().map(({ task, hasStarted }) => [task, hasStarted]),
+    ).to.have.deep.members([["a", true], ["b", false]]);
+  });
+
+  it("returns a run whose start met a worker that no longer listens", async () => {
+    await startWorker();
+    worker.isDown = true;
+    runner.add(createRun(owner));
+    runner.processQueue();
+    await waitUntil(() => owner.ends.length === 1, "the run has ended");
+    expect(owner.getOutcomes()).to.deep.equal(["returned"]);
+    expect(crashes).to.deep.equal([]);
+  });
+
+  it("does not take the end of a draining worker as a crash", async () => {
+    await startWorker();
+    await startRun(createRun(owner));
+    runner.handleWorkerLeave("w-1");
+    worker.isDown = true;
+    await waitUntil(() => owner.ends.length === 1, "the run has ended");
+    expect(owner.getOutcomes()).to.deep.equal(["lost"]);
+    expect(crashes).to.deep.equal([]);
+  });
+
   it("reports runs of an unresponsive worker as lost after their lease", async () => {
     await startWorker();
     const startedAt = performance.now();
--- a/tests/lib/fake_worker.ts
+++ b/tests/lib/fake_worker.ts
@@ -20,7 +20,11 @@
 }
 
 /** A fault that is injected into a start of a run. */
-export type StartFault = "answer_lost" | "carried_out_late" | "refused";
+export type StartFault =
+  | "answer_lost"
+  | "carried_out_late"
+  | "connection_reset"
+  | "refused";
 
 /**
  * An in-memory worker that handles leases, fencing tokens and the list of ended
@@ -66,6 +70,9 @@
       case "carried_out_late":
         void wait(this.lateStartDelayMs).then(() => this.#executeStart(order));
         return await this.#timeOut(order);
+      case "connection_reset":
+        this.crash();
+        return err(createError("upstream_reset", "reset"));
       case "refused":
         return ok(this.#createReply("no_room"));
       case undefined:
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -58,7 +58,10 @@
     value: {
       id: "i/1",
       ageMs: 12,
-      runs: [{ task: TASK, route: "r-1", ranMs: 50, earlierCrashes: 1 }],
+      runs: [{
+        ...{ task: TASK, route: "r-1", ranMs: 50 },
+        ...{ hasStarted: true, earlierCrashes: 1 },
+      }],
     },
   },
   {
--- a/tests/state/batch/route_containment_simulation_test.ts
+++ b/tests/state/batch/route_containment_simulation_test.ts
@@ -229,6 +229,7 @@
         task: task.name,
         route: task.job.kind.route,
         ranMs: now - startedAt,
+        hasStarted: true,
         earlierCrashes: history.getCount(task.name),
       })),
     };
@@ -238,7 +239,9 @@
         history.record(crash);
         containment.record({ crash, history, agentCount: WORKER_COUNT });
         for (const { task } of [...running, ...queued]) {
-          if (policy !== "naive" && history.isGivenUp(task.name)) {
+          if (
+            policy !== "naive" && history.getVerdict(task.name) !== "may_start"
+          ) {
             task.job.isEnded = true;
           }
           retries.push({ at: now + 1, task });
--- a/tests/state/batch/route_containment_test.ts
+++ b/tests/state/batch/route_containment_test.ts
@@ -34,7 +34,10 @@
       id: `${agentId}/${at}`,
       agentId,
       at,
-      runs: [{ task, route, ranMs, earlierCrashes: history.getCount(task) }],
+      runs: [{
+        ...{ task, route, ranMs, hasStarted: true },
+        earlierCrashes: history.getCount(task),
+      }],
     };
     history.record(crash);
     return containment.record({ crash, history, agentCount: AGENT_COUNT });
