Let the soak crash workers by tasks and shrink their capacity

One job in 150 has a task that crashes each worker that starts it; the worker refuses connections for 2 s and returns as a new incarnation. A worker fault shrinks the capacity to 0.4, and every second worker does not guard it. The oracle checks the users' two new rules from what workers see: no third start after three crashes, no start over a capacity that shrank longer ago than their bound; a job may fail when two workers crashed under a task of it. Each check has a test of the oracle.

--- a/scripts/soak/create_soak_plan.ts
+++ b/scripts/soak/create_soak_plan.ts
@@ -36,6 +36,7 @@
   { ordersLateMs: 2_500 },
   { failsRuns: true },
   { stallsRuns: true },
+  { capacityShare: 0.4 },
 ] as const;
 
 const KINDS = [
--- a/scripts/soak/run_soak_seed.ts
+++ b/scripts/soak/run_soak_seed.ts
@@ -41,9 +41,12 @@
     ...{ folder, entries, agents, zones: ZONES, services: SERVICES },
     findTask: (task) => {
       const job = oracle.getJob(task.slice(0, task.indexOf(".")));
-      return job === undefined
-        ? undefined
-        : { cpuMillis: job.cpuMillis, runMs: job.expectedMs };
+      return job === undefined ? undefined : {
+        cpuMillis: job.cpuMillis,
+        runMs: job.expectedMs,
+        crashesWorkers: job.crashesWorkers === true &&
+          task.endsWith(".0.0.0"),
+      };
     },
     onEvent: (event, location) => oracle.handleEvent(event, location),
   });
--- a/scripts/soak/soak_clients.ts
+++ b/scripts/soak/soak_clients.ts
@@ -33,6 +33,9 @@
 /** Percentages of jobs whose client disconnects early or that fit no worker. */
 const JOB_PERCENT = { disconnecting: 4, unplaceable: 2 } as const;
 
+/** Of so many jobs, one has a task that crashes each worker that starts it. */
+const CRASHING_JOB_INTERVAL = 150;
+
 export interface SoakClientsOptions {
   seed: number;
   entries: readonly SoakEntry[];
@@ -85,7 +88,11 @@
   async runProbeJobs(count: number): Promise<string[]> {
     const ids: string[] = [];
     for (let n = 0; n < count; n++) {
-      const job = { ...this.#createJob(), cpuMillis: 2_000 };
+      const job = {
+        ...this.#createJob(),
+        cpuMillis: 2_000,
+        crashesWorkers: false,
+      };
       ids.push(job.id);
       await this.#submit(job, { isProbe: true });
     }
@@ -111,6 +118,7 @@
       steps: this.#getInt(1, 4) === 1 ? 2 : 1,
       cpuMillis: isUnplaceable ? 64_000 : 2_000,
       expectedMs: runMs,
+      crashesWorkers: this.#jobCount % CRASHING_JOB_INTERVAL === 0,
     };
   }
 
--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -17,6 +17,9 @@
 /** Slowdown of tasks outside their data's rack; soak jobs name no rack. */
 const FAR_FACTOR = 1.5;
 
+/** Time after which a worker that a task has crashed is back. */
+const WORKER_RESTART_MS = 2_000;
+
 export interface SoakClusterOptions {
   /** Folder for settings and logs. */
   folder: string;
@@ -127,6 +130,16 @@
     const service = services[n % services.length] as string;
     const reportAddress = `127.0.0.1:${await findFreePort()}`;
     const peerAddress = `127.0.0.1:${await findFreePort()}`;
+    const handleEvent = (event: WorkerEvent) => {
+      onEvent(event, { agent: name, zone, service });
+      if (event.kind === "crash_caused") {
+        workerRelay.setMode({ type: "refuse" });
+        setTimeout(() => {
+          workerRelay.setMode({ type: "pass" });
+          worker.startIncarnation();
+        }, WORKER_RESTART_MS);
+      }
+    };
     const worker = new WorkerStandIn({
       name: `worker-${n + 1}`,
       service,
@@ -137,7 +150,8 @@
       clockRate: n % 2 === 0 ? 1 : 0.98,
       reportAddress,
       findTask,
-      onEvent: (event) => onEvent(event, { agent: name, zone, service }),
+      guardsCapacity: n % 2 === 0,
+      onEvent: handleEvent,
     });
     const peerRelay = new Relay(peerAddress);
     const workerRelay = new Relay(await worker.start());
--- a/scripts/soak/soak_oracle.ts
+++ b/scripts/soak/soak_oracle.ts
@@ -10,6 +10,15 @@
  */
 const BOUNDS_MS = { drain: 2_000, zoneOut: 5_000 } as const;
 
+/** The users' limit of starts of a task that crashes its workers. */
+const CRASH_LIMIT = { crashes: 3, startsAfter: 2 } as const;
+
+/**
+ * Time after a worker's capacity shrank within which a start may still exceed
+ * it: the users' bound, and one report.
+ */
+const CAPACITY_BOUND_MS = 3_500;
+
 /** Allowance for events of stand-ins that are delayed on a busy machine. */
 const SLACK_MS = 500;
 
@@ -26,6 +35,9 @@
   starts: number;
   done: number;
   failed: number;
+  /** Number of workers that crashed while they ran it. */
+  crashed: number;
+  startsAfterCrashes: number;
 }
 
 /**
@@ -89,7 +101,10 @@
       );
     }
     const canFail = record.job.cpuMillis > SOAK_LIMITS.workerCpuMillis ||
-      tasks.some((task) => (task?.failed ?? 0) >= SOAK_LIMITS.maxAttempts);
+      tasks.some((task) =>
+        (task?.failed ?? 0) >= SOAK_LIMITS.maxAttempts ||
+        (task?.crashed ?? 0) >= SOAK_LIMITS.crashesToGiveUp
+      );
     if (outcome.state === "failed" && !canFail) {
       this.addViolation(`${jobId} was answered as failed without a cause`);
     }
@@ -107,6 +122,7 @@
           task.workerId = undefined;
           task.done += event.endReason === "done" ? 1 : 0;
           task.failed += event.endReason === "failed" ? 1 : 0;
+          task.crashed += event.endReason === "crashed" ? 1 : 0;
         }
         return;
       }
@@ -115,6 +131,15 @@
           this.#drainedAt.set(event.workerId, event.at);
         }
         return;
+      case "over_capacity":
+        if (event.shrunkForMs > CAPACITY_BOUND_MS + SLACK_MS) {
+          this.addViolation(
+            `${event.task} starts over the capacity of ${event.workerId}`,
+          );
+        }
+        return;
+      case "crash_caused":
+        return;
       case "life_started":
         this.#drainedAt.delete(event.workerId);
         return;
@@ -174,7 +199,10 @@
       return;
     }
     const task = this.#tasks.get(event.task) ??
-      { workerId: undefined, starts: 0, done: 0, failed: 0 };
+      {
+        ...{ workerId: undefined, starts: 0, done: 0, failed: 0 },
+        ...{ crashed: 0, startsAfterCrashes: 0 },
+      };
     if (task.workerId !== undefined) {
       this.addViolation(
         `${event.task} runs at ${task.workerId} and at ${workerId}`,
@@ -182,6 +210,12 @@
     }
     task.workerId = workerId;
     task.starts++;
+    task.startsAfterCrashes += task.crashed >= CRASH_LIMIT.crashes ? 1 : 0;
+    if (task.startsAfterCrashes > CRASH_LIMIT.startsAfter) {
+      this.addViolation(
+        `${event.task} starts again after ${task.crashed} workers crashed under it`,
+      );
+    }
     this.#tasks.set(event.task, task);
     if (record.service !== location.service) {
       this.addViolation(
--- a/tests/soak/soak_oracle_test.ts
+++ b/tests/soak/soak_oracle_test.ts
@@ -50,6 +50,39 @@
     expect(oracle.violations[0]).to.contain(text);
   }
 
+  it("finds a task that is started three times after three workers crashed", () => {
+    for (let crash = 0; crash < 5; crash++) {
+      start(FIRST_STEP_TASK);
+      end(FIRST_STEP_TASK, "crashed");
+    }
+    expect(oracle.violations).to.deep.equal([]);
+    start(FIRST_STEP_TASK);
+    expectOneViolation("after 5 workers crashed under it");
+  });
+
+  it("lets a job fail when two workers have crashed under a task of it", () => {
+    const answer = { kind: "answer", status: 200, state: "failed" } as const;
+    start(FIRST_STEP_TASK);
+    end(FIRST_STEP_TASK, "crashed");
+    oracle.recordOutcome(JOB.id, answer);
+    expectOneViolation("failed without a cause");
+    start(FIRST_STEP_TASK);
+    end(FIRST_STEP_TASK, "crashed");
+    oracle.recordOutcome(JOB.id, answer);
+    expect(oracle.violations).to.have.length(1);
+  });
+
+  it("finds a start over a capacity that shrank long before", () => {
+    const event = {
+      ...{ kind: "over_capacity", task: FIRST_STEP_TASK } as const,
+      ...{ workerId: "w-1", at: performance.now() },
+    };
+    oracle.handleEvent({ ...event, shrunkForMs: 3_000 }, LOCATION);
+    expect(oracle.violations).to.deep.equal([]);
+    oracle.handleEvent({ ...event, shrunkForMs: 5_000 }, LOCATION);
+    expectOneViolation("over the capacity");
+  });
+
   it("finds no violation in a job that runs correctly", () => {
     start(FIRST_STEP_TASK);
     end(FIRST_STEP_TASK, "done");
