Log the time in which an answer is of use with each admission

A job that is refused because it can't end within four times its target logged only the client's time, which explains nothing.

--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -120,6 +120,7 @@
       route: route.name,
       tasks: this.#tasksByName.size,
       timeLeftMs: Math.round(timeLeftMs),
+      usefulMs: Math.round(this.#usefulUntil - this.#getTime()),
       workers: loads.length,
       priority: route.priority,
       expectedMs: job.steps[0]?.expectedMs,
