Leave a confined route no more than a quarter of the workers

A route was confined to all workers that it had taken down by then, four or five of eleven. It now keeps the quarter that it took down last.

--- a/src/state/batch/route_containment.ts
+++ b/src/state/batch/route_containment.ts
@@ -3,8 +3,8 @@
  * load on which many requests of a route hold a task that crashes its worker:
  * each one takes down a worker before it is known, and together they take down
  * all of them. Once the tasks of a route have caused the loss of a share of the
- * workers, the route is confined to those workers until the crashes cease, and
- * the other routes use the rest.
+ * workers, the route is confined to as many of those until the crashes cease,
+ * and the other routes use the rest.
  */
 import type { CrashHistory } from "./crash_history.ts";
 import type { WorkerCrash } from "./worker_crash.ts";
@@ -17,7 +17,10 @@
  */
 const BLAME_PERIOD_MS = 5_000;
 
-/** Share of the workers that a route may take down before it is confined. */
+/**
+ * Share of the workers that a route may take down before it is confined, and of
+ * those that it may use then.
+ */
 const MAX_CRASHED_SHARE = 0.25;
 
 /**
@@ -140,7 +143,8 @@
     ) {
       return false;
     }
-    this.#agentsByRoute.set(route, agents);
+    const maxAgents = Math.ceil(MAX_CRASHED_SHARE * agentCount);
+    this.#agentsByRoute.set(route, new Set([...agents].slice(-maxAgents)));
     return true;
   }
 
