Take only a broken connection as the time of a crash

The time of a crash was that of the first failed lease call, which may be a time-out long before it. Runs that started in between would count as crashing at 0 ms, each time: the same point. Only a broken connection counts now, and a run that started after it is no evidence against its task.

Placing without a confined route copies no list any more.

--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -59,7 +59,7 @@
   /** Latest possible end of the lease, on the monotonic clock. */
   #expiresAt: number;
   #failedCallCount = 0;
-  #failedSince: number | undefined;
+  #brokenAt: number | undefined;
   #isRequestingReport = false;
   #isReportRequested = false;
 
@@ -74,11 +74,11 @@
   }
 
   /**
-   * Gets the time of the first failed call since the last report, on the
-   * monotonic clock; undefined when the latest call did not fail.
+   * Gets the time at which the connection of a call broke for the first time
+   * since the last report, on the monotonic clock.
    */
-  get failedSince(): number | undefined {
-    return this.#failedSince;
+  get brokenAt(): number | undefined {
+    return this.#brokenAt;
   }
 
   /** Records that an order that extends the lease was sent. */
@@ -161,7 +161,7 @@
       case "report":
         this.#hasReport = true;
         this.#failedCallCount = 0;
-        this.#failedSince = undefined;
+        this.#brokenAt = undefined;
         this.#options.clock.record(answer.workerClockMs, getTime());
         this.#options.onReport(answer, request);
         return;
@@ -183,8 +183,10 @@
 
   async #handleFailure(kind: string, reason: string): Promise<void> {
     this.#failedCallCount++;
-    this.#failedSince ??= this.#options.getTime();
     const { log, workerId, getTime, onLost, onExpired } = this.#options;
+    if (kind === "upstream_reset") {
+      this.#brokenAt ??= getTime();
+    }
     // The worker must ignore the lost renewal if it arrives later.
     this.#options.fence.raise();
     if (this.#failedCallCount === MAX_FAILED_CALLS) {
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -409,7 +409,7 @@
     const end: WorkerEnd = {
       id: `${this.#options.incarnation}/${this.#crashCount}`,
       outcome: worker?.isDraining === true ? "lost" : "crashed",
-      at: this.#lease?.failedSince ?? this.#getTime(),
+      at: this.#lease?.brokenAt ?? this.#getTime(),
       reason,
     };
     const runs = [...this.#runs.values()];
@@ -832,17 +832,21 @@
   }
 }
 
+/**
+ * @param isConfirmed - Whether the worker has confirmed the start. A start after
+ * the connection had broken is no evidence against the run, even so.
+ */
 function createCrashedRun(
   run: LocalRun,
   end: WorkerEnd,
-  hasStarted: boolean,
+  isConfirmed: boolean,
 ): CrashedRun {
   const { task, route, startedAt, crashes } = run;
   return {
     task,
     route,
     ranMs: Math.max(0, Math.round(end.at - startedAt)),
-    hasStarted,
+    hasStarted: isConfirmed && startedAt <= end.at,
     earlierCrashes: crashes,
   };
 }
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -230,7 +230,7 @@
     return this.#containment.getAgents(route.name, performance.now());
   }
 
-  #getLoads(route: Route): WorkerLoad[] {
+  #getLoads(route: Route): readonly WorkerLoad[] {
     const loads: WorkerLoad[] = [];
     for (const link of this.#links.values()) {
       const load = link.getLoad(route.service);
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -39,7 +39,7 @@
   /** Crashes of workers that the agents have reported. */
   crashHistory: CrashHistory;
   /** Gets the workers that the job may use now. */
-  getLoads: () => WorkerLoad[];
+  getLoads: () => readonly WorkerLoad[];
   /** Gets what the known workers offer, those that are away included. */
   getOffers: () => WorkerOffer[];
   /**
@@ -98,7 +98,7 @@
 
   /** Admits the job and sends its first tasks, or refuses it. */
   start(): void {
-    const { job, route, log, timeLeftMs, getLoads } = this.#options;
+    const { job, route, log, timeLeftMs, getLoads, isConfined } = this.#options;
     for (const task of this.#tasksByName.values()) {
       if (this.#giveUpCrashing(task)) {
         return;
@@ -122,6 +122,7 @@
       timeLeftMs: Math.round(timeLeftMs),
       usefulMs: Math.round(this.#usefulUntil - this.#getTime()),
       workers: loads.length,
+      isConfined: isConfined() || undefined,
       priority: route.priority,
       expectedMs: job.steps[0]?.expectedMs,
       ...decision,
--- a/src/state/batch/route_containment.ts
+++ b/src/state/batch/route_containment.ts
@@ -108,15 +108,18 @@
     route: string,
     loads: readonly WorkerLoad[],
     now: number,
-  ): WorkerLoad[] {
+  ): readonly WorkerLoad[] {
     const agents = this.getAgents(route, now);
+    if (this.#agentsByRoute.size === 0) {
+      return loads;
+    }
     if (agents !== undefined) {
       return loads.filter(({ agentId }) => agents.has(agentId));
     }
     const others = loads.filter(({ agentId }) =>
       ![...this.#agentsByRoute.values()].some((taken) => taken.has(agentId))
     );
-    return others.length > 0 ? others : [...loads];
+    return others.length > 0 ? others : loads;
   }
 
   /** Blames a confined route for the crash of a worker that had no other. */
--- a/tests/state/batch/route_containment_simulation_test.ts
+++ b/tests/state/batch/route_containment_simulation_test.ts
@@ -135,7 +135,7 @@
     }
   }
 
-  function getLoads(route: string): WorkerLoad[] {
+  function getLoads(route: string): readonly WorkerLoad[] {
     const loads = workers.filter(({ upAt }) => upAt <= now).map(createLoad);
     return policy === "product"
       ? containment.filterLoads(route, loads, now)
