Separate suspects only where they would crash at the same time

Every crash of a worker made suspects of the ten or so tasks on it, and an agent ran one suspect at a time. After a crash that no task caused, as of a rack, each of the others got several and ran them one after the other, a second or two of work; their answers were late.

A task that crashes workers does so at the same point of its work, so a crash tells suspects apart that reach theirs at different times. Two of them are now kept 30 ms apart at these points, and a run that has passed its point is no suspect any more. Since several suspects may be under one crash, the blame is divided among those that match it, or among all.

Tests: both new ones of WorkerRunner fail before (one start instead of two at different points).

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -231,6 +231,7 @@
         jobId: message.jobId,
         route: message.route,
         crashes: order.crashes,
+        crashedAfterMs: order.crashedAfterMs,
         spec: message.spec,
         owner: this,
         resources: {
--- a/src/coordination/batch/agent/local_run.ts
+++ b/src/coordination/batch/agent/local_run.ts
@@ -14,6 +14,8 @@
   readonly route: string;
   /** Number of workers that have crashed under the task. */
   readonly crashes: number;
+  /** Run time before the latest of these crashes in milliseconds, 0 if none. */
+  readonly crashedAfterMs: number;
   readonly spec: string;
   readonly owner: RunOwner;
   /** `interrupted`: the worker ended before the reply to the start. */
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -4,6 +4,7 @@
   hasRoom,
   type RunOutcome,
   RunQueue,
+  SAME_POINT_TOLERANCE_MS,
   SlowdownEstimate,
   type TaskResources,
 } from "../../../state/batch/mod.ts";
@@ -64,6 +65,12 @@
  */
 const MIN_REMAINING_SHARE = 0.15;
 
+/**
+ * Least time between the moments at which two runs of one worker reach the
+ * points at which workers have crashed under their tasks, in milliseconds.
+ */
+const SUSPECT_SPACING_MS = 2 * SAME_POINT_TOLERANCE_MS;
+
 const NO_RESOURCES: TaskResources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
 export interface WorkerRunnerOptions {
@@ -112,6 +119,8 @@
    */
   #expiredRuns: LocalRun[] = [];
   #crashCount = 0;
+  /** Runs the queue again once a run that waits for a suspect may start. */
+  #suspectTimer: NodeJS.Timeout | undefined;
   #unhealthyUntil = 0;
   #failureShare = 0;
 
@@ -232,6 +241,7 @@
 
   /** Stops renewing the lease. */
   stop(): void {
+    clearTimeout(this.#suspectTimer);
     this.#lease?.stop();
   }
 
@@ -271,14 +281,27 @@
 
   /**
    * Returns whether a run must wait since a worker has crashed under its task,
-   * and under that of a started run: two such tasks are kept apart, so that a
-   * further crash tells which of them is the cause.
+   * and a started run reaches the point of such a crash at the same time. Kept
+   * apart, a further crash tells which of the two tasks is the cause.
    */
   #mustWaitForSuspect(run: LocalRun): boolean {
-    return run.crashes > 0 &&
-      [...this.#runs.values()].some((other) =>
-        other.state !== "queued" && other.crashes > 0
-      );
+    if (run.crashes === 0) {
+      return false;
+    }
+    const now = this.#getTime();
+    const crashPointAt = now + run.crashedAfterMs;
+    const mustWait = [...this.#runs.values()].some((other) =>
+      other.state !== "queued" && isSuspect(other, now) &&
+      Math.abs(other.startedAt + other.crashedAfterMs - crashPointAt) <
+        SUSPECT_SPACING_MS
+    );
+    if (mustWait) {
+      this.#suspectTimer ??= setTimeout(() => {
+        this.#suspectTimer = undefined;
+        this.processQueue();
+      }, SUSPECT_SPACING_MS);
+    }
+    return mustWait;
   }
 
   /** Gets what entries are told of the worker when it changes. */
@@ -309,11 +332,19 @@
         Math.round(ms * this.#slowdown.value)
       ),
       failureShare: round(this.#failureShare),
-      suspectRuns: [...this.#runs.values()].filter(({ crashes }) => crashes > 0)
-        .length,
+      suspectRuns: this.#countSuspects(),
     };
   }
 
+  #countSuspects(): number {
+    const now = this.#getTime();
+    let count = 0;
+    for (const run of this.#runs.values()) {
+      count += isSuspect(run, now) ? 1 : 0;
+    }
+    return count;
+  }
+
   #getRefusalReason(): string {
     const worker = this.#worker;
     if (worker === undefined) {
@@ -864,6 +895,16 @@
       report.workerId === known.workerId && report.sequence < known.sequence);
 }
 
+/**
+ * Returns whether a worker has crashed under the run's task, and the run has not
+ * passed the point of that crash.
+ */
+function isSuspect(run: LocalRun, now: number): boolean {
+  return run.crashes > 0 &&
+    (run.state === "queued" ||
+      now < run.startedAt + run.crashedAfterMs + SAME_POINT_TOLERANCE_MS);
+}
+
 /** Rounds a ratio to three decimals, which keeps its message short. */
 function round(ratio: number): number {
   return Math.round(ratio * 1_000) / 1_000;
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -427,6 +427,7 @@
           ...task.step.resources,
           expectedMs: task.step.expectedMs,
           crashes: crashHistory.getCount(task.name),
+          crashedAfterMs: crashHistory.getLatestRunTimeMs(task.name),
         })),
       });
     }
--- a/src/coordination/messages/run_order.ts
+++ b/src/coordination/messages/run_order.ts
@@ -10,4 +10,6 @@
   expectedMs: number;
   /** Number of workers that have crashed under the task. */
   crashes: number;
+  /** Run time before the latest of these crashes in milliseconds, 0 if none. */
+  crashedAfterMs: number;
 }
--- a/src/coordination/messages/worker_status.ts
+++ b/src/coordination/messages/worker_status.ts
@@ -26,6 +26,9 @@
   receivedBatch: number;
   /** Fraction of the latest runs that failed, 0 to 1. */
   failureShare: number;
-  /** Number of queued and started runs of tasks under which a worker crashed. */
+  /**
+   * Number of runs of tasks under which a worker crashed that have not passed
+   * that point of their work.
+   */
   suspectRuns: number;
 }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -64,8 +64,12 @@
 }
 
 function createRunOrderRow(order: RunOrder): unknown[] {
-  const { task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes } = order;
-  return [task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes];
+  const { task, run, cpuMillis, memoryMb, gpus, expectedMs } = order;
+  const { crashes, crashedAfterMs } = order;
+  return [
+    ...[task, run, cpuMillis, memoryMb, gpus, expectedMs],
+    ...[crashes, crashedAfterMs],
+  ];
 }
 
 function createCrashedRunRow(run: CrashedRun): unknown[] {
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -20,6 +20,7 @@
   gpus: number,
   expectedMs: number,
   crashes: number,
+  crashedAfterMs: number,
 ];
 
 type CrashedRunRow = [
@@ -146,8 +147,12 @@
 }
 
 function parseRunOrder(row: RunOrderRow): RunOrder {
-  const [task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes] = row;
-  return { task, run, cpuMillis, memoryMb, gpus, expectedMs, crashes };
+  const [task, run, cpuMillis, memoryMb, gpus, expectedMs] = row;
+  const [, , , , , , crashes, crashedAfterMs] = row;
+  return {
+    ...{ task, run, cpuMillis, memoryMb, gpus, expectedMs },
+    ...{ crashes, crashedAfterMs },
+  };
 }
 
 function parseCrashedRun(row: CrashedRunRow): CrashedRun {
--- a/src/state/batch/crash_history.ts
+++ b/src/state/batch/crash_history.ts
@@ -5,6 +5,7 @@
  */
 import type { CrashedRun } from "./crashed_run.ts";
 import type { CrashVerdict } from "./crash_verdict.ts";
+import { SAME_POINT_TOLERANCE_MS } from "./same_point_tolerance_ms.ts";
 import type { WorkerCrash } from "./worker_crash.ts";
 
 /**
@@ -16,13 +17,6 @@
 /** Maximum number of crashes that are remembered; the oldest go first. */
 const MAX_CRASHES = 1_000;
 
-/**
- * Difference of the run times before two crashes up to which they count as the
- * same point of the task's work, in milliseconds. Agents notice a crash within a
- * few milliseconds.
- */
-const SAME_POINT_TOLERANCE_MS = 15;
-
 /**
  * Crashes after which a task is the cause of at least two. A run may have ended
  * right before a crash without the agent's knowledge.
@@ -48,6 +42,12 @@
     return this.#crashesByTask.get(task) ?? [];
   }
 
+  /** Gets the run time of a task before its latest crash in ms, 0 if none. */
+  getLatestRunTimeMs(task: string): number {
+    const latest = this.getCrashes(task).at(-1);
+    return latest?.runs.find((run) => run.task === task)?.ranMs ?? 0;
+  }
+
   /** Returns whether a task crashed two workers at the same point of its work. */
   hasCrashedAtSamePoint(task: string): boolean {
     const times = this.#getCertainRuns(task).map(({ ranMs }) => ranMs)
--- a/src/state/batch/mod.ts
+++ b/src/state/batch/mod.ts
@@ -23,6 +23,7 @@
 export { CapacityTimeline } from "./capacity_timeline.ts";
 export { RouteContainment } from "./route_containment.ts";
 export { RunQueue } from "./run_queue.ts";
+export { SAME_POINT_TOLERANCE_MS } from "./same_point_tolerance_ms.ts";
 export { SlowdownEstimate } from "./slowdown_estimate.ts";
 export type { TaskResources } from "./task_resources.ts";
 export type { WorkerCrash } from "./worker_crash.ts";
--- a/src/state/batch/route_containment.ts
+++ b/src/state/batch/route_containment.ts
@@ -24,8 +24,9 @@
 const MAX_CRASHED_SHARE = 0.25;
 
 /**
- * Weight of a task that was under two crashes at about the same point of its
- * work, as is one that causes them, and of one for which the points differ.
+ * Weight of a crash with a task that was under two crashes at about the same
+ * point of its work, as is one that causes them, and with others. It is divided
+ * among the blamed tasks.
  */
 const CULPRIT_WEIGHT = { samePoint: 1, otherPoint: 0.25 } as const;
 
@@ -67,31 +68,33 @@
   }
 
   /**
-   * Takes note of a crash. A run is blamed if its task has been under an earlier
-   * crash, since such tasks run one at a time; on an agent to which a route is
-   * confined, the route is.
+   * Takes note of a crash. The runs whose tasks crash at this point of their work
+   * are blamed; if there are none, all whose tasks have been under an earlier
+   * crash, with less weight. On an agent to which a route is confined, the route
+   * is blamed.
    * @returns The routes that are confined because of this crash.
    */
   record(options: RecordCrashOptions): string[] {
     const { crash, history, agentCount } = options;
     this.#removeOldBlames(crash.at);
-    const blamedRoutes = new Set<string>();
-    for (const run of crash.runs) {
-      const { task, route } = run;
-      if (run.earlierCrashes > 0 && run.hasStarted) {
-        blamedRoutes.add(route);
-        const weight = history.hasCrashedAtSamePoint(task)
-          ? CULPRIT_WEIGHT.samePoint
-          : CULPRIT_WEIGHT.otherPoint;
-        for (const { agentId, at } of history.getCrashes(task)) {
-          this.#addBlame(route, { agentId, at, culprit: task, weight });
-        }
+    const suspects = crash.runs.filter(({ earlierCrashes, hasStarted }) =>
+      earlierCrashes > 0 && hasStarted
+    );
+    const atSamePoint = suspects.filter(({ task }) =>
+      history.hasCrashedAtSamePoint(task)
+    );
+    const isSamePoint = atSamePoint.length > 0;
+    const blamed = isSamePoint ? atSamePoint : suspects;
+    const { samePoint, otherPoint } = CULPRIT_WEIGHT;
+    const weight = (isSamePoint ? samePoint : otherPoint) / blamed.length;
+    for (const { task, route } of blamed) {
+      for (const { agentId, at } of history.getCrashes(task)) {
+        this.#addBlame(route, { agentId, at, culprit: task, weight });
       }
     }
     this.#blameConfinedRoute(crash);
-    return [...blamedRoutes].filter((route) =>
-      this.#confine(route, agentCount)
-    );
+    const routes = new Set(blamed.map(({ route }) => route));
+    return [...routes].filter((route) => this.#confine(route, agentCount));
   }
 
   /** Gets the agents that a route is confined to; undefined if it is not. */
--- a/src/state/batch/worker_load.ts
+++ b/src/state/batch/worker_load.ts
@@ -30,6 +30,9 @@
   readonly queuedMs: readonly number[];
   /** Share of the latest runs that failed, 0 to 1. */
   readonly failureShare: number;
-  /** Number of its runs whose tasks were under a crash of another worker. */
+  /**
+   * Number of its runs whose tasks were under a crash of another worker, and that
+   * have not passed that point of their work.
+   */
   readonly suspectRuns: number;
 }
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -60,6 +60,7 @@
     jobId: "0000000000000001",
     route: "r",
     crashes: 0,
+    crashedAfterMs: 0,
     spec: "x",
     owner,
     resources: { cpuMillis: 2_000, memoryMb: 64, gpus: 0 },
@@ -309,6 +310,30 @@
     expect(crash?.fields["tasks"]).to.have.length(1);
   });
 
+  it("starts the tasks of an earlier crash at once if they crash at different points", async () => {
+    await startWorker();
+    const suspects = [["a", 10], ["b", 200]] as const;
+    for (const [task, crashedAfterMs] of suspects) {
+      runner.add(createRun(owner, { task, crashes: 1, crashedAfterMs }));
+    }
+    runner.processQueue();
+    await wait(10);
+    expect(worker.starts).to.have.length(2);
+  });
+
+  it("starts the tasks of an earlier crash one after the other if they crash at the same point", async () => {
+    await startWorker();
+    const startedAt = performance.now();
+    for (const task of ["a", "b"]) {
+      runner.add(createRun(owner, { task, crashes: 1, crashedAfterMs: 10 }));
+    }
+    runner.processQueue();
+    await wait(10);
+    expect(worker.starts).to.have.length(1);
+    await waitUntil(() => worker.starts.length === 2, "both have started");
+    expect(performance.now() - startedAt).to.be.greaterThan(25);
+  });
+
   it("does not hold a crash against a run whose start met a crashing worker", async () => {
     await startWorker();
     await startRun(createRun(owner, { task: "a" }));
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -28,6 +28,7 @@
         gpus: 0,
         expectedMs: 86,
         crashes: 1,
+        crashedAfterMs: 50,
       }],
     },
   },
--- a/tests/state/batch/route_containment_simulation_test.ts
+++ b/tests/state/batch/route_containment_simulation_test.ts
@@ -5,6 +5,7 @@
   decideAdmission,
   placeTasks,
   RouteContainment,
+  SAME_POINT_TOLERANCE_MS,
   type WorkerLoad,
 } from "../../../src/state/batch/mod.ts";
 import { createBatchStep } from "../../lib/create_batch_step.ts";
@@ -200,9 +201,16 @@
       job.isDone ||= job.remaining === 0 && !job.isEnded;
       job.isEnded ||= job.isDone;
     }
-    const hasSuspect = () => worker.running.some((run) => run.isSuspect);
+    const isSamePoint = (run: Run) =>
+      worker.running.some((other) =>
+        other.isSuspect &&
+        Math.abs(
+            other.startedAt + getCrashPointMs(other) - now -
+              getCrashPointMs(run),
+          ) < 2 * SAME_POINT_TOLERANCE_MS
+      );
     for (const run of [...worker.queued]) {
-      const mustWait = run.isSuspect && hasSuspect();
+      const mustWait = run.isSuspect && isSamePoint(run);
       if (worker.running.length < SLOTS && !mustWait) {
         worker.queued.splice(worker.queued.indexOf(run), 1);
         const { crashesWorker, job } = run.task;
@@ -215,6 +223,10 @@
     }
   }
 
+  function getCrashPointMs({ task }: Run): number {
+    return history.getLatestRunTimeMs(task.name);
+  }
+
   function crashWorker(worker: Worker): void {
     crashes++;
     const { running, queued, agentId } = worker;
--- a/tests/state/batch/route_containment_test.ts
+++ b/tests/state/batch/route_containment_test.ts
@@ -74,6 +74,22 @@
     expect(getAgents("r", 200)).to.have.length(AGENT_COUNT);
   });
 
+  it("does not confine a route because many of its tasks met the same two crashes", () => {
+    const tasks = Array.from({ length: 9 }, (_, n) => `t${n}`);
+    for (const [n, agentId] of ["a0", "a1"].entries()) {
+      const crash: WorkerCrash = {
+        ...{ id: agentId, agentId, at: n },
+        runs: tasks.map((task, index) => ({
+          ...{ task, route: "r", hasStarted: true, earlierCrashes: n },
+          ranMs: 50 + 40 * index + 20 * n,
+        })),
+      };
+      history.record(crash);
+      containment.record({ crash, history, agentCount: AGENT_COUNT });
+    }
+    expect(getAgents("r", 100)).to.have.length(AGENT_COUNT);
+  });
+
   it("keeps a route confined while its workers crash, and then releases it", () => {
     for (const [n, task] of ["t1", "t1", "t2", "t2"].entries()) {
       recordCrash(`a${n}`, { task, at: n });
