Do not confine a route that has its workers for itself

A route whose tasks crash workers is confined to protect the others that use the same workers. Where there is no other, three quarters of the workers would stand idle while the route's sound jobs are refused.

The new test fails without the check.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -326,6 +326,7 @@
       crash,
       history: this.#crashHistory,
       agentCount,
+      sharesWorkers: (route) => this.#sharesWorkers(route),
     });
     for (const route of routes) {
       const agents = this.#containment.getAgents(route, crash.at) ?? [];
@@ -339,6 +340,15 @@
     }
   }
 
+  /** Returns whether another route has the same service. */
+  #sharesWorkers(routeName: string): boolean {
+    const routes = this.operatorFollower.state.config?.routes ?? [];
+    const service = routes.find(({ name }) => name === routeName)?.service;
+    return routes.some((route) =>
+      route.name !== routeName && route.service === service
+    );
+  }
+
   #removeLink(name: string): void {
     this.#links.get(name)?.stop();
     this.#links.delete(name);
--- a/src/state/batch/route_containment.ts
+++ b/src/state/batch/route_containment.ts
@@ -4,7 +4,8 @@
  * each one takes down a worker before it is known, and together they take down
  * all of them. Once the tasks of a route have caused the loss of a share of the
  * workers, the route is confined to as many of those until the crashes cease,
- * and the other routes use the rest.
+ * and the other routes use the rest. A route that has its workers for itself is
+ * never confined: it would only lose the rest of them.
  */
 import type { CrashHistory } from "./crash_history.ts";
 import type { WorkerCrash } from "./worker_crash.ts";
@@ -49,8 +50,10 @@
   crash: WorkerCrash;
   /** Contains the crash already. */
   history: CrashHistory;
-  /** Number of agents whose workers serve the route of the runs. */
+  /** Number of agents whose workers serve the routes of the runs. */
   agentCount: number;
+  /** Returns whether other routes use the workers of a route. */
+  sharesWorkers: (route: string) => boolean;
 }
 
 export interface RouteContainmentOptions {
@@ -75,7 +78,7 @@
    * @returns The routes that are confined because of this crash.
    */
   record(options: RecordCrashOptions): string[] {
-    const { crash, history, agentCount } = options;
+    const { crash, history, sharesWorkers } = options;
     this.#removeOldBlames(crash.at);
     const suspects = crash.runs.filter(({ earlierCrashes, hasStarted }) =>
       earlierCrashes > 0 && hasStarted
@@ -94,7 +97,9 @@
     }
     this.#blameConfinedRoute(crash);
     const routes = new Set(blamed.map(({ route }) => route));
-    return [...routes].filter((route) => this.#confine(route, agentCount));
+    return [...routes].filter((route) =>
+      sharesWorkers(route) && this.#confine(route, options.agentCount)
+    );
   }
 
   /** Gets the agents that a route is confined to; undefined if it is not. */
--- a/tests/state/batch/crash_history_test.ts
+++ b/tests/state/batch/crash_history_test.ts
@@ -25,7 +25,7 @@
     });
   }
 
-  it("convicts a task of two crashes at the same point of its work", () => {
+  it("gives up a task after two crashes at the same point of its work", () => {
     recordCrash({ ranMs: 50 });
     expect(history.getVerdict(TASK)).to.equal("may_start");
     recordCrash({ ranMs: 58 });
@@ -40,7 +40,7 @@
     expect(history.getVerdict(TASK)).to.equal("crashes_workers");
   });
 
-  it("does not convict a task whose starts met workers that were crashing", () => {
+  it("does not blame a task whose starts met workers that were crashing", () => {
     recordCrash({ ranMs: 2 });
     recordCrash({ ranMs: 2, hasStarted: false });
     recordCrash({ ranMs: 2, hasStarted: false });
--- a/tests/state/batch/route_containment_simulation_test.ts
+++ b/tests/state/batch/route_containment_simulation_test.ts
@@ -249,7 +249,10 @@
       at: now + DETECTION_MS,
       report: () => {
         history.record(crash);
-        containment.record({ crash, history, agentCount: WORKER_COUNT });
+        containment.record({
+          ...{ crash, history, agentCount: WORKER_COUNT },
+          sharesWorkers: () => true,
+        });
         for (const { task } of [...running, ...queued]) {
           if (
             policy !== "naive" && history.getVerdict(task.name) !== "may_start"
--- a/tests/state/batch/route_containment_test.ts
+++ b/tests/state/batch/route_containment_test.ts
@@ -40,7 +40,10 @@
       }],
     };
     history.record(crash);
-    return containment.record({ crash, history, agentCount: AGENT_COUNT });
+    return containment.record({
+      ...{ crash, history, agentCount: AGENT_COUNT },
+      sharesWorkers: (name) => name !== "alone",
+    });
   }
 
   function getAgents(route: string, now: number): string[] {
@@ -85,7 +88,10 @@
         })),
       };
       history.record(crash);
-      containment.record({ crash, history, agentCount: AGENT_COUNT });
+      containment.record({
+        ...{ crash, history, agentCount: AGENT_COUNT },
+        sharesWorkers: () => true,
+      });
     }
     expect(getAgents("r", 100)).to.have.length(AGENT_COUNT);
   });
@@ -101,6 +107,13 @@
     expect(released).to.deep.equal(["r"]);
   });
 
+  it("does not confine a route that has its workers for itself", () => {
+    for (const [n, task] of ["t1", "t1", "t2", "t2"].entries()) {
+      recordCrash(`a${n}`, { task, route: "alone", at: n });
+    }
+    expect(getAgents("alone", 100)).to.have.length(AGENT_COUNT);
+  });
+
   it("leaves the workers of a confined route to others when there are no more", () => {
     for (const [n, task] of ["t1", "t1", "t2", "t2"].entries()) {
       recordCrash(`a${n}`, { task, at: n });
