--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -1,46 +1,75 @@
 /**
- * Cancels a job whose tasks run, through the entry that runs it, and checks that
- * the submission isn't answered as rejected.
+ * Kills all processes, which the platform restarts, and resets the channel of a
+ * client whose job the restarted entry still holds back. The client sends the job
+ * again. Checks that no task runs twice at the same time.
  */
 import { setTimeout as wait } from "node:timers/promises";
 import { EXIT, HAS_TROUBLE, runCase } from "../lib/cluster.mjs";
+import { findOverlaps } from "../lib/find_overlaps.mjs";
 
-/** Jobs that are submitted, one after the other. */
-const JOBS = 4;
+/** Rounds, each with one loss of all processes. */
+const ROUNDS = 5;
 
-/** Statuses that say that a job was not accepted and never runs. */
-const REJECTED = [429, 503];
+/** Delay after which the platform restarts a killed process. */
+const RESTART_DELAY_MS = 500;
+
+/** Jobs that are sent when an entry accepts connections again. */
+const JOBS = 6;
+
+/** Every second channel of the entry's clients is reset. */
+const RESET_EVERY = 2;
+
+/** Time after the submission at which channels are reset. */
+const RESET_AFTER_MS = 400;
+
+/** Time after which the client sends its job again (`retransmitMs`). */
+const RETRANSMIT_MS = 1_300;
 
 await runCase(import.meta.url, async (cluster) => {
-  await cluster.start({ entries: 1, agents: 3 });
-  const [entry] = cluster.entries;
-  let violations = 0;
-  for (let n = 0; n < JOBS; n++) {
-    const job = cluster.createJob({
-      steps: [{ count: 4, estMs: 1_286 }],
-      runMs: 1_286,
-      clientWaitMs: 3 * Math.round(1.6 * 1_286 + 60),
-    });
-    const posted = cluster.submit(job, entry);
-    await wait(500);
+  await cluster.start({ entries: 2, agents: 8 });
+  const [first, second] = cluster.entries;
+  const machines = [...cluster.entries, ...cluster.agents];
+  const results = [];
+  for (let round = 0; round < ROUNDS; round++) {
     if (HAS_TROUBLE) {
-      await cluster.cancel(job, entry);
-    }
-    const { status } = await posted;
-    await wait(500);
-    const started = cluster.getRuns().filter(({ task }) =>
-      task.startsWith(job.id)
-    );
-    if (started.length === 0) {
-      return EXIT.couldNotRun;
+      machines.forEach((machine) => cluster.signal(machine, "SIGKILL"));
+      await wait(RESTART_DELAY_MS);
+      machines.forEach((machine) => cluster.startProcess(machine));
+      await cluster.waitUntilListening(first);
     }
-    if (REJECTED.includes(status)) {
-      violations++;
-      cluster.record(
-        `REFUSED: ${job.id} was rejected with ${status} at its only attempt, ` +
-          `and ${started.length} of its tasks had started`,
-      );
+    for (let n = 0; n < JOBS; n++) {
+      const isReset = HAS_TROUBLE && n % RESET_EVERY === 0;
+      results.push(submitUntilAnswered(cluster, [first, second], isReset));
     }
+    await wait(8_000);
+  }
+  const answers = await Promise.all(results);
+  const served = answers.filter(({ status }) => status === 200).length;
+  cluster.record(`${served} of ${answers.length} jobs answered with 200`);
+  const overlaps = findOverlaps(cluster.getRuns());
+  for (const { first, second, overlapMs } of overlaps) {
+    cluster.record(
+      `TWICE: ${first.task} run ${first.run} on ${first.worker} (${first.how}) ` +
+        `and run ${second.run} on ${second.worker} (${second.how}) at the same ` +
+        `time for ${Math.round(overlapMs)} ms`,
+    );
   }
-  return violations > 0 ? EXIT.broken : EXIT.held;
+  return overlaps.length > 0 ? EXIT.broken : EXIT.held;
 });
+
+/** Submits a job at one entry after the other until it is answered. */
+async function submitUntilAnswered(cluster, entries, isReset) {
+  const job = cluster.createJob({
+    steps: [{ count: 4, estMs: 3_600 }],
+    runMs: 3_600,
+    clientWaitMs: 3 * Math.round(1.6 * 3_600 + 60),
+  });
+  let answer = await cluster.submit(job, entries[0], {
+    resetAfterMs: isReset ? RESET_AFTER_MS : undefined,
+  });
+  if (answer.status === undefined) {
+    await wait(RETRANSMIT_MS);
+    answer = await cluster.submit(job, entries[1]);
+  }
+  return answer;
+}
--- a/review/lib/call.mjs
+++ b/review/lib/call.mjs
@@ -2,11 +2,13 @@
 import { readBody } from "./read_body.mjs";
 
 /**
- * Sends one request on a connection of its own.
+ * Sends one request on a connection of its own, which is reset after
+ * `resetAfterMs` if that is given.
  * @returns Status and body, or the error if the connection ends without a
  * complete answer or `timeoutMs` has passed.
  */
-export function call(address, { method, path, headers, body, timeoutMs }) {
+export function call(address, options) {
+  const { method, path, headers, body, timeoutMs, resetAfterMs } = options;
   const [host, port] = address.split(":");
   const bytes = body === undefined ? undefined : JSON.stringify(body);
   return new Promise((resolve) => {
@@ -30,6 +32,10 @@
       }, (error) => resolve({ error: error.message }));
     });
     const timer = setTimeout(() => request.destroy(new Error("time limit")), timeoutMs);
+    const resetTimer = resetAfterMs === undefined
+      ? undefined
+      : setTimeout(() => request.socket?.resetAndDestroy(), resetAfterMs);
+    request.on("close", () => clearTimeout(resetTimer));
     request.on("error", (error) => {
       clearTimeout(timer);
       resolve({ error: error.code ?? error.message });
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -94,7 +94,9 @@
       }),
     );
     for (let number = 1; number <= agents; number++) {
-      this.agents.push(await this.#addAgent(number, workerCpu));
+      const agent = await this.#addAgent(number, workerCpu);
+      agent.worker.startReports(agent.reportAddress, number / agents);
+      this.agents.push(agent);
     }
     for (let number = 1; number <= entries; number++) {
       this.entries.push(await this.#addEntry(number));
@@ -127,8 +129,11 @@
     return job;
   }
 
-  /** Submits a job to an entry as a client does, and records the answer. */
-  async submit(job, entry) {
+  /**
+   * Submits a job to an entry as a client does, and records the answer.
+   * @param options - `resetAfterMs`: time after which the channel is reset.
+   */
+  async submit(job, entry, { resetAfterMs } = {}) {
     this.record(`${job.id} POST sent to ${entry.name}`);
     const answer = await call(entry.jobAddress, {
       method: "POST",
@@ -139,6 +144,7 @@
       },
       body: { spec: `spec of ${job.id}`, steps: job.steps, bestEffort: true },
       timeoutMs: job.clientWaitMs,
+      resetAfterMs,
     });
     this.record(`${job.id} POST answered by ${entry.name}: ${format(answer)}`);
     return answer;
@@ -185,6 +191,22 @@
     machine.process.kill(name);
   }
 
+  /** Waits until an entry accepts connections of clients. */
+  async waitUntilListening(entry) {
+    for (;;) {
+      const { status } = await call(entry.jobAddress, {
+        method: "GET",
+        path: PREFIX,
+        headers: { host: HOST },
+        timeoutMs: 1_000,
+      });
+      if (status === 200) {
+        return;
+      }
+      await wait(10);
+    }
+  }
+
   /** Gets the runs of all workers with their start and end times. */
   getRuns() {
     const runs = [];
@@ -255,7 +277,6 @@
     settings.metricsPort = Number((await findFreeAddress()).split(":")[1]);
     const agent = { role: "agent", name, zone, worker, settings, reportAddress };
     this.startProcess(agent);
-    worker.startReports(reportAddress);
     return agent;
   }
 
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -55,8 +55,11 @@
     return this.#address;
   }
 
-  /** Sends reports to the agent's address until the worker is stopped. */
-  startReports(reportAddress) {
+  /**
+   * Sends reports to the agent's address until the worker is stopped.
+   * @param phase - Share of the interval that passes before the first report.
+   */
+  startReports(reportAddress, phase) {
     const send = async () => {
       if (this.#isStopped) {
         return;
@@ -64,7 +67,7 @@
       await this.sendReport(reportAddress);
       this.#reportTimer = setTimeout(send, HEARTBEAT_MS);
     };
-    void send();
+    this.#reportTimer = setTimeout(send, phase * HEARTBEAT_MS);
   }
 
   /** Sends one report. */
