--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -7,7 +7,7 @@
 import { findOverlaps } from "../lib/find_overlaps.mjs";
 
 /** Kills, one agent at a time. */
-const KILLS = 16;
+const KILLS = 14;
 
 /** Time between two kills; each agent is back long before the next one. */
 const KILL_INTERVAL_MS = 5_000;
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -331,10 +331,13 @@
 /** Prepares the folder of a case and runs its script. */
 export async function runCase(scriptUrl, script) {
   const cluster = new Cluster(dirname(fileURLToPath(scriptUrl)));
+  for (const name of ["SIGINT", "SIGTERM"]) {
+    process.once(name, () => void cluster.finish(EXIT.couldNotRun));
+  }
   try {
     await cluster.finish(await script(cluster));
   } catch (error) {
-    cluster.record(`the script failed: ${error.stack}`);
+    cluster.record(`the script failed: ${error.message}`);
     await cluster.finish(EXIT.couldNotRun);
   }
 }
