--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -13,7 +13,7 @@
 const KILL_INTERVAL_MS = 5_000;
 
 /** Delay after which the platform restarts a killed process. */
-const RESTART_DELAY_MS = 500;
+const RESTART_DELAY_MS = 200;
 
 /** Jobs are sent at about the rate of `vector-raster` on the sheet. */
 const JOB_INTERVAL_MS = 230;
