--- a/review/lib/call.mjs
+++ b/review/lib/call.mjs
@@ -31,7 +31,10 @@
         resolve({ status: response.statusCode, text: answer.toString() });
       }, (error) => resolve({ error: error.message }));
     });
-    const timer = setTimeout(() => request.destroy(new Error("time limit")), timeoutMs);
+    const timer = setTimeout(
+      () => request.destroy(new Error("time limit")),
+      timeoutMs,
+    );
     const resetTimer = resetAfterMs === undefined
       ? undefined
       : setTimeout(() => request.socket?.resetAndDestroy(), resetAfterMs);
--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -159,7 +159,9 @@
       headers: { host: HOST },
       timeoutMs: 4_000,
     });
-    this.record(`${job.id} DELETE answered by ${entry.name}: ${format(answer)}`);
+    this.record(
+      `${job.id} DELETE answered by ${entry.name}: ${format(answer)}`,
+    );
     return answer;
   }
 
@@ -227,7 +229,9 @@
   /** Ends all processes, and exits. */
   async finish(exitCode) {
     this.record(
-      `result: ${["the rule held", "the rule was broken", "could not run"][exitCode]}`,
+      `result: ${
+        ["the rule held", "the rule was broken", "could not run"][exitCode]
+      }`,
     );
     for (const child of this.#children) {
       child.kill("SIGCONT");
@@ -275,7 +279,14 @@
       listen: { control: reportAddress },
     });
     settings.metricsPort = Number((await findFreeAddress()).split(":")[1]);
-    const agent = { role: "agent", name, zone, worker, settings, reportAddress };
+    const agent = {
+      role: "agent",
+      name,
+      zone,
+      worker,
+      settings,
+      reportAddress,
+    };
     this.startProcess(agent);
     return agent;
   }
@@ -343,7 +354,9 @@
 }
 
 function format({ status, text, error }) {
-  return error === undefined ? `${status} ${text.trim()}` : `no answer (${error})`;
+  return error === undefined
+    ? `${status} ${text.trim()}`
+    : `no answer (${error})`;
 }
 
 /** Reads the command of a role from the deploy file. */
@@ -359,13 +372,16 @@
     join(ROOT, "platform", `${role}.settings.template`),
     "utf8",
   );
-  const text = template.replace(/\{\{([a-zA-Z0-9_.]+)(\|json)?\}\}/g, (_, path, json) => {
-    const value = path.split(".").reduce((part, key) => part?.[key], fields);
-    if (value === undefined) {
-      throw new Error(`the template of ${role} needs ${path}`);
-    }
-    return json === undefined ? String(value) : JSON.stringify(value);
-  });
+  const text = template.replace(
+    /\{\{([a-zA-Z0-9_.]+)(\|json)?\}\}/g,
+    (_, path, json) => {
+      const value = path.split(".").reduce((part, key) => part?.[key], fields);
+      if (value === undefined) {
+        throw new Error(`the template of ${role} needs ${path}`);
+      }
+      return json === undefined ? String(value) : JSON.stringify(value);
+    },
+  );
   return JSON.parse(text);
 }
 
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -13,7 +13,9 @@
 
   /** Starts listening on a free port, and returns the address. */
   async start() {
-    await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    await new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
     return `127.0.0.1:${this.#server.address().port}`;
   }
 
@@ -88,7 +90,10 @@
         header.writeBigUInt64BE(BigInt(topic.records.length), 0);
         send(
           200,
-          Buffer.concat([header, ...topic.records.slice(from).map(formatRecord)]),
+          Buffer.concat([
+            header,
+            ...topic.records.slice(from).map(formatRecord),
+          ]),
         );
         return;
       }
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -48,7 +48,9 @@
 
   /** Starts listening on a free port, and returns the address. */
   async start() {
-    await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
+    await new Promise((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
     this.#address = `127.0.0.1:${this.#server.address().port}`;
     this.#bornAtMs = Date.now();
     this.#clockStartedAt = performance.now();
