Log when lost runs may be placed again, and which jobs are held at a start

Nothing told why a task of a lost agent was placed again: by the report of the agent that no earlier run is left, or after the latest expiry of its lease. Nor did a line say that a job was held back at the start of its entry, or that its client had gone by then. No decision is changed.

lost_runs_ended carries the cause (report, expiry); job_held carries the time and whether the client still waits.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -138,7 +138,7 @@
     }
     const { log, farFactor, metrics } = this.#options;
     const startedAt = performance.now();
-    await this.#warmUpGate.wait(signal);
+    await this.#waitForWarmUp(job, signal);
     const run = new BatchJobRun({
       job,
       route,
@@ -172,6 +172,20 @@
     return answer;
   }
 
+  /** Waits until jobs may be placed or the client has gone. */
+  async #waitForWarmUp(job: BatchJob, signal: AbortSignal): Promise<void> {
+    if (this.#warmUpGate.isOpen) {
+      return;
+    }
+    const startedAt = performance.now();
+    await this.#warmUpGate.wait(signal);
+    this.#options.log.record("job_held", {
+      job: job.id,
+      heldMs: Math.round(performance.now() - startedAt),
+      hasClient: !signal.aborted,
+    });
+  }
+
   /** Returns whether this entry is running the job. */
   hasJob(jobId: string): boolean {
     return this.#jobs.has(jobId);
@@ -288,7 +302,7 @@
       },
       onEarlierRunsEnded: (agentId) => {
         for (const job of [...this.#jobs.values()]) {
-          job.handleLostRunsEnded(agentId);
+          job.handleLostRunsEnded(agentId, "report");
         }
       },
     });
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -246,15 +246,31 @@
       this.#settleWithError("agent_lost");
       return;
     }
-    this.#startTimer(expiryMs, () => this.handleLostRunsEnded(agentId));
+    this.#startTimer(
+      expiryMs,
+      () => this.handleLostRunsEnded(agentId, "expiry"),
+    );
   }
 
-  /** Handles that none of the lost runs is executing at an agent any more. */
-  handleLostRunsEnded(agentId: string): void {
-    for (const task of this.#tasksByName.values()) {
-      if (task.state === "lost" && task.agentId === agentId) {
-        this.#schedulePlacement(task, 0);
-      }
+  /**
+   * Handles that none of the lost runs is executing at an agent any more: the
+   * agent has reported it, or they must have expired.
+   */
+  handleLostRunsEnded(agentId: string, cause: "report" | "expiry"): void {
+    const tasks = [...this.#tasksByName.values()].filter((task) =>
+      task.state === "lost" && task.agentId === agentId
+    );
+    if (tasks.length === 0) {
+      return;
+    }
+    this.#options.log.record("lost_runs_ended", {
+      job: this.#options.job.id,
+      agent: agentId,
+      tasks: tasks.length,
+      cause,
+    });
+    for (const task of tasks) {
+      this.#schedulePlacement(task, 0);
     }
   }
 
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -135,7 +135,7 @@
     job.run.handleAgentLost(agentId);
     await wait(300);
     expect(job.sent).to.have.length(1);
-    job.run.handleLostRunsEnded(agentId);
+    job.run.handleLostRunsEnded(agentId, "report");
     await waitUntil(() => job.sent.length === 2, "the task is sent again");
     expect(job.sent[1]?.agentId).not.to.equal(agentId);
     job.endRun(1, "done");
