Report earlier runs as ended only when the worker's list shows it

Cause: an agent's status says whether runs of an earlier stream may still be executing, and it looked only at the runs that this agent process had started. A new process has none, so its first status said that all had ended; the entry placed the tasks again at once instead of waiting for their latest expiry.

Why this works: the statement now needs a lease report of this incarnation of the worker that listed no run that this process did not start. Until then the agent does not know, says so, and the entry waits for the expiry.

Test: "does not report the runs of a former agent process as ended while its worker still runs them" fails before the change (true instead of false for the first status), and passes with it.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -146,7 +146,7 @@
     this.#sendChangedProfile();
     const value = {
       ...status,
-      isSettled: !runner.hasRunsOfEarlierSessions(this),
+      isSettled: !runner.canHaveRunsOfEarlierSessions(this),
       receivedBatch: this.#receivedBatch,
       entries: this.#options.countSessions(),
     };
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -148,10 +148,14 @@
   }
 
   /**
-   * Returns whether there are runs of the same entry that belong to another
-   * session of it.
+   * Returns whether a run that the entry ordered on an earlier stream may still
+   * be executing: one of another session of the entry, or one of a former agent
+   * process. Only a report of the worker excludes the latter.
    */
-  hasRunsOfEarlierSessions(owner: RunOwner): boolean {
+  canHaveRunsOfEarlierSessions(owner: RunOwner): boolean {
+    if (!this.#isSettled) {
+      return true;
+    }
     for (const run of this.#runs.values()) {
       if (run.owner.name === owner.name && run.owner !== owner) {
         return true;
--- a/src/coordination/messages/worker_status.ts
+++ b/src/coordination/messages/worker_status.ts
@@ -1,7 +1,10 @@
 /** State of an agent's worker and of its runs. */
 export interface WorkerStatus {
   acceptsWork: boolean;
-  /** True if no run from an earlier stream can still run at this worker. */
+  /**
+   * Whether no run that the receiving entry ordered on an earlier stream can
+   * still be executing. False while the agent does not know.
+   */
   isSettled: boolean;
   freeCpuMillis: number;
   freeMemoryMb: number;
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -1,3 +1,4 @@
+import { setTimeout as wait } from "node:timers/promises";
 import { expect } from "chai";
 import { err } from "neverthrow";
 import { BatchAgent } from "../../../../src/coordination/batch/agent/mod.ts";
@@ -22,6 +23,43 @@
   append: unreachable,
 };
 
+/** Time from a stop order to the end of its run, in milliseconds. */
+const STOP_DELAY_MS = 100;
+
+const WORKER_REPORT = {
+  ...{ workerId: "w-1", bornAtMs: 1_000, sequence: 1, service: "s" },
+  ...{ zone: "a", isDraining: false, remainingMs: undefined },
+  ...{ capacity: CAPACITY, labels: [] },
+};
+
+const START_RUNS: BatchBody = {
+  case: "startRuns",
+  value: {
+    ...{ batch: 1, jobId: "00000000000000aa", route: "r", spec: "x" },
+    ...{ priority: 0, timeLeftMs: 5_000, targetLeftMs: 5_000 },
+    runs: [{
+      ...{ task: TASK, run: 1, cpuMillis: 2_000, memoryMb: 1, gpus: 0 },
+      ...{ expectedMs: 100, crashes: 1, crashedAfterMs: 10 },
+    }],
+  },
+};
+
+function createAgent(worker: FakeWorker, incarnation: string): BatchAgent {
+  return new BatchAgent({
+    ...{ name: "agent-1", incarnation, zone: "a", address: "x" },
+    ...{ store: STORE, control: worker, maxLeaseMs: 1_000 },
+    ...{ log: new RecordedLog(), metrics: new Metrics() },
+    parseOperatorRecord: () => err(createError("internal", "no record")),
+  });
+}
+
+/** Returns whether the agent has said that no earlier run can be executing. */
+function isSettled(stream: MemoryStream): boolean {
+  return stream.sent.some(({ kind }) =>
+    kind.case === "workerStatus" && kind.value.isSettled
+  );
+}
+
 function getCases(stream: MemoryStream): BatchBody["case"][] {
   return stream.sent.map(({ kind }) => kind.case);
 }
@@ -32,28 +70,23 @@
 
   beforeEach(async () => {
     worker = new FakeWorker();
-    agent = new BatchAgent({
-      ...{ name: "agent-1", incarnation: "i", zone: "a", address: "x" },
-      ...{ store: STORE, control: worker, maxLeaseMs: 1_000 },
-      ...{ log: new RecordedLog(), metrics: new Metrics() },
-      parseOperatorRecord: () => err(createError("internal", "no record")),
-    });
-    agent.runner.handleWorkerReport({
-      ...{ workerId: "w-1", bornAtMs: 1_000, sequence: 1, service: "s" },
-      ...{ zone: "a", isDraining: false, remainingMs: undefined },
-      ...{ capacity: CAPACITY, labels: [] },
-    });
+    agent = createAgent(worker, "i");
+    agent.runner.handleWorkerReport(WORKER_REPORT);
     await waitUntil(() => agent.runner.acceptsWork, "the agent accepts work");
   });
 
   afterEach(() => agent.runner.stop());
 
-  function openStream(entry: string): MemoryStream {
+  function openStream(entry: string, server = agent): MemoryStream {
     const stream = new MemoryStream();
-    void agent.serve(stream);
+    void server.serve(stream);
+    sendHello(stream, entry);
+    return stream;
+  }
+
+  function sendHello(stream: MemoryStream, entry: string): void {
     const value = { name: entry, incarnation: "i" };
     sendBody(stream, { case: "hello", value });
-    return stream;
   }
 
   function sendBody(stream: MemoryStream, kind: BatchBody): void {
@@ -64,17 +97,7 @@
   it("tells all entries under which tasks its worker has crashed, also those that connect later", async () => {
     const owner = openStream("entry-1");
     const other = openStream("entry-2");
-    sendBody(owner, {
-      case: "startRuns",
-      value: {
-        ...{ batch: 1, jobId: "00000000000000aa", route: "r", spec: "x" },
-        ...{ priority: 0, timeLeftMs: 5_000, targetLeftMs: 5_000 },
-        runs: [{
-          ...{ task: TASK, run: 1, cpuMillis: 2_000, memoryMb: 1, gpus: 0 },
-          ...{ expectedMs: 100, crashes: 1, crashedAfterMs: 10 },
-        }],
-      },
-    });
+    sendBody(owner, START_RUNS);
     await waitUntil(() => worker.running.has(TASK), "the run has started");
     worker.crash();
     await waitUntil(() => getCases(owner).includes("runEnds"), "it has ended");
@@ -93,4 +116,20 @@
       cases.indexOf("runEnds"),
     );
   });
+
+  it("does not report the runs of a former agent process as ended while its worker still runs them", async () => {
+    // Guards against a second run of a task while its first one goes on.
+    sendBody(openStream("entry-1"), START_RUNS);
+    await waitUntil(() => worker.running.has(TASK), "the run has started");
+    agent.runner.stop();
+    worker.stopDelayMs = STOP_DELAY_MS;
+    const restarted = createAgent(worker, "j");
+    const stream = openStream("entry-1", restarted);
+    await wait(STOP_DELAY_MS);
+    expect(isSettled(stream)).to.equal(false);
+    restarted.runner.handleWorkerReport(WORKER_REPORT);
+    await waitUntil(() => isSettled(stream), "the agent reports the end");
+    expect(worker.running.has(TASK)).to.equal(false);
+    restarted.runner.stop();
+  });
 });
