Send no status on a stream before the entry's hello has arrived

Cause: an agent sent its first status when it accepted a stream. The name of the entry was not known yet, so no run counted as one of its earlier streams, and the status said that all of them had ended while they were being stopped.

Evidence: by reading, on the path of the fault before (every place that says "these runs have ended"); the new test plays it.

Why this works: a status is sent when the hello has named the entry, after the runs of its other sessions were told to stop. They stay known until the worker lists their ends, so isSettled is false until then.

Test: "does not report runs as ended on a new stream before it knows whose stream it is" fails before the change and passes with it.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -41,7 +41,8 @@
   readonly #options: BatchEntrySessionOptions;
   readonly #getTime: () => number;
   readonly #stream: BatchStream;
-  #name = "";
+  /** Name of the entry; undefined until its hello has arrived. */
+  #entryName: string | undefined;
   #isClosed = false;
   /** An entry is not responsive until it has acknowledged a frame. */
   #isUnresponsive = true;
@@ -59,7 +60,7 @@
   }
 
   get name(): string {
-    return this.#name;
+    return this.#entryName ?? "";
   }
 
   isResponsive(): boolean {
@@ -89,7 +90,6 @@
     const { name, incarnation, runner, log } = this.#options;
     this.#stream.send({ case: "hello", value: { name, incarnation } });
     this.#options.getCrashes().forEach((report) => this.sendCrash(report));
-    this.sendStatus();
     let reason: string | undefined;
     try {
       for await (const body of this.#stream.receive()) {
@@ -100,7 +100,7 @@
       reason = (error as Error).message;
     } finally {
       this.#isClosed = true;
-      log.record("entry_lost", { entry: this.#name, reason });
+      log.record("entry_lost", { entry: this.name, reason });
       runner.stopWhere((run) => run.owner === this);
     }
   }
@@ -126,7 +126,7 @@
     const hasAcknowledged = this.#stream.acknowledgedSentAt > -Infinity;
     if (isUnresponsive && !this.#isUnresponsive && hasAcknowledged) {
       this.#options.log.record("entry_silent", {
-        entry: this.#name,
+        entry: this.name,
         proofAgeMs: Math.round(
           this.#getTime() - this.#stream.acknowledgedSentAt,
         ),
@@ -140,9 +140,15 @@
     }
   }
 
-  /** Sends the state and load of the worker to the entry. */
+  /**
+   * Sends the state and load of the worker to the entry. Before its hello, it is
+   * not known which runs are those of the entry.
+   */
   sendStatus(status = this.#options.runner.getStatus()): void {
     const { runner } = this.#options;
+    if (this.#entryName === undefined) {
+      return;
+    }
     this.#sendChangedProfile();
     const value = {
       ...status,
@@ -171,14 +177,7 @@
     const { runner } = this.#options;
     switch (body.case) {
       case "hello":
-        this.#name = body.value.name;
-        this.#options.log.record("entry_found", {
-          entry: this.#name,
-          incarnation: body.value.incarnation,
-        });
-        runner.stopWhere((run) =>
-          run.owner.name === this.#name && run.owner !== this
-        );
+        this.#handleHello(body.value);
         return;
       case "ping":
         this.#handlePing(body.value.operatorOffset);
@@ -192,7 +191,7 @@
         return;
       }
       case "operatorSnapshot":
-        this.#options.operatorFollower.mergeSnapshot(body.value, this.#name);
+        this.#options.operatorFollower.mergeSnapshot(body.value, this.name);
         return;
       case "cancelJob":
         this.#options.cancelJob(body.value.jobId);
@@ -207,6 +206,17 @@
     }
   }
 
+  #handleHello(
+    { name, incarnation }: { name: string; incarnation: string },
+  ): void {
+    this.#entryName = name;
+    this.#options.log.record("entry_found", { entry: name, incarnation });
+    this.#options.runner.stopWhere((run) =>
+      run.owner.name === name && run.owner !== this
+    );
+    this.sendStatus();
+  }
+
   #handlePing(operatorOffset: number): void {
     const { operatorFollower } = this.#options;
     this.#pingReceivedAt = this.#getTime();
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -132,4 +132,19 @@
     expect(worker.running.has(TASK)).to.equal(false);
     restarted.runner.stop();
   });
+
+  it("does not report runs as ended on a new stream before it knows whose stream it is", async () => {
+    // Guards against a second run of a task after the entry's streams were reset.
+    const first = openStream("entry-1");
+    sendBody(first, START_RUNS);
+    await waitUntil(() => worker.running.has(TASK), "the run has started");
+    worker.stopDelayMs = STOP_DELAY_MS;
+    first.close();
+    const second = new MemoryStream();
+    void agent.serve(second);
+    await wait(STOP_DELAY_MS / 2);
+    sendHello(second, "entry-1");
+    await waitUntil(() => isSettled(second), "the agent reports the end");
+    expect(worker.running.has(TASK)).to.equal(false);
+  });
 });
