Tie lost runs to the stream on which they were ordered

What callers could see: a task that runs twice at the same time, after its agent was lost twice within two seconds, or after another process came up under the agent's name at another address.

Cause: an entry knew lost runs by the name of their agent only. The timer of one loss placed all tasks again that were lost at the agent by then, also those lost a moment before; and a report that "earlier runs have ended" was applied to the runs of a former process at another address, beside another worker.

With tasks matched by the agent's name again, both new tests fail.

Why this works: an order belongs to a stream, which has a number that rises over all streams of the entry, and the address of the agent. The end of a run, the loss of a stream and the expiry apply to that stream; a report applies to earlier streams of the same address.

Tests: "does not repeat a run of a second lost stream when the runs of the first have expired" and "does not repeat the runs of a lost agent when another process reports under its name".

--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -17,6 +17,7 @@
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchStream } from "../batch_stream.ts";
 import type { MemberRecord, OperatorFollower } from "../directory/mod.ts";
+import type { AgentStream } from "./agent_stream.ts";
 
 /** Interval of the checks of one link, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
@@ -40,16 +41,18 @@
   name: string;
   /** Identifies one start of the process; differs after each restart. */
   incarnation: string;
-  onRunEnds: (agentId: string, ends: readonly RunEnd[]) => void;
+  /** Creates a number that is higher than those of all earlier streams. */
+  createStreamNumber: () => number;
+  onRunEnds: (stream: AgentStream, ends: readonly RunEnd[]) => void;
   /** Called when the agent's worker has crashed, before its runs end. */
   onWorkerCrash: (agentId: string, report: WorkerCrashReport) => void;
+  /** Called when a stream is lost; its runs may still be executing. */
+  onLost: (stream: AgentStream) => void;
   /**
-   * Called when the connection to the agent is lost; its runs may still be
-   * executing.
+   * Called when no run can be executing that was ordered at the agent before the
+   * given stream.
    */
-  onLost: (agentId: string) => void;
-  /** Called when no run that was ordered on an earlier stream is executing. */
-  onEarlierRunsEnded: (agentId: string) => void;
+  onEarlierRunsEnded: (stream: AgentStream) => void;
   getTime?: () => number;
 }
 
@@ -61,6 +64,8 @@
   readonly #options: BatchAgentLinkOptions;
   readonly #getTime: () => number;
   #stream: BatchStream | undefined;
+  /** Identifies the current stream, or the last one. */
+  #streamId: AgentStream;
   #profile: WorkerProfile | undefined;
   #status: WorkerStatus | undefined;
   #lastService = "";
@@ -79,6 +84,8 @@
   constructor(options: BatchAgentLinkOptions) {
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
+    const { name, address } = options.member;
+    this.#streamId = { agentId: name, address, number: 0 };
   }
 
   /** Gets the name of the agent. */
@@ -126,13 +133,20 @@
       : undefined;
   }
 
-  /** Orders the agent to start tasks of one job. */
-  startRuns(message: Omit<StartRuns, "batch">): void {
+  /**
+   * Orders the agent to start tasks of one job.
+   * @returns The stream of the order; undefined if there is none.
+   */
+  startRuns(message: Omit<StartRuns, "batch">): AgentStream | undefined {
+    if (this.#stream === undefined) {
+      return undefined;
+    }
     this.#lastBatch++;
     const value = { ...message, batch: this.#lastBatch };
     this.#unacknowledgedStarts.push(value);
     this.#addRunsToLoad(value);
-    this.#stream?.send({ case: "startRuns", value });
+    this.#stream.send({ case: "startRuns", value });
+    return this.#streamId;
   }
 
   /** Orders the agent to stop tasks. */
@@ -171,6 +185,12 @@
     const peerStream = peers.open(this.address);
     const stream = new BatchStream(peerStream, { getTime: this.#getTime });
     this.#stream = stream;
+    const streamId: AgentStream = {
+      agentId: this.agentId,
+      address: this.address,
+      number: this.#options.createStreamNumber(),
+    };
+    this.#streamId = streamId;
     this.#silenceMs = 0;
     this.#lastBatch = 0;
     this.#hasReportedRunsEnded = false;
@@ -199,7 +219,7 @@
     this.#unacknowledgedStarts = [];
     if (hadStatus) {
       log.record("agent_lost", { agent: this.agentId, reason });
-      onLost(this.agentId);
+      onLost(streamId);
     }
     return hadStatus;
   }
@@ -245,7 +265,7 @@
         operatorFollower.mergeSnapshot(body.value, this.agentId);
         return;
       case "runEnds":
-        onRunEnds(this.agentId, body.value.ends);
+        onRunEnds(this.#streamId, body.value.ends);
         return;
       case "workerCrash":
         this.#options.onWorkerCrash(this.agentId, body.value);
@@ -305,7 +325,7 @@
     }
     if (status.isSettled && !this.#hasReportedRunsEnded) {
       this.#hasReportedRunsEnded = true;
-      this.#options.onEarlierRunsEnded(this.agentId);
+      this.#options.onEarlierRunsEnded(this.#streamId);
     }
   }
 
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -64,6 +64,7 @@
   readonly #members: TopicFollower;
   readonly #links = new Map<string, BatchAgentLink>();
   readonly #jobs = new Map<string, BatchJobRun>();
+  #lastStreamNumber = 0;
   readonly #crashHistory = new CrashHistory();
   readonly #containment = new RouteContainment({
     onRelease: (route) => this.#options.log.record("route_released", { route }),
@@ -287,22 +288,23 @@
       log,
       name,
       incarnation,
-      onRunEnds: (agentId, ends) => {
+      createStreamNumber: () => ++this.#lastStreamNumber,
+      onRunEnds: (stream, ends) => {
         for (const end of ends) {
           const jobId = end.task.slice(0, end.task.indexOf("."));
-          this.#jobs.get(jobId)?.handleEnd(agentId, end);
+          this.#jobs.get(jobId)?.handleEnd(stream, end);
         }
       },
       onWorkerCrash: (agentId, report) =>
         this.#handleWorkerCrash(agentId, report),
-      onLost: (agentId) => {
+      onLost: (stream) => {
         for (const job of [...this.#jobs.values()]) {
-          job.handleAgentLost(agentId);
+          job.handleStreamLost(stream);
         }
       },
-      onEarlierRunsEnded: (agentId) => {
+      onEarlierRunsEnded: (stream) => {
         for (const job of [...this.#jobs.values()]) {
-          job.handleLostRunsEnded(agentId, "report");
+          job.handleEarlierRunsEnded(stream);
         }
       },
     });
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -14,6 +14,7 @@
 import type { EventLog } from "../../ports/mod.ts";
 import type { RunEnd, StartRuns } from "../../messages/mod.ts";
 import { getRunExpiryMs } from "../get_run_expiry_ms.ts";
+import type { AgentStream } from "./agent_stream.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import type { BatchTask } from "./batch_task.ts";
 
@@ -47,7 +48,14 @@
    * route crash them.
    */
   isConfined: () => boolean;
-  sendStart: (agentId: string, message: Omit<StartRuns, "batch">) => void;
+  /**
+   * Orders an agent to start tasks. Returns the stream of the order; undefined
+   * if there is none.
+   */
+  sendStart: (
+    agentId: string,
+    message: Omit<StartRuns, "batch">,
+  ) => AgentStream | undefined;
   sendStop: (agentId: string, tasks: string[]) => void;
   /** Factor by which tasks run longer away from the rack of their data. */
   farFactor: number;
@@ -169,12 +177,13 @@
     this.#settleWithError("cancelled");
   }
 
-  /** Handles the end of a run at an agent. */
-  handleEnd(agentId: string, end: RunEnd): void {
+  /** Handles the end of a run that was ordered on a stream. */
+  handleEnd(stream: AgentStream, end: RunEnd): void {
+    const { agentId } = stream;
     const task = this.#tasksByName.get(end.task);
     if (
       this.#isAnswered || task === undefined || task.state !== "sent" ||
-      task.agentId !== agentId || end.run < task.run
+      task.stream?.number !== stream.number || end.run < task.run
     ) {
       return;
     }
@@ -222,9 +231,13 @@
     }
   }
 
-  /** Handles the loss of the connection to an agent. */
-  handleAgentLost(agentId: string): void {
-    const tasks = this.#getSentTo(agentId);
+  /** Handles the loss of a stream; its runs may still be executing. */
+  handleStreamLost(stream: AgentStream): void {
+    const { agentId } = stream;
+    const tasks = this.#findTasks(
+      "sent",
+      ({ number }) => number === stream.number,
+    );
     if (tasks.length === 0) {
       return;
     }
@@ -239,6 +252,7 @@
     this.#options.log.record("runs_lost", {
       job: this.#options.job.id,
       agent: agentId,
+      stream: stream.number,
       tasks: tasks.length,
       timeLeftMs: Math.round(timeLeftMs),
     });
@@ -246,26 +260,41 @@
       this.#settleWithError("agent_lost");
       return;
     }
-    this.#startTimer(
-      expiryMs,
-      () => this.handleLostRunsEnded(agentId, "expiry"),
-    );
+    this.#startTimer(expiryMs, () => {
+      const expired = this.#findTasks(
+        "lost",
+        ({ number }) => number === stream.number,
+      );
+      this.#placeLostAgain(expired, "expiry");
+    });
   }
 
   /**
-   * Handles that none of the lost runs is executing at an agent any more: the
-   * agent has reported it, or they must have expired.
+   * Handles the report of an agent that no run can be executing that was ordered
+   * before the given stream. It says nothing of runs at another address, where
+   * the agent had another worker.
    */
-  handleLostRunsEnded(agentId: string, cause: "report" | "expiry"): void {
-    const tasks = [...this.#tasksByName.values()].filter((task) =>
-      task.state === "lost" && task.agentId === agentId
+  handleEarlierRunsEnded(stream: AgentStream): void {
+    const ended = this.#findTasks(
+      "lost",
+      ({ agentId, address, number }) =>
+        agentId === stream.agentId && address === stream.address &&
+        number < stream.number,
     );
+    this.#placeLostAgain(ended, "report");
+  }
+
+  /** Places tasks again whose lost runs have ended. */
+  #placeLostAgain(
+    tasks: readonly BatchTask[],
+    cause: "report" | "expiry",
+  ): void {
     if (tasks.length === 0) {
       return;
     }
     this.#options.log.record("lost_runs_ended", {
       job: this.#options.job.id,
-      agent: agentId,
+      agent: tasks[0]?.stream?.agentId,
       tasks: tasks.length,
       cause,
     });
@@ -305,9 +334,12 @@
     }
   }
 
-  #getSentTo(agentId: string): BatchTask[] {
+  #findTasks(
+    state: BatchTask["state"],
+    matches: (stream: AgentStream) => boolean,
+  ): BatchTask[] {
     return [...this.#tasksByName.values()].filter((task) =>
-      task.state === "sent" && task.agentId === agentId
+      task.state === state && task.stream !== undefined && matches(task.stream)
     );
   }
 
@@ -382,11 +414,9 @@
     }
     const placedCounts = new Map<string, number>();
     for (const task of this.#tasks[first.stepNumber] ?? []) {
-      if (task.state === "sent" && task.agentId !== undefined) {
-        placedCounts.set(
-          task.agentId,
-          (placedCounts.get(task.agentId) ?? 0) + 1,
-        );
+      if (task.state === "sent" && task.stream !== undefined) {
+        const { agentId } = task.stream;
+        placedCounts.set(agentId, (placedCounts.get(agentId) ?? 0) + 1);
       }
     }
     return placeTasks({
@@ -426,11 +456,10 @@
       const task = tasks.find((other) => other.index === index) as BatchTask;
       task.run++;
       task.state = "sent";
-      task.agentId = agentId;
       byAgent.set(agentId, [...byAgent.get(agentId) ?? [], task]);
     }
     for (const [agentId, sent] of byAgent) {
-      sendStart(agentId, {
+      const stream = sendStart(agentId, {
         jobId: job.id,
         route: route.name,
         spec: job.spec,
@@ -446,6 +475,12 @@
           crashedAfterMs: crashHistory.getLatestRunTimeMs(task.name),
         })),
       });
+      for (const task of sent) {
+        task.stream = stream;
+        if (stream === undefined) {
+          this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
+        }
+      }
     }
   }
 
@@ -480,9 +515,9 @@
     this.#timers.forEach((timer) => clearTimeout(timer));
     const byAgent = new Map<string, string[]>();
     for (const task of this.#tasksByName.values()) {
-      if (task.state === "sent" && task.agentId !== undefined) {
-        const names = byAgent.get(task.agentId) ?? [];
-        byAgent.set(task.agentId, [...names, task.name]);
+      if (task.state === "sent" && task.stream !== undefined) {
+        const { agentId } = task.stream;
+        byAgent.set(agentId, [...byAgent.get(agentId) ?? [], task.name]);
       }
     }
     for (const [agentId, names] of byAgent) {
@@ -511,7 +546,7 @@
       index,
       run: 0,
       state: "waiting",
-      agentId: undefined,
+      stream: undefined,
       failures: 0,
       avoidedAgents: new Set(),
     }))
--- a/src/coordination/batch/entry/batch_task.ts
+++ b/src/coordination/batch/entry/batch_task.ts
@@ -1,4 +1,5 @@
 import type { BatchStep } from "../../../state/batch/mod.ts";
+import type { AgentStream } from "./agent_stream.ts";
 
 /** The state of one task of a job at the entry that coordinates the job. */
 export interface BatchTask {
@@ -9,10 +10,10 @@
   readonly index: number;
   /** Number of the latest run; 0 before the first one. */
   run: number;
-  /** `lost`: the agent was lost, and the run may still be executing. */
+  /** `lost`: the stream was lost, and the run may still be executing. */
   state: "waiting" | "sent" | "lost" | "done";
-  /** Agent of the latest run. */
-  agentId: string | undefined;
+  /** Stream on which the latest run was ordered. */
+  stream: AgentStream | undefined;
   failures: number;
   /** Agents at which a run failed, was returned, stopped or lost. */
   readonly avoidedAgents: Set<string>;
--- a/src/coordination/batch/entry/mod.ts
+++ b/src/coordination/batch/entry/mod.ts
@@ -1,3 +1,4 @@
+export type { AgentStream } from "./agent_stream.ts";
 export type { BatchAnswer } from "./batch_answer.ts";
 export { BatchEntry } from "./batch_entry.ts";
 export { BatchJobRun } from "./batch_job_run.ts";
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -1,9 +1,11 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { expect } from "chai";
 import {
+  type AgentStream,
   type BatchAnswer,
   BatchJobRun,
 } from "../../../../src/coordination/batch/entry/mod.ts";
+import { getRunExpiryMs } from "../../../../src/coordination/batch/get_run_expiry_ms.ts";
 import type { RunEnd } from "../../../../src/coordination/messages/mod.ts";
 import {
   type BatchStep,
@@ -19,8 +21,12 @@
 
 const JOB_ID = "00000000000000aa";
 
+/** Time after which the runs of a lost stream have ended, in milliseconds. */
+const EXPIRY_MS = getRunExpiryMs();
+
 interface SentRun {
   agentId: string;
+  stream: AgentStream;
   task: string;
   run: number;
 }
@@ -31,6 +37,10 @@
   readonly sentTimesLeftMs: number[] = [];
   readonly stopped: { agentId: string; tasks: string[] }[] = [];
   readonly log = new RecordedLog();
+  /** Number of the stream to each agent; a test raises it for a new one. */
+  streamNumber = 1;
+  /** Address at which the agents accept streams. */
+  address = "10.0.0.1:1";
   offers: WorkerOffer[] = [];
   isConfined = false;
   readonly crashHistory = new CrashHistory();
@@ -70,9 +80,11 @@
       isConfined: () => this.isConfined,
       sendStart: (agentId, { runs, timeLeftMs }) => {
         this.sentTimesLeftMs.push(timeLeftMs);
+        const stream = this.getStream(agentId);
         for (const { task, run } of runs) {
-          this.sent.push({ agentId, task, run });
+          this.sent.push({ agentId, stream, task, run });
         }
+        return stream;
       },
       sendStop: (agentId, tasks) => this.stopped.push({ agentId, tasks }),
       farFactor: 1.5,
@@ -81,10 +93,22 @@
     this.run.start();
   }
 
+  getStream(agentId: string): AgentStream {
+    return { agentId, address: this.address, number: this.streamNumber };
+  }
+
   endRun(sentIndex: number, outcome: RunOutcome): void {
-    const { agentId, task, run } = this.sent[sentIndex] as SentRun;
+    const { stream, task, run } = this.sent[sentIndex] as SentRun;
     const end: RunEnd = { task, run, outcome, runMs: 1, detail: "" };
-    this.run.handleEnd(agentId, end);
+    this.run.handleEnd(stream, end);
+  }
+
+  /** Breaks the stream of a sent run; the agent's next stream is another one. */
+  loseStream(sentIndex: number): AgentStream {
+    const { stream } = this.sent[sentIndex] as SentRun;
+    this.run.handleStreamLost(stream);
+    this.streamNumber++;
+    return this.getStream(stream.agentId);
   }
 }
 
@@ -132,10 +156,10 @@
   it("does not repeat the runs of a lost agent until they have ended", async () => {
     const job = new JobHarness([createBatchStep()]);
     const { agentId } = job.sent[0] as SentRun;
-    job.run.handleAgentLost(agentId);
+    const next = job.loseStream(0);
     await wait(300);
     expect(job.sent).to.have.length(1);
-    job.run.handleLostRunsEnded(agentId, "report");
+    job.run.handleEarlierRunsEnded(next);
     await waitUntil(() => job.sent.length === 2, "the task is sent again");
     expect(job.sent[1]?.agentId).not.to.equal(agentId);
     job.endRun(1, "done");
@@ -145,17 +169,42 @@
 
   it("answers at once when a lost run can't be repeated in time", async () => {
     const job = new JobHarness([createBatchStep()], 1_000);
-    job.run.handleAgentLost((job.sent[0] as SentRun).agentId);
+    job.loseStream(0);
     await wait(0);
     expect(job.answer).to.deep.equal({ kind: "error", error: "agent_lost" });
   });
 
+  it("does not repeat a run of a second lost stream when the runs of the first have expired", async () => {
+    // Guards against a second run of a task whose agent was lost twice.
+    const loads = [createWorkerLoad({ agentId: "a" })];
+    const steps = [createBatchStep({ expectedMs: 1_500 })];
+    const job = new JobHarness(steps, 10_000, loads);
+    job.run.handleEarlierRunsEnded(job.loseStream(0));
+    await waitUntil(() => job.sent.length === 2, "the task is sent again");
+    await wait(EXPIRY_MS / 2);
+    job.loseStream(1);
+    await wait(EXPIRY_MS * 0.75);
+    expect(job.sent).to.have.length(2);
+    await waitUntil(() => job.sent.length === 3, "the task is sent again");
+    job.run.cancel();
+  });
+
+  it("does not repeat the runs of a lost agent when another process reports under its name", async () => {
+    // Guards against a second run of a task whose agent was replaced elsewhere.
+    const job = new JobHarness([createBatchStep()]);
+    job.address = "10.0.0.2:1";
+    job.run.handleEarlierRunsEnded(job.loseStream(0));
+    await wait(50);
+    expect(job.sent).to.have.length(1);
+    job.run.cancel();
+  });
+
   it("ignores the end of a run at another agent or of an earlier run", async () => {
     const job = new JobHarness([createBatchStep()]);
-    const { agentId, task } = job.sent[0] as SentRun;
+    const { stream, task } = job.sent[0] as SentRun;
     const end = { task, run: 1, outcome: "done", runMs: 1, detail: "" };
-    job.run.handleEnd("other", end);
-    job.run.handleEnd(agentId, { ...end, run: 0 });
+    job.run.handleEnd({ ...stream, agentId: "other", number: 9 }, end);
+    job.run.handleEnd(stream, { ...end, run: 0 });
     await wait(0);
     expect(job.answer).to.equal(undefined);
     job.run.cancel();
--- a/tests/lib/batch_cluster.ts
+++ b/tests/lib/batch_cluster.ts
@@ -4,6 +4,7 @@
   WorkerRunner,
 } from "../../src/coordination/batch/agent/mod.ts";
 import {
+  type AgentStream,
   type BatchAnswer,
   BatchJobRun,
 } from "../../src/coordination/batch/entry/mod.ts";
@@ -156,14 +157,18 @@
       });
   }
 
-  #startRuns(agentId: string, message: Omit<StartRuns, "batch">): void {
+  #startRuns(
+    agentId: string,
+    message: Omit<StartRuns, "batch">,
+  ): AgentStream {
     const agent = this.#findAgent(agentId);
+    const stream = { agentId, address: agentId, number: 1 };
     const owner: RunOwner = {
       name: "entry-1",
       isResponsive: () => true,
       handleEnd: (end) =>
         queueMicrotask(() =>
-          this.#jobs.get(message.jobId)?.run.handleEnd(agentId, end)
+          this.#jobs.get(message.jobId)?.run.handleEnd(stream, end)
         ),
     };
     const now = performance.now();
@@ -190,6 +195,7 @@
       );
     }
     agent?.runner.processQueue();
+    return stream;
   }
 
   #handleStart(agent: ClusterAgent, task: string): void {
