Ignore orders that arrive late on an earlier stream of an entry

What callers could see: a task that runs twice at the same time after an entry gave up a silent stream and opened another one to the same agent.

Cause: the agent kept the session of the earlier stream until its connection closed.

Why this works: the hello carries the number of the stream, which rises with each stream of the entry. A later one closes the earlier sessions, whose orders are then ignored and logged; a hello that itself comes late closes its own.

Tests: "starts nothing that arrives late on an earlier stream of an entry" and "does not stop the runs of an entry for an earlier stream that arrives late".

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -138,6 +138,7 @@
           ageMs: Math.round(performance.now() - at),
           runs,
         })),
+      closeEarlierSessions: (later) => this.#closeEarlierSessions(later),
       cancelJob: (jobId) => this.#cancelJob(jobId),
     });
     this.#sessions.add(session);
@@ -167,6 +168,20 @@
     this.runner.stop();
   }
 
+  /**
+   * Closes the sessions of earlier streams of the same entry.
+   * @returns False if a later stream of the entry is open.
+   */
+  #closeEarlierSessions(session: BatchEntrySession): boolean {
+    const sessions = [...this.#sessions];
+    if (sessions.some((other) => session.isEarlierThan(other))) {
+      return false;
+    }
+    sessions.filter((other) => other.isEarlierThan(session))
+      .forEach((earlier) => earlier.close());
+    return true;
+  }
+
   #cancelJob(jobId: string): void {
     this.#options.log.record("job_cancelled", { job: jobId });
     this.runner.stopWhere((run) => run.jobId === jobId);
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -2,6 +2,7 @@
 import type {
   BatchBody,
   BatchFrame,
+  BatchHello,
   RunEnd,
   StartRuns,
   WorkerCrashReport,
@@ -27,6 +28,11 @@
   countSessions: () => number;
   /** Gets the crashes that a newly connected entry is told. */
   getCrashes: () => WorkerCrashReport[];
+  /**
+   * Closes the sessions of earlier streams of the same entry. Returns false if a
+   * later one is open.
+   */
+  closeEarlierSessions: (session: BatchEntrySession) => boolean;
   /** Stops the runs of a job in all sessions. */
   cancelJob: (jobId: string) => void;
   getTime?: () => number;
@@ -41,8 +47,8 @@
   readonly #options: BatchEntrySessionOptions;
   readonly #getTime: () => number;
   readonly #stream: BatchStream;
-  /** Name of the entry; undefined until its hello has arrived. */
-  #entryName: string | undefined;
+  /** The entry's hello; undefined until it has arrived. */
+  #hello: BatchHello | undefined;
   #isClosed = false;
   /** An entry is not responsive until it has acknowledged a frame. */
   #isUnresponsive = true;
@@ -60,7 +66,7 @@
   }
 
   get name(): string {
-    return this.#entryName ?? "";
+    return this.#hello?.name ?? "";
   }
 
   isResponsive(): boolean {
@@ -69,6 +75,24 @@
         BATCH_LIMITS.entryTimeoutMs;
   }
 
+  /** Returns whether an entry opened this stream before that of the other. */
+  isEarlierThan(other: BatchEntrySession): boolean {
+    const own = this.#hello;
+    const hello = other.#hello;
+    return own !== undefined && hello !== undefined &&
+      own.name === hello.name && own.incarnation === hello.incarnation &&
+      own.stream < hello.stream;
+  }
+
+  /**
+   * Closes the stream. Orders on it that arrive later are ignored: the entry may
+   * have been told that no run of this stream can be executing.
+   */
+  close(): void {
+    this.#isClosed = true;
+    this.#stream.close();
+  }
+
   /**
    * Queues the end of a run. All ends of one turn of the event loop are sent in
    * one frame, and the status that follows goes out in the same write.
@@ -88,7 +112,8 @@
   /** Serves the stream until it ends. */
   async serve(): Promise<void> {
     const { name, incarnation, runner, log } = this.#options;
-    this.#stream.send({ case: "hello", value: { name, incarnation } });
+    const hello = { name, incarnation, stream: 0 };
+    this.#stream.send({ case: "hello", value: hello });
     this.#options.getCrashes().forEach((report) => this.sendCrash(report));
     let reason: string | undefined;
     try {
@@ -146,7 +171,7 @@
    */
   sendStatus(status = this.#options.runner.getStatus()): void {
     const { runner } = this.#options;
-    if (this.#entryName === undefined) {
+    if (this.#hello === undefined) {
       return;
     }
     this.#sendChangedProfile();
@@ -206,11 +231,18 @@
     }
   }
 
-  #handleHello(
-    { name, incarnation }: { name: string; incarnation: string },
-  ): void {
-    this.#entryName = name;
-    this.#options.log.record("entry_found", { entry: name, incarnation });
+  #handleHello(hello: BatchHello): void {
+    const { name, incarnation, stream } = hello;
+    this.#hello = hello;
+    this.#options.log.record("entry_found", {
+      entry: name,
+      incarnation,
+      stream,
+    });
+    if (!this.#options.closeEarlierSessions(this)) {
+      this.close();
+      return;
+    }
     this.#options.runner.stopWhere((run) =>
       run.owner.name === name && run.owner !== this
     );
@@ -231,7 +263,15 @@
   }
 
   #handleStartRuns(message: StartRuns): void {
-    const { runner } = this.#options;
+    const { runner, log } = this.#options;
+    if (this.#isClosed) {
+      log.record("start_ignored", {
+        job: message.jobId,
+        entry: this.name,
+        reason: "a later stream of the entry is open",
+      });
+      return;
+    }
     const now = this.#getTime();
     this.#receivedBatch = message.batch;
     for (const order of message.runs) {
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -194,7 +194,8 @@
     this.#silenceMs = 0;
     this.#lastBatch = 0;
     this.#hasReportedRunsEnded = false;
-    stream.send({ case: "hello", value: { name, incarnation } });
+    const hello = { name, incarnation, stream: streamId.number };
+    stream.send({ case: "hello", value: hello });
     this.#sendPing();
     const timer = this.#startTimer(stream);
     let reason = "silent";
--- a/src/coordination/messages/batch_body.ts
+++ b/src/coordination/messages/batch_body.ts
@@ -1,3 +1,4 @@
+import type { BatchHello } from "./batch_hello.ts";
 import type { RunEnd } from "./run_end.ts";
 import type { StartRuns } from "./start_runs.ts";
 import type { WorkerCrashReport } from "./worker_crash_report.ts";
@@ -6,7 +7,7 @@
 
 /** The content of a batch frame. */
 export type BatchBody =
-  | { case: "hello"; value: { name: string; incarnation: string } }
+  | { case: "hello"; value: BatchHello }
   | { case: "ping"; value: { operatorOffset: number } }
   | { case: "startRuns"; value: StartRuns }
   | { case: "stopRuns"; value: { tasks: string[] } }
--- a/src/coordination/messages/mod.ts
+++ b/src/coordination/messages/mod.ts
@@ -1,4 +1,5 @@
 export type { BatchBody } from "./batch_body.ts";
+export type { BatchHello } from "./batch_hello.ts";
 export type { BatchFrame } from "./batch_frame.ts";
 export type { CancelRequest } from "./cancel_request.ts";
 export type { ClaimRequest } from "./claim_request.ts";
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -24,7 +24,7 @@
 function getFields(body: BatchBody): unknown[] {
   switch (body.case) {
     case "hello":
-      return [body.value.name, body.value.incarnation];
+      return [body.value.name, body.value.incarnation, body.value.stream];
     case "ping":
       return [body.value.operatorOffset];
     case "startRuns": {
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -76,8 +76,8 @@
 ): BatchBody | undefined {
   switch (kindCase) {
     case "hello": {
-      const [name, incarnation] = fields as [string, string];
-      return { case: kindCase, value: { name, incarnation } };
+      const [name, incarnation, stream] = fields as [string, string, number];
+      return { case: kindCase, value: { name, incarnation, stream } };
     }
     case "ping": {
       const [operatorOffset] = fields as [number];
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -44,6 +44,11 @@
   },
 };
 
+/** A stream on which frames arrive after this side has closed it. */
+class LateStream extends MemoryStream {
+  override close(): void {}
+}
+
 function createAgent(worker: FakeWorker, incarnation: string): BatchAgent {
   return new BatchAgent({
     ...{ name: "agent-1", incarnation, zone: "a", address: "x" },
@@ -77,15 +82,18 @@
 
   afterEach(() => agent.runner.stop());
 
-  function openStream(entry: string, server = agent): MemoryStream {
+  function openStream(
+    entry: string,
+    { server = agent, number = 1 } = {},
+  ): MemoryStream {
     const stream = new MemoryStream();
     void server.serve(stream);
-    sendHello(stream, entry);
+    sendHello(stream, entry, number);
     return stream;
   }
 
-  function sendHello(stream: MemoryStream, entry: string): void {
-    const value = { name: entry, incarnation: "i" };
+  function sendHello(stream: MemoryStream, entry: string, number = 1): void {
+    const value = { name: entry, incarnation: "i", stream: number };
     sendBody(stream, { case: "hello", value });
   }
 
@@ -124,7 +132,7 @@
     agent.runner.stop();
     worker.stopDelayMs = STOP_DELAY_MS;
     const restarted = createAgent(worker, "j");
-    const stream = openStream("entry-1", restarted);
+    const stream = openStream("entry-1", { server: restarted });
     await wait(STOP_DELAY_MS);
     expect(isSettled(stream)).to.equal(false);
     restarted.runner.handleWorkerReport(WORKER_REPORT);
@@ -147,4 +155,26 @@
     await waitUntil(() => isSettled(second), "the agent reports the end");
     expect(worker.running.has(TASK)).to.equal(false);
   });
+
+  it("starts nothing that arrives late on an earlier stream of an entry", async () => {
+    // Guards against a second run of a task that the entry has placed elsewhere.
+    const first = new LateStream();
+    void agent.serve(first);
+    sendHello(first, "entry-1", 1);
+    const second = openStream("entry-1", { number: 2 });
+    await waitUntil(() => isSettled(second), "the agent reports the end");
+    sendBody(first, START_RUNS);
+    await wait(50);
+    expect(worker.starts).to.have.length(0);
+  });
+
+  it("does not stop the runs of an entry for an earlier stream that arrives late", async () => {
+    // Guards against a job that is interrupted by a stream which its entry gave up.
+    const stream = openStream("entry-1", { number: 2 });
+    sendBody(stream, START_RUNS);
+    await waitUntil(() => worker.running.has(TASK), "the run has started");
+    const late = openStream("entry-1", { number: 1 });
+    await waitUntil(() => late.isClosed, "the earlier stream is closed");
+    expect(worker.running.has(TASK)).to.equal(true);
+  });
 });
