Register a job before it is held at the start of its entry

Cause: the job was registered, and the end of its connection listened to, only after the wait. The event had been emitted by then, so nothing cancelled the job. A cancel request did not find it either, and a second submission at the same entry started it a second time.

Why this works: the job is registered before it waits, so it can be joined and cancelled from then on. A signal that is aborted already cancels it at once, and a job that has been answered is not started.

Tests: the four of batch_entry_test.ts fail before the change (timeout instead of cancelled, no answer, not found, two orders instead of one).

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -127,36 +127,23 @@
 
   /** Runs a job; awaits its answer when it is already running. */
   async runJob(options: RunJobOptions): Promise<BatchAnswer> {
-    const { job, route, timeLeftMs, signal } = options;
-    const existingRun = this.#jobs.get(job.id);
-    if (existingRun !== undefined) {
-      return existingRun.answer;
+    const { job, route, signal } = options;
+    const openRun = this.#jobs.get(job.id);
+    if (openRun !== undefined) {
+      return await openRun.answer;
     }
     const intake = this.#decideIntake(job, route);
     if (intake.kind === "refused") {
       const { retryAfterMs } = intake;
       return { kind: "error", error: "overloaded", retryAfterMs };
     }
-    const { log, farFactor, metrics } = this.#options;
+    const { log, metrics } = this.#options;
     const startedAt = performance.now();
-    await this.#waitForWarmUp(job, signal);
-    const run = new BatchJobRun({
-      job,
-      route,
-      timeLeftMs: timeLeftMs - (performance.now() - startedAt),
-      log,
-      farFactor,
-      crashHistory: this.#crashHistory,
-      getLoads: () => this.#getLoads(route),
-      getOffers: () => this.#getOffers(route),
-      isConfined: () => this.#getConfinement(route) !== undefined,
-      sendStart: (agentId, message) =>
-        this.#links.get(agentId)?.startRuns(message),
-      sendStop: (agentId, tasks) => this.#links.get(agentId)?.stopRuns(tasks),
-    });
+    const run = this.#createJobRun(options);
+    // From here on the job can be joined and cancelled, also while it is held.
     this.#jobs.set(job.id, run);
-    signal.addEventListener("abort", () => run.cancel(), { once: true });
-    run.start();
+    run.cancelOnAbort(signal);
+    void this.#startWhenWarm(job, run);
     const answer = await run.answer;
     this.#jobs.delete(job.id);
     const tookMs = performance.now() - startedAt;
@@ -173,20 +160,39 @@
     return answer;
   }
 
-  /** Waits until jobs may be placed or the client has gone. */
-  async #waitForWarmUp(job: BatchJob, signal: AbortSignal): Promise<void> {
-    if (this.#warmUpGate.isOpen) {
-      return;
-    }
-    const startedAt = performance.now();
-    await this.#warmUpGate.wait(signal);
-    this.#options.log.record("job_held", {
-      job: job.id,
-      heldMs: Math.round(performance.now() - startedAt),
-      hasClient: !signal.aborted,
+  #createJobRun({ job, route, timeLeftMs }: RunJobOptions): BatchJobRun {
+    return new BatchJobRun({
+      job,
+      route,
+      timeLeftMs,
+      log: this.#options.log,
+      farFactor: this.#options.farFactor,
+      crashHistory: this.#crashHistory,
+      getLoads: () => this.#getLoads(route),
+      getOffers: () => this.#getOffers(route),
+      isConfined: () => this.#getConfinement(route) !== undefined,
+      sendStart: (agentId, message) =>
+        this.#links.get(agentId)?.startRuns(message),
+      sendStop: (agentId, tasks) => this.#links.get(agentId)?.stopRuns(tasks),
     });
   }
 
+  /** Starts a job once jobs may be placed, unless it has been cancelled. */
+  async #startWhenWarm(job: BatchJob, run: BatchJobRun): Promise<void> {
+    if (!this.#warmUpGate.isOpen) {
+      const heldSince = performance.now();
+      const answered = new AbortController();
+      void run.answer.then(() => answered.abort());
+      await this.#warmUpGate.wait(answered.signal);
+      this.#options.log.record("job_held", {
+        job: job.id,
+        heldMs: Math.round(performance.now() - heldSince),
+        isCancelled: answered.signal.aborted,
+      });
+    }
+    run.start();
+  }
+
   /** Returns whether this entry is running the job. */
   hasJob(jobId: string): boolean {
     return this.#jobs.has(jobId);
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -79,9 +79,9 @@
    * Tasks that end later are not started; an answer that is complete later is
    * still delivered until the deadline.
    */
-  readonly #usefulUntil: number;
+  #usefulUntil = 0;
   /** Time at which the latency target is missed, on the monotonic clock. */
-  readonly #latencyTargetAt: number;
+  #latencyTargetAt = 0;
   readonly #timers = new Set<NodeJS.Timeout>();
   #resolve: (answer: BatchAnswer) => void = () => {};
   #isAnswered = false;
@@ -91,12 +91,7 @@
   constructor(options: BatchJobRunOptions) {
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
-    const { job, route, timeLeftMs } = options;
-    const now = this.#getTime();
-    const { targetMs, maxUsefulMs } = getResponseTimes(job, route);
-    this.#deadlineAt = now + timeLeftMs;
-    this.#usefulUntil = now + Math.min(timeLeftMs, maxUsefulMs);
-    this.#latencyTargetAt = now + targetMs;
+    this.#deadlineAt = this.#getTime() + options.timeLeftMs;
     this.answer = new Promise((resolve) => this.#resolve = resolve);
     this.#tasks = createTasks(options.job);
     for (const task of this.#tasks.flat()) {
@@ -104,9 +99,30 @@
     }
   }
 
-  /** Admits the job and sends its first tasks, or refuses it. */
+  /** Cancels the job when `signal` is aborted, or if it already is. */
+  cancelOnAbort(signal: AbortSignal): void {
+    // A signal that is aborted already emits no event any more.
+    if (signal.aborted) {
+      this.cancel();
+    } else {
+      signal.addEventListener("abort", () => this.cancel(), { once: true });
+    }
+  }
+
+  /**
+   * Admits the job and sends its first tasks, or refuses it. Does nothing if it
+   * has been cancelled.
+   */
   start(): void {
-    const { job, route, log, timeLeftMs, getLoads, isConfined } = this.#options;
+    if (this.#isAnswered) {
+      return;
+    }
+    const { job, route, log, getLoads, isConfined } = this.#options;
+    const now = this.#getTime();
+    const timeLeftMs = this.#deadlineAt - now;
+    const { targetMs, maxUsefulMs } = getResponseTimes(job, route);
+    this.#usefulUntil = now + Math.min(timeLeftMs, maxUsefulMs);
+    this.#latencyTargetAt = now + targetMs;
     for (const task of this.#tasksByName.values()) {
       if (this.#giveUpCrashing(task)) {
         return;
--- /dev/null
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -0,0 +1,114 @@
+import { setTimeout as wait } from "node:timers/promises";
+import { expect } from "chai";
+import { ok } from "neverthrow";
+import {
+  type BatchAnswer,
+  BatchEntry,
+} from "../../../../src/coordination/batch/entry/mod.ts";
+import type { Route } from "../../../../src/state/batch/mod.ts";
+import { Metrics } from "../../../../src/state/metrics/mod.ts";
+import { createBatchStep } from "../../../lib/create_batch_step.ts";
+import { FakeAgentPeers } from "../../../lib/fake_agent_peers.ts";
+import { MemoryKeyedStore } from "../../../lib/memory_keyed_store.ts";
+import { RecordedLog } from "../../../lib/recorded_log.ts";
+import { waitUntil } from "../../../lib/wait_until.ts";
+
+const JOB_ID = "00000000000000aa";
+
+/** Longest time after the start for which jobs are held, in milliseconds. */
+const MAX_HOLD_MS = 800;
+
+const ROUTE: Route = {
+  ...{ name: "r", host: "h", pathPrefix: "/", service: "s", priority: 0 },
+  ...{ timeoutMs: 5_000, maxAttempts: 2, stretch: 1.6, maxLateness: 4 },
+  latencyTargetMs: 1_000,
+};
+
+const AGENTS = [
+  { name: "agent-1", address: "10.0.0.1:1", zone: "a" },
+  { name: "agent-2", address: "10.0.0.2:1", zone: "a" },
+];
+const [FIRST] = AGENTS as [(typeof AGENTS)[number]];
+
+describe("BatchEntry", () => {
+  let store: MemoryKeyedStore;
+  let peers: FakeAgentPeers;
+  let log: RecordedLog;
+  let entry: BatchEntry;
+
+  beforeEach(() => {
+    store = new MemoryKeyedStore();
+    peers = new FakeAgentPeers();
+    log = new RecordedLog();
+    entry = new BatchEntry({
+      ...{ name: "entry-1", incarnation: "i", store, peers, log },
+      ...{ metrics: new Metrics(), farFactor: 1.5 },
+      parseOperatorRecord: () => ok({ kind: "other" }),
+    });
+    for (const agent of AGENTS) {
+      store.add("members", agent.name, JSON.stringify(agent));
+    }
+    entry.start();
+  });
+
+  afterEach(() => entry.stop());
+
+  function submitJob(signal: AbortSignal): { answer?: BatchAnswer } {
+    const submitted: { answer?: BatchAnswer } = {};
+    const job = { id: JOB_ID, spec: "x", steps: [createBatchStep()] };
+    void entry.runJob({ job, route: ROUTE, timeLeftMs: 5_000, signal })
+      .then((answer) => submitted.answer = answer);
+    return submitted;
+  }
+
+  /** Connects one of two agents, so that jobs are held for the other one. */
+  async function connectFirstAgent(): Promise<void> {
+    await waitUntil(
+      () => peers.hasStream(FIRST.address),
+      "the entry opens a stream",
+    );
+    peers.sendStatus(FIRST.address, { name: FIRST.name });
+    await waitUntil(() => log.count("worker_status") === 1, "the status");
+  }
+
+  describe("a job that is held at the start of the entry", () => {
+    it("is not run when its client disconnects meanwhile", async () => {
+      // Guards against a job that runs at two entries when it is sent again.
+      await connectFirstAgent();
+      const client = new AbortController();
+      const job = submitJob(client.signal);
+      await wait(50);
+      client.abort();
+      await waitUntil(() => job.answer !== undefined, "the job is answered");
+      expect(job.answer).to.deep.equal({ kind: "error", error: "cancelled" });
+      await wait(MAX_HOLD_MS);
+      expect(peers.getStarts(FIRST.address)).to.have.length(0);
+      expect(entry.openJobCount).to.equal(0);
+    });
+
+    it("is not run when its client has disconnected before", async () => {
+      await connectFirstAgent();
+      const job = submitJob(AbortSignal.abort());
+      await wait(MAX_HOLD_MS);
+      expect(job.answer).to.deep.equal({ kind: "error", error: "cancelled" });
+      expect(peers.getStarts(FIRST.address)).to.have.length(0);
+    });
+
+    it("is found and cancelled by a cancel request", async () => {
+      await connectFirstAgent();
+      const job = submitJob(new AbortController().signal);
+      expect(entry.cancelJob(JOB_ID)).to.equal(true);
+      await wait(MAX_HOLD_MS);
+      expect(job.answer).to.deep.equal({ kind: "error", error: "cancelled" });
+      expect(peers.getStarts(FIRST.address)).to.have.length(0);
+    });
+
+    it("is run once when it is submitted a second time", async () => {
+      await connectFirstAgent();
+      submitJob(new AbortController().signal);
+      submitJob(new AbortController().signal);
+      await wait(MAX_HOLD_MS + 100);
+      expect(peers.getStarts(FIRST.address)).to.have.length(1);
+    });
+  });
+});
--- /dev/null
+++ b/tests/lib/fake_agent_peers.ts
@@ -0,0 +1,82 @@
+import type {
+  BatchBody,
+  BatchFrame,
+  StartRuns,
+  WorkerProfile,
+  WorkerStatus,
+} from "../../src/coordination/messages/mod.ts";
+import type { PeerConnector } from "../../src/coordination/ports/mod.ts";
+import { MemoryStream } from "./memory_stream.ts";
+
+const PROFILE: WorkerProfile = {
+  ...{ workerId: "w-1", cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
+  ...{ labels: [], zone: "a", service: "s" },
+};
+
+const STATUS: WorkerStatus = {
+  ...{ acceptsWork: true, isSettled: true, entries: 1, slowdown: 1 },
+  ...{ freeCpuMillis: 16_000, freeMemoryMb: 65_536, freeGpus: 0 },
+  ...{ runningLeftMs: [], queuedRuns: [], queuedMs: [], receivedBatch: 0 },
+  ...{ failureShare: 0, suspectRuns: 0 },
+};
+
+/** A stream whose agent answers pings. */
+class AnsweringStream extends MemoryStream {
+  override send(frame: BatchFrame): void {
+    super.send(frame);
+    if (frame.kind.case === "ping") {
+      const now = Math.floor(performance.now());
+      const kind = frame.kind;
+      this.received.add({ sentAtMs: now, echoAtMs: frame.sentAtMs, kind });
+    }
+  }
+}
+
+/** In-memory agents that record what an entry sends to them. */
+export class FakeAgentPeers implements PeerConnector<BatchFrame> {
+  /** All streams that were opened, in order. */
+  readonly opened: { address: string; stream: MemoryStream }[] = [];
+
+  open(address: string): MemoryStream {
+    const stream = new AnsweringStream();
+    this.opened.push({ address, stream });
+    return stream;
+  }
+
+  /** Returns whether the entry has opened a stream to an address. */
+  hasStream(address: string): boolean {
+    return this.#find(address) !== undefined;
+  }
+
+  /** Sends a frame of the agent on its newest stream. */
+  sendBody(address: string, kind: BatchBody): void {
+    const now = Math.floor(performance.now());
+    const frame = { sentAtMs: now, echoAtMs: now, kind };
+    this.#find(address)?.received.add(frame);
+  }
+
+  /** Sends the hello, the profile and a status of the agent. */
+  sendStatus(
+    address: string,
+    { name, ...changes }: Partial<WorkerStatus> & { name: string },
+  ): void {
+    const hello = { name, incarnation: "i", stream: 0 };
+    this.sendBody(address, { case: "hello", value: hello });
+    this.sendBody(address, { case: "workerProfile", value: PROFILE });
+    const value = { ...STATUS, ...changes };
+    this.sendBody(address, { case: "workerStatus", value });
+  }
+
+  /** Gets the orders that were sent to an address on all of its streams. */
+  getStarts(address: string): StartRuns[] {
+    return this.opened.filter((opened) => opened.address === address)
+      .flatMap(({ stream }) => stream.sent)
+      .map(({ kind }) => kind)
+      .filter((kind) => kind.case === "startRuns")
+      .map(({ value }) => value);
+  }
+
+  #find(address: string): MemoryStream | undefined {
+    return this.opened.findLast((opened) => opened.address === address)?.stream;
+  }
+}
