Cancel a job only when all of its callers have gone

What callers could see: a client whose connection broke sends its job again to the same entry and joins the running job; when the entry then notices the end of the first connection, the job is cancelled and the waiting client refused.

Cause: the job listened to the connection of its first caller only. Nor did the end of the second one cancel a job whose first caller had gone.

Why this works: each caller is counted, and the job is cancelled when the last one has gone.

Test: "runs a job on for its second caller when the first one disconnects" fails before the two changes and passes with them.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -130,6 +130,7 @@
     const { job, route, signal } = options;
     const openRun = this.#jobs.get(job.id);
     if (openRun !== undefined) {
+      openRun.addCaller(signal);
       return await openRun.answer;
     }
     const intake = this.#decideIntake(job, route);
@@ -142,7 +143,7 @@
     const run = this.#createJobRun(options);
     // From here on the job can be joined and cancelled, also while it is held.
     this.#jobs.set(job.id, run);
-    run.cancelOnAbort(signal);
+    run.addCaller(signal);
     void this.#startWhenWarm(job, run);
     const answer = await run.answer;
     this.#jobs.delete(job.id);
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -85,6 +85,8 @@
   readonly #timers = new Set<NodeJS.Timeout>();
   #resolve: (answer: BatchAnswer) => void = () => {};
   #isAnswered = false;
+  /** Number of callers that wait for the answer. */
+  #callerCount = 0;
   /** Whether a task of the job may have started. */
   #canHaveStarted = false;
 
@@ -99,13 +101,23 @@
     }
   }
 
-  /** Cancels the job when `signal` is aborted, or if it already is. */
-  cancelOnAbort(signal: AbortSignal): void {
+  /**
+   * Adds a caller that waits for the answer. The job is cancelled when `signal`
+   * has been aborted for each of its callers.
+   */
+  addCaller(signal: AbortSignal): void {
+    this.#callerCount++;
+    const handleAbort = () => {
+      this.#callerCount--;
+      if (this.#callerCount === 0) {
+        this.cancel();
+      }
+    };
     // A signal that is aborted already emits no event any more.
     if (signal.aborted) {
-      this.cancel();
+      handleAbort();
     } else {
-      signal.addEventListener("abort", () => this.cancel(), { once: true });
+      signal.addEventListener("abort", handleAbort, { once: true });
     }
   }
 
@@ -188,7 +200,7 @@
     return this.#options.job.steps.every((step) => canRunStep(step, offers));
   }
 
-  /** Cancels the job, because its client has disconnected or asked for it. */
+  /** Cancels the job, because its callers have gone or asked for it. */
   cancel(): void {
     this.#settleWithError("cancelled");
   }
--- a/tests/coordination/batch/entry/batch_entry_test.ts
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -111,4 +111,23 @@
       expect(peers.getStarts(FIRST.address)).to.have.length(1);
     });
   });
+
+  it("runs a job on for its second caller when the first one disconnects", async () => {
+    // Guards against a caller that is refused because an earlier connection ended.
+    await connectFirstAgent();
+    const first = new AbortController();
+    submitJob(first.signal);
+    const second = submitJob(new AbortController().signal);
+    await waitUntil(
+      () => peers.getStarts(FIRST.address).length === 1,
+      "the task is sent",
+    );
+    first.abort();
+    const [order] = peers.getStarts(FIRST.address);
+    const { task, run } = order?.runs[0] as { task: string; run: number };
+    const end = { task, run, outcome: "done", runMs: 1, detail: "" };
+    peers.sendBody(FIRST.address, { case: "runEnds", value: { ends: [end] } });
+    await waitUntil(() => second.answer !== undefined, "the job is answered");
+    expect(second.answer).to.deep.equal({ kind: "completed" });
+  });
 });
