Notice the end of a connection for each request that waits on it

What callers could see: a client sends several requests on one connection without waiting for the answers, and disconnects; the jobs of all but the first run on without it, and again where they are sent again.

Cause: the end of a request was taken from the "close" event of its response. Node.js assigns a response to the connection when the responses to the requests before it are complete, and emits nothing for one that still waits for that.

Why this works: the connection itself is observed until the response is complete, and a connection that has ended before aborts at once.

Test: "aborts the signal of each request that a client sent before it disconnected" times out before the change and passes with it.

--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -170,11 +170,7 @@
     return undefined;
   }
   const abort = new AbortController();
-  response.on("close", () => {
-    if (!response.writableFinished) {
-      abort.abort();
-    }
-  });
+  abortOnDisconnect(abort, request, response);
   return {
     method: request.method ?? "GET",
     ...target,
@@ -184,6 +180,25 @@
   };
 }
 
+/**
+ * Aborts when the connection ends before the response is complete. A response
+ * emits no event for that while it waits for one to an earlier request on the
+ * same connection, so the connection itself is observed.
+ */
+function abortOnDisconnect(
+  abort: AbortController,
+  { socket }: http.IncomingMessage,
+  response: http.ServerResponse,
+): void {
+  if (socket.destroyed) {
+    abort.abort();
+    return;
+  }
+  const handleClose = () => abort.abort();
+  socket.once("close", handleClose);
+  response.once("finish", () => socket.off("close", handleClose));
+}
+
 function parseTarget(
   target: string,
 ): Pick<HttpRequest, "rawPath" | "pathSegments" | "query"> | undefined {
--- a/tests/transport/http/http_server_test.ts
+++ b/tests/transport/http/http_server_test.ts
@@ -1,10 +1,12 @@
 import { expect } from "chai";
 import * as http from "node:http";
+import { connect } from "node:net";
 import {
   createJsonResponse,
   type HttpRequest,
   HttpServer,
 } from "../../../src/transport/http/mod.ts";
+import { waitUntil } from "../../lib/wait_until.ts";
 
 const MAX_BODY_BYTES = 1_000_000;
 
@@ -82,4 +84,27 @@
     expect(response.status).to.equal(400);
     expect(response.headers.get("x-error-kind")).to.equal("invalid_request");
   });
+
+  it("aborts the signal of each request that a client sent before it disconnected", async () => {
+    // Guards against a job that runs on for a client that has gone.
+    const signals: AbortSignal[] = [];
+    const waiting = new HttpServer({
+      host: "127.0.0.1",
+      port: 0,
+      handleRequest: ({ signal }) => {
+        signals.push(signal);
+        return new Promise(() => {});
+      },
+    });
+    const socket = connect(await waiting.start(), "127.0.0.1");
+    const request = "POST / HTTP/1.1\r\nhost: h\r\ncontent-length: 0\r\n\r\n";
+    socket.write(request + request);
+    await waitUntil(() => signals.length === 2, "both requests have arrived");
+    socket.resetAndDestroy();
+    await waitUntil(
+      () => signals.every(({ aborted }) => aborted),
+      "both signals are aborted",
+    );
+    await waiting.stop();
+  });
 });
