Fail the stream to an invalid address instead of throwing

What callers could see: after another writer had left a record with a port out of range under an agent's name, that agent got no tasks from any entry until the entries were restarted. Where it was the only one, all jobs were refused.

Cause: the record was accepted (any digits were a port), the link to the agent replaced, and opening its stream threw. That ended the link's task with an unhandled rejection, which only the last handler of the process kept from ending it. The link stayed in the list and was never tried again. Connections of the own interface had the same gap.

Evidence: both clients throw for 127.0.0.1:99999, as do the new tests before the change.

Why this works: a record whose address no connection can be opened to is unreadable, is logged as such, and leaves the agent's link alone. Both clients keep the contract of PeerConnector: a stream that can't be opened fails in its iteration, so its link tries again.

--- a/src/coordination/batch/directory/member_record.ts
+++ b/src/coordination/batch/directory/member_record.ts
@@ -1,10 +1,11 @@
 import { z } from "zod";
+import { Address } from "../../../state/address/mod.ts";
 
 /** The record with which an agent announces itself in the store. */
 export const MemberRecord = z.object({
   name: z.string().min(1),
-  /** IPv4 address and port at which the agent accepts streams. */
-  address: z.string().regex(/^[0-9.]+:\d+$/),
+  /** Address at which the agent accepts streams. */
+  address: Address,
   zone: z.string(),
 });
 
--- /dev/null
+++ b/src/state/address/mod.ts
@@ -0,0 +1,1 @@
+export { Address } from "./address.ts";
--- a/src/transport/peer/connect_peer_client.ts
+++ b/src/transport/peer/connect_peer_client.ts
@@ -31,7 +31,6 @@
 /** Connects to other processes over HTTP/2 with the Connect protocol. */
 export class ConnectPeerClient implements PeerClient {
   open(address: string): PeerStream {
-    const client = createPeerClient(address);
     const abort = new AbortController();
     // The client sends the frames of the stream, which in turn reads those that
     // the client receives. `receive` runs only after the stream exists.
@@ -43,6 +42,8 @@
     return stream;
 
     async function* receive(): AsyncGenerator<Frame> {
+      // Throws for an invalid address, like the call for an unreachable one.
+      const client = createPeerClient(address);
       yield* client.connect(stream.outgoingFrames, { signal: abort.signal });
     }
   }
--- a/src/transport/stream/stream_client.ts
+++ b/src/transport/stream/stream_client.ts
@@ -1,4 +1,4 @@
-import { connect } from "node:net";
+import { connect, Socket } from "node:net";
 import type { BatchFrame } from "../../coordination/messages/mod.ts";
 import type { PeerStream } from "../../coordination/ports/mod.ts";
 import { FrameSocket } from "./frame_socket.ts";
@@ -8,6 +8,14 @@
   /** @param address - `host:port`, where the host is an IP address. */
   open(address: string): PeerStream<BatchFrame> {
     const [host, port] = address.split(":") as [string, string];
-    return new FrameSocket(connect(Number(port), host));
+    try {
+      return new FrameSocket(connect(Number(port), host));
+    } catch (error) {
+      // The stream to an invalid address fails like one to an unreachable one.
+      const socket = new Socket();
+      const stream = new FrameSocket(socket);
+      socket.destroy(error as Error);
+      return stream;
+    }
   }
 }
--- a/tests/coordination/batch/entry/batch_entry_test.ts
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -18,6 +18,9 @@
 /** Longest time after the start for which jobs are held, in milliseconds. */
 const MAX_HOLD_MS = 800;
 
+/** Levels of nesting at which recursive code overflows the stack. */
+const DEPTH = 100_000;
+
 const ROUTE: Route = {
   ...{ name: "r", host: "h", pathPrefix: "/", service: "s", priority: 0 },
   ...{ timeoutMs: 5_000, maxAttempts: 2, stretch: 1.6, maxLateness: 4 },
@@ -130,4 +133,29 @@
     await waitUntil(() => second.answer !== undefined, "the job is answered");
     expect(second.answer).to.deep.equal({ kind: "completed" });
   });
+
+  it("keeps a live agent when another writer leaves an unusable record under its name", async () => {
+    // Guards against an agent that gets no tasks any more until it is restarted.
+    await connectFirstAgent();
+    const records = [
+      JSON.stringify({ ...FIRST, address: "127.0.0.1:99999" }),
+      JSON.stringify({ ...FIRST, address: "127.0.0.1:1e400" }),
+      JSON.stringify({ ...FIRST, zone: 1e300 }),
+      `{"name":"agent-1","zone":${"[".repeat(DEPTH)}${"]".repeat(DEPTH)}}`,
+      "1e999",
+      "not JSON",
+    ];
+    for (const record of records) {
+      store.add("members", FIRST.name, record);
+    }
+    await waitUntil(
+      () => log.count("record_unreadable") === records.length,
+      "the records are refused",
+    );
+    submitJob(new AbortController().signal);
+    await waitUntil(
+      () => peers.getStarts(FIRST.address).length === 1,
+      "the agent gets a task",
+    );
+  });
 });
--- a/tests/transport/stream/stream_test.ts
+++ b/tests/transport/stream/stream_test.ts
@@ -106,6 +106,21 @@
     expect(stream.isClosed).to.equal(true);
   });
 
+  it("ends with an error when the port is out of range", async () => {
+    // Guards against an entry that no longer connects to an agent.
+    const stream = new StreamClient().open("127.0.0.1:99999");
+    let message = "";
+    try {
+      for await (const _ of stream.received) {
+        // Nothing arrives.
+      }
+    } catch (error) {
+      message = (error as Error).message;
+    }
+    expect(message).to.contain("99999");
+    expect(stream.isClosed).to.equal(true);
+  });
+
   it("destroys the connection to a peer that does not read", async () => {
     const sockets: Socket[] = [];
     const unresponsiveServer = createServer((socket) => {
