Pass over records that are nested too deeply

What callers could see: one record of another writer in the log, nested some thousand levels deep, and every entry and agent stops following the log there: changes and members are not seen any more, the view gets too old, and no work starts. A restart does not help, since the record is read again.

Cause: a page of the log was checked with a recursive schema as a whole. It overflows the stack at such a record, so each read of the page was rejected, and nothing handled that. JSON of any depth can be parsed, so nothing refused it before. On the users' platform no schema is recursive; records there were passed over already.

Evidence: http_log_service_test reads a page with such records; before the change readToHead is rejected with "Maximum call stack size exceeded".

A page is read record by record; one that is nested deeper is skipped, logged and counted like any other unreadable record. ctl refuses such a value.

Tests: "lets a follower pass over records of another writer that are nested too deeply" fails before the change; is_nested_within_test. Two tests read the member of an event, and leave out the new event that has none.

--- a/src/coordination/entry/agent_pool.ts
+++ b/src/coordination/entry/agent_pool.ts
@@ -135,6 +135,7 @@
         break;
       case "leaving":
       case "change":
+      case "skipped":
         break;
       default:
         return event satisfies never;
--- a/src/coordination/follower/log_follower.ts
+++ b/src/coordination/follower/log_follower.ts
@@ -253,16 +253,14 @@
   #applyRecord(raw: RawLogRecord): void {
     const record = parseLogRecord(raw.json);
     let { json } = raw;
-    if (record === undefined) {
-      this.view.skip(raw.offset);
-    } else if (record.type === "snapshot") {
+    if (record?.type === "snapshot") {
       this.#recordSnapshot(raw.offset, record);
       // A peer that receives this record in a heartbeat has all earlier records
       // and needs no view, which takes some MB at the target scale.
       json = JSON.stringify({ ...record, view: null });
     }
     const events = record === undefined
-      ? []
+      ? this.view.skip(raw.offset)
       : this.view.apply(record, raw.offset);
     this.#recentRecords.push({ offset: raw.offset, json });
     if (this.#recentRecords.length > 2 * MIN_KEPT_RECORDS) {
--- a/src/ctl/publish_edits.ts
+++ b/src/ctl/publish_edits.ts
@@ -1,5 +1,7 @@
 import { randomUUID } from "node:crypto";
+import { parseLogRecord } from "../coordination/follower/mod.ts";
 import { createError } from "../state/errors/mod.ts";
+import { isNestedWithin } from "../state/json/mod.ts";
 import { checkSettings } from "../state/settings/mod.ts";
 import {
   applyEdits,
@@ -27,6 +29,10 @@
 ): Promise<CommandResult> {
   const { view } = context.follower;
   const id = flags["change-id"] === "" ? randomUUID() : flags["change-id"];
+  if (!isNestedWithin(edits)) {
+    const message = "a value is nested too deeply";
+    return createErrorResult(createError("invalid_settings", message));
+  }
   const parsed = LogRecord.safeParse({
     type: "change",
     id,
@@ -94,6 +100,6 @@
   if (raw?.offset !== revision) {
     return undefined;
   }
-  const record = LogRecord.safeParse(JSON.parse(raw.json));
-  return record.data?.type === "change" ? record.data.operator : undefined;
+  const record = parseLogRecord(raw.json);
+  return record?.type === "change" ? record.operator : undefined;
 }
--- a/src/processes/view_monitor.ts
+++ b/src/processes/view_monitor.ts
@@ -15,8 +15,8 @@
 }
 
 /**
- * Records the age of the view in the metrics, and logs changes of outage mode
- * and removed members.
+ * Records the age of the view in the metrics, and logs changes of outage mode,
+ * removed members and skipped records.
  */
 export class ViewMonitor {
   readonly #options: ViewMonitorOptions;
@@ -25,6 +25,16 @@
   constructor(options: ViewMonitorOptions) {
     this.#options = options;
     options.follower.addListener((event, offset) => {
+      if (event.type === "skipped") {
+        options.metrics.incrementCounter("records_skipped");
+        options.rateLimitedLogger.writeLine(
+          "warn",
+          "unreadable record skipped",
+          {
+            offset,
+          },
+        );
+      }
       if (event.type === "removed") {
         const { id, zone } = event.member;
         options.metrics.incrementCounter("members_removed");
--- a/src/state/errors/parse_json.ts
+++ b/src/state/errors/parse_json.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { z } from "zod";
+import { isNestedWithin } from "../json/mod.ts";
 import { createError } from "./create_error.ts";
 import { createSchemaError } from "./create_schema_error.ts";
 import type { DispatchError } from "./dispatch_error.ts";
@@ -23,6 +24,9 @@
   } catch (error) {
     return err(createError(kind, (error as Error).message));
   }
+  if (!isNestedWithin(value)) {
+    return err(createError(kind, "the value is nested too deeply"));
+  }
   const parsed = schema.safeParse(value);
   return parsed.success
     ? ok(parsed.data)
--- /dev/null
+++ b/src/state/json/mod.ts
@@ -0,0 +1,1 @@
+export { isNestedWithin } from "./is_nested_within.ts";
--- a/src/state/view/cluster_view.ts
+++ b/src/state/view/cluster_view.ts
@@ -110,8 +110,9 @@
   }
 
   /** Skips a record that this version can't read, by its offset. */
-  skip(offset: number): void {
+  skip(offset: number): ViewEvent[] {
     this.#offset = Math.max(this.#offset, offset);
+    return [{ type: "skipped" }];
   }
 
   /** Gets the whole view for a snapshot record. */
--- a/src/state/view/view_event.ts
+++ b/src/state/view/view_event.ts
@@ -8,6 +8,8 @@
     readonly id: string;
     readonly outcome: ChangeOutcome;
   }
+  /** A record that this version can't read was passed over. */
+  | { readonly type: "skipped" }
   | { readonly type: "joined"; readonly member: MemberState }
   | { readonly type: "leaving"; readonly member: MemberState }
   | { readonly type: "left"; readonly member: MemberState }
--- a/src/transport/log/http_log_service.ts
+++ b/src/transport/log/http_log_service.ts
@@ -4,6 +4,7 @@
 import type { LogPage, LogService } from "../../coordination/ports/mod.ts";
 import { VIEW_LIMITS } from "../../coordination/follower/mod.ts";
 import { createError, type DispatchError } from "../../state/errors/mod.ts";
+import { isNestedWithin } from "../../state/json/mod.ts";
 import type { LogRecord } from "../../state/view/mod.ts";
 
 /** Timeout of an append, in milliseconds. */
@@ -13,7 +14,7 @@
 const PageResponse = z.object({
   first: z.int(),
   head: z.int(),
-  records: z.array(z.object({ offset: z.int(), record: z.json() })),
+  records: z.array(z.object({ offset: z.int(), record: z.unknown() })),
 });
 
 interface LogResponse {
@@ -80,7 +81,7 @@
     }
     const records = page.data.records.map(({ offset, record }) => ({
       offset,
-      json: JSON.stringify(record),
+      json: formatRecord(record),
     }));
     return ok({ first: page.data.first, head: page.data.head, records });
   }
@@ -133,6 +134,14 @@
   }
 }
 
+/**
+ * Formats a record of another writer. One that is nested too deeply to be
+ * formatted becomes empty text, which followers pass over as unreadable.
+ */
+function formatRecord(record: unknown): string {
+  return isNestedWithin(record) ? JSON.stringify(record) : "";
+}
+
 async function readText(response: http.IncomingMessage): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of response) {
--- a/tests/coordination/follower/log_follower_test.ts
+++ b/tests/coordination/follower/log_follower_test.ts
@@ -72,7 +72,7 @@
     const lagging = createFollower(log);
     const events: string[] = [];
     lagging.addListener((event: ViewEvent) => {
-      if (event.type !== "change") {
+      if ("member" in event) {
         events.push(`${event.type} ${event.member.id}`);
       }
     });
--- a/tests/state/view/member_table_test.ts
+++ b/tests/state/view/member_table_test.ts
@@ -91,7 +91,7 @@
       table.suspect("entry-1#1", ["agent-1#1"], { offset: 10, timeMs: 0 });
       const events = table.leave("entry-2#1", "left", { offset: 11 });
       const removed = events.map((event) =>
-        event.type === "change" ? "" : event.member.id
+        "member" in event ? event.member.id : ""
       );
       expect(removed).to.deep.equal([
         "entry-2#1",
