Limit the delay of the timers of a job

What callers could see: after a configuration with a very large time limit of a route, or with a very large X-Cranberrybank-Deadline-Ms of their own, each job is answered as timed out after a millisecond, while its tasks were just sent.

Cause: a timer of Node.js with a delay beyond 2^31 - 1 ms fires at once.

Evidence: found by a look for numbers that are too large at each reader; the new test gets the answer "timeout" before the change.

Test: "does not answer at once when the time limit is longer than a timer can be" fails before the change and passes with it.

--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -28,6 +28,12 @@
 /** Interval of the retries while no worker accepts work, in milliseconds. */
 const NO_WORKER_RETRY_MS = 100;
 
+/**
+ * Longest delay of a timer of Node.js, in milliseconds; a longer one would fire
+ * at once.
+ */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
 /** Occurrence number in the names of tasks; 0 for jobs that run once. */
 const OCCURRENCE = 0;
 
@@ -560,7 +566,7 @@
       if (!this.#isAnswered) {
         handle();
       }
-    }, delayMs);
+    }, Math.min(delayMs, MAX_TIMER_MS));
     this.#timers.add(timer);
   }
 }
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -319,4 +319,14 @@
     expect(job.sent[1]?.agentId).to.equal("c");
     job.run.cancel();
   });
+
+  it("does not answer at once when the time limit is longer than a timer can be", async () => {
+    // Guards against a route whose jobs all fail because of a large number.
+    const job = new JobHarness([createBatchStep()], 1e300);
+    await wait(20);
+    expect(job.answer).to.equal(undefined);
+    job.endRun(0, "done");
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "completed" });
+  });
 });
