Keep a connected agent whose record another writer has replaced

What callers saw when odd records were put into a running deployment: after one under the name of each agent, 0 of 12 jobs were served, and 0 of 12 after a restart of an entry, which found no agent any more. With a sound address at which nothing listens, or a deleted record, it is the same.

Cause: a record under an agent's name replaced or removed the link to it, also while the agent was connected; and an agent announced itself only once, so that the wrong record stayed.

Why this works: the stream of a connected agent tells more than a record. One that states another address, or none, applies when the stream is lost. Until then the entry asks the agent to announce itself, at most every 5 s; an agent without any entry does so by itself, less and less often. At rest this costs no call to the store.

Before the change a link is replaced at once and no frame asks an agent.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -10,6 +10,7 @@
 } from "../../ports/mod.ts";
 import {
   announceAgent,
+  AnnouncementSchedule,
   OperatorFollower,
   type OperatorRecordParser,
 } from "../directory/mod.ts";
@@ -76,6 +77,8 @@
   readonly #sessions = new Set<BatchEntrySession>();
   readonly #crashes: { id: string; at: number; runs: CrashedRun[] }[] = [];
   readonly #abortController = new AbortController();
+  readonly #announcements = new AnnouncementSchedule();
+  #isAnnouncing = false;
   #sessionCheckTimer: NodeJS.Timeout | undefined;
   #statusTimer: NodeJS.Timeout | undefined;
   #statusSentAt = 0;
@@ -107,21 +110,35 @@
    * the checks of the sessions.
    */
   start(): void {
-    const { store, log, name, address, zone } = this.#options;
     void this.operatorFollower.run();
-    void announceAgent({
-      store,
-      log,
-      member: { name, address, zone },
-      signal: this.#abortController.signal,
-    });
+    void this.#announce();
     this.#sessionCheckTimer = setInterval(() => {
       for (const session of this.#sessions) {
         session.runPeriodicChecks();
       }
+      const { size } = this.#sessions;
+      if (this.#announcements.isDue(performance.now(), size)) {
+        void this.#announce();
+      }
     }, SESSION_CHECK_INTERVAL_MS);
   }
 
+  async #announce(): Promise<void> {
+    if (this.#isAnnouncing) {
+      return;
+    }
+    this.#isAnnouncing = true;
+    const { store, log, name, address, zone } = this.#options;
+    await announceAgent({
+      store,
+      log,
+      member: { name, address, zone },
+      signal: this.#abortController.signal,
+    });
+    this.#announcements.recordAnnouncement(performance.now());
+    this.#isAnnouncing = false;
+  }
+
   /** Serves a stream from an entry until it ends. */
   async serve(stream: PeerStream<BatchFrame>): Promise<void> {
     const session = new BatchEntrySession({
@@ -139,6 +156,7 @@
           runs,
         })),
       closeEarlierSessions: (later) => this.#closeEarlierSessions(later),
+      requestAnnouncement: () => this.#announcements.request(),
       cancelJob: (jobId) => this.#cancelJob(jobId),
     });
     this.#sessions.add(session);
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -33,6 +33,8 @@
    * later one is open.
    */
   closeEarlierSessions: (session: BatchEntrySession) => boolean;
+  /** Requests that the agent announces itself again. */
+  requestAnnouncement: () => void;
   /** Stops the runs of a job in all sessions. */
   cancelJob: (jobId: string) => void;
   getTime?: () => number;
@@ -204,6 +206,9 @@
       case "hello":
         this.#handleHello(body.value);
         return;
+      case "announce":
+        this.#options.requestAnnouncement();
+        return;
       case "ping":
         this.#handlePing(body.value.operatorOffset);
         return;
--- a/src/coordination/batch/directory/mod.ts
+++ b/src/coordination/batch/directory/mod.ts
@@ -1,3 +1,4 @@
+export { AnnouncementSchedule } from "./announcement_schedule.ts";
 export { announceAgent } from "./announce_agent.ts";
 export { MemberRecord } from "./member_record.ts";
 export { OperatorFollower } from "./operator_follower.ts";
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -159,6 +159,11 @@
     this.#stream?.send({ case: "cancelJob", value: { jobId } });
   }
 
+  /** Asks the agent to announce itself again. */
+  requestAnnouncement(): void {
+    this.#stream?.send({ case: "announce", value: {} });
+  }
+
   /** Maintains a stream to the agent until `stop` is called. */
   async run(): Promise<void> {
     let reopenDelayMs: number = REOPEN_DELAY_MS.first;
@@ -277,6 +282,7 @@
       case "workerStatus":
         this.#handleStatus(body.value);
         return;
+      case "announce":
       case "startRuns":
       case "stopRuns":
       case "cancelJob":
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -25,6 +25,7 @@
   type OperatorRecordParser,
   TopicFollower,
 } from "../directory/mod.ts";
+import type { AgentStream } from "./agent_stream.ts";
 import { BatchAgentLink } from "./batch_agent_link.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
@@ -64,6 +65,8 @@
   readonly #members: TopicFollower;
   readonly #links = new Map<string, BatchAgentLink>();
   readonly #jobs = new Map<string, BatchJobRun>();
+  /** Records of connected agents that state another address, or none. */
+  readonly #pendingMembers = new Map<string, MemberRecord | undefined>();
   #lastStreamNumber = 0;
   readonly #crashHistory = new CrashHistory();
   readonly #containment = new RouteContainment({
@@ -268,7 +271,7 @@
   #applyMembers(page: KeyedPage): void {
     for (const { key, value } of page.records) {
       if (value === undefined) {
-        this.#removeLink(key);
+        this.#applyMember(key, undefined);
         continue;
       }
       const member = parseJson(MemberRecord, value, "invalid_request");
@@ -277,12 +280,50 @@
           ? member.error.message
           : "name differs from the key";
         this.#options.log.record("record_unreadable", { key, reason });
+        this.#requestAnnouncement(key);
         continue;
       }
-      if (this.#links.get(key)?.address !== member.value.address) {
-        this.#removeLink(key);
-        this.#addLink(member.value);
-      }
+      this.#applyMember(key, member.value);
+    }
+  }
+
+  /**
+   * Applies the record of an agent; undefined if its key was deleted. While the
+   * agent is connected, its stream tells more than a record that another writer
+   * may have left: the record applies when the stream is lost.
+   */
+  #applyMember(name: string, member: MemberRecord | undefined): void {
+    this.#pendingMembers.delete(name);
+    const link = this.#links.get(name);
+    if (link !== undefined && link.address === member?.address) {
+      return;
+    }
+    if (link?.hasStatus === true) {
+      this.#pendingMembers.set(name, member);
+      this.#requestAnnouncement(name);
+      return;
+    }
+    this.#removeLink(name);
+    if (member !== undefined) {
+      this.#addLink(member);
+    }
+  }
+
+  #requestAnnouncement(name: string): void {
+    const link = this.#links.get(name);
+    if (link?.hasStatus === true) {
+      this.#options.log.record("announcement_requested", { agent: name });
+      link.requestAnnouncement();
+    }
+  }
+
+  #handleStreamLost(stream: AgentStream): void {
+    for (const job of [...this.#jobs.values()]) {
+      job.handleStreamLost(stream);
+    }
+    const name = stream.agentId;
+    if (this.#pendingMembers.has(name)) {
+      this.#applyMember(name, this.#pendingMembers.get(name));
     }
   }
 
@@ -304,11 +345,7 @@
       },
       onWorkerCrash: (agentId, report) =>
         this.#handleWorkerCrash(agentId, report),
-      onLost: (stream) => {
-        for (const job of [...this.#jobs.values()]) {
-          job.handleStreamLost(stream);
-        }
-      },
+      onLost: (stream) => this.#handleStreamLost(stream),
       onEarlierRunsEnded: (stream) => {
         for (const job of [...this.#jobs.values()]) {
           job.handleEarlierRunsEnded(stream);
--- a/src/coordination/messages/batch_body.ts
+++ b/src/coordination/messages/batch_body.ts
@@ -8,6 +8,8 @@
 /** The content of a batch frame. */
 export type BatchBody =
   | { case: "hello"; value: BatchHello }
+  /** Asks the agent to announce itself: its record is gone or another one. */
+  | { case: "announce"; value: Record<string, never> }
   | { case: "ping"; value: { operatorOffset: number } }
   | { case: "startRuns"; value: StartRuns }
   | { case: "stopRuns"; value: { tasks: string[] } }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -25,6 +25,8 @@
   switch (body.case) {
     case "hello":
       return [body.value.name, body.value.incarnation, body.value.stream];
+    case "announce":
+      return [];
     case "ping":
       return [body.value.operatorOffset];
     case "startRuns": {
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -79,6 +79,8 @@
       const [name, incarnation, stream] = fields as [string, string, number];
       return { case: kindCase, value: { name, incarnation, stream } };
     }
+    case "announce":
+      return { case: kindCase, value: {} };
     case "ping": {
       const [operatorOffset] = fields as [number];
       return { case: kindCase, value: { operatorOffset } };
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -1,6 +1,6 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { expect } from "chai";
-import { err } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { BatchAgent } from "../../../../src/coordination/batch/agent/mod.ts";
 import type { BatchBody } from "../../../../src/coordination/messages/mod.ts";
 import type { KeyedStore } from "../../../../src/coordination/ports/mod.ts";
@@ -26,6 +26,9 @@
 /** Time from a stop order to the end of its run, in milliseconds. */
 const STOP_DELAY_MS = 100;
 
+/** Shortest time between announcements on request, in milliseconds. */
+const MIN_ANNOUNCEMENT_INTERVAL_MS = 5_000;
+
 const WORKER_REPORT = {
   ...{ workerId: "w-1", bornAtMs: 1_000, sequence: 1, service: "s" },
   ...{ zone: "a", isDraining: false, remainingMs: undefined },
@@ -49,10 +52,14 @@
   override close(): void {}
 }
 
-function createAgent(worker: FakeWorker, incarnation: string): BatchAgent {
+function createAgent(
+  worker: FakeWorker,
+  incarnation: string,
+  store = STORE,
+): BatchAgent {
   return new BatchAgent({
     ...{ name: "agent-1", incarnation, zone: "a", address: "x" },
-    ...{ store: STORE, control: worker, maxLeaseMs: 1_000 },
+    ...{ store, control: worker, maxLeaseMs: 1_000 },
     ...{ log: new RecordedLog(), metrics: new Metrics() },
     parseOperatorRecord: () => err(createError("internal", "no record")),
   });
@@ -177,4 +184,24 @@
     await waitUntil(() => late.isClosed, "the earlier stream is closed");
     expect(worker.running.has(TASK)).to.equal(true);
   });
+
+  it("announces itself again when an entry asks for it", async () => {
+    // Guards against an agent that entries can't find after their next start.
+    const appended: string[] = [];
+    const announcing = createAgent(worker, "j", {
+      ...STORE,
+      append: (_topic, { value }) => {
+        appended.push(value);
+        return Promise.resolve(ok(undefined));
+      },
+    });
+    announcing.start();
+    const stream = openStream("entry-1", { server: announcing });
+    await waitUntil(() => appended.length === 1, "the first announcement");
+    await wait(MIN_ANNOUNCEMENT_INTERVAL_MS);
+    sendBody(stream, { case: "announce", value: {} });
+    await waitUntil(() => appended.length === 2, "the second announcement");
+    expect(appended[1]).to.equal(appended[0]);
+    await announcing.stop();
+  });
 });
--- a/tests/coordination/batch/entry/batch_entry_test.ts
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -158,4 +158,38 @@
       "the agent gets a task",
     );
   });
+
+  it("keeps a live agent when another writer replaces or deletes its record, and asks it to announce itself", async () => {
+    // Guards against an agent that entries give up, or can't find after a start.
+    await connectFirstAgent();
+    const closed = JSON.stringify({ ...FIRST, address: "127.0.0.1:9" });
+    for (const [index, value] of [closed, undefined, "odd"].entries()) {
+      store.add("members", FIRST.name, value);
+      await waitUntil(
+        () => peers.countSent(FIRST.address, "announce") === index + 1,
+        "the entry asks for an announcement",
+      );
+    }
+    expect(peers.hasStream("127.0.0.1:9")).to.equal(false);
+    submitJob(new AbortController().signal);
+    await waitUntil(
+      () => peers.getStarts(FIRST.address).length === 1,
+      "the agent gets a task",
+    );
+  });
+
+  it("connects to the new address of an agent when its stream is lost", async () => {
+    await connectFirstAgent();
+    const moved = { ...FIRST, address: "10.0.0.3:1" };
+    store.add("members", FIRST.name, JSON.stringify(moved));
+    await waitUntil(
+      () => peers.countSent(FIRST.address, "announce") === 1,
+      "the entry has read the record",
+    );
+    peers.closeStream(FIRST.address);
+    await waitUntil(
+      () => peers.hasStream(moved.address),
+      "the entry connects to the new address",
+    );
+  });
 });
--- a/tests/lib/fake_agent_peers.ts
+++ b/tests/lib/fake_agent_peers.ts
@@ -67,6 +67,18 @@
     this.sendBody(address, { case: "workerStatus", value });
   }
 
+  /** Ends the newest stream to an address. */
+  closeStream(address: string): void {
+    this.#find(address)?.close();
+  }
+
+  /** Counts the frames of a kind that were sent to an address. */
+  countSent(address: string, kindCase: BatchBody["case"]): number {
+    return this.opened.filter((opened) => opened.address === address)
+      .flatMap(({ stream }) => stream.sent)
+      .filter(({ kind }) => kind.case === kindCase).length;
+  }
+
   /** Gets the orders that were sent to an address on all of its streams. */
   getStarts(address: string): StartRuns[] {
     return this.opened.filter((opened) => opened.address === address)
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -9,6 +9,7 @@
 
 const BODIES: BatchBody[] = [
   { case: "hello", value: { name: "entry-1", incarnation: "i", stream: 3 } },
+  { case: "announce", value: {} },
   { case: "ping", value: { operatorOffset: 3 } },
   {
     case: "startRuns",
