Report a failed start of a job to its caller

What callers could see: should the start of a job throw, its caller gets no answer, and the job is taken as running when it is sent again.

Cause: since the job is registered before it waits, its start ran beside the call that awaits the answer, and nothing handled its failure.

Why this works: the call awaits the start, so a failure reaches the HTTP server, which answers it; the job is forgotten in any case.

Test: "forgets a job whose start failed, and reports the failure to its caller" fails before the change (the job stays open).

--- a/src/coordination/batch/directory/announcement_schedule.ts
+++ b/src/coordination/batch/directory/announcement_schedule.ts
@@ -6,8 +6,8 @@
 
 /**
  * Time without a stream from any entry after which an agent announces itself
- * again, in milliseconds. It doubles with each announcement that none follows,
- * so that 8,800 agents without entries append about 150 records a second.
+ * again, in milliseconds. It doubles with each announcement that no stream
+ * follows, so that 8,800 agents without entries append about 150 records a second.
  */
 const UNHEARD_MS = { first: 5_000, max: 60_000 } as const;
 
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -147,9 +147,13 @@
     // From here on the job can be joined and cancelled, also while it is held.
     this.#jobs.set(job.id, run);
     run.addCaller(signal);
-    void this.#startWhenWarm(job, run);
-    const answer = await run.answer;
-    this.#jobs.delete(job.id);
+    let answer: BatchAnswer;
+    try {
+      await this.#startWhenWarm(job, run);
+      answer = await run.answer;
+    } finally {
+      this.#jobs.delete(job.id);
+    }
     const tookMs = performance.now() - startedAt;
     metrics.recordTime("job", tookMs);
     metrics.incrementCounter("jobs", 1, {
--- a/tests/coordination/batch/entry/batch_entry_test.ts
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -5,7 +5,7 @@
   type BatchAnswer,
   BatchEntry,
 } from "../../../../src/coordination/batch/entry/mod.ts";
-import type { Route } from "../../../../src/state/batch/mod.ts";
+import type { BatchJob, Route } from "../../../../src/state/batch/mod.ts";
 import { Metrics } from "../../../../src/state/metrics/mod.ts";
 import { createBatchStep } from "../../../lib/create_batch_step.ts";
 import { FakeAgentPeers } from "../../../lib/fake_agent_peers.ts";
@@ -192,4 +192,16 @@
       "the entry connects to the new address",
     );
   });
+
+  it("forgets a job whose start failed, and reports the failure to its caller", async () => {
+    // Guards against a caller that waits in vain, and a job that can't be sent again.
+    const steps = [{ ...createBatchStep(), dependsOn: undefined }];
+    const job = { id: JOB_ID, spec: "x", steps } as unknown as BatchJob;
+    const { signal } = new AbortController();
+    let message = "";
+    await entry.runJob({ job, route: ROUTE, timeLeftMs: 5_000, signal })
+      .catch((error: Error) => message = error.message);
+    expect(message).to.contain("undefined");
+    expect(entry.openJobCount).to.equal(0);
+  });
 });
