Let the start of the job fail in its test

With a task that can't be placed, the start itself throws: before the change the call never ends (time limit of 8 s), with it the caller gets the failure.

--- a/tests/coordination/batch/entry/batch_entry_test.ts
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -195,7 +195,8 @@
 
   it("forgets a job whose start failed, and reports the failure to its caller", async () => {
     // Guards against a caller that waits in vain, and a job that can't be sent again.
-    const steps = [{ ...createBatchStep(), dependsOn: undefined }];
+    await connectFirstAgent();
+    const steps = [{ ...createBatchStep(), resources: undefined }];
     const job = { id: JOB_ID, spec: "x", steps } as unknown as BatchJob;
     const { signal } = new AbortController();
     let message = "";
