--- a/tests/lib/fake_agent_peers.ts
+++ b/tests/lib/fake_agent_peers.ts
@@ -74,20 +74,24 @@
 
   /** Counts the frames of a kind that were sent to an address. */
   countSent(address: string, kindCase: BatchBody["case"]): number {
-    return this.opened.filter((opened) => opened.address === address)
-      .flatMap(({ stream }) => stream.sent)
-      .filter(({ kind }) => kind.case === kindCase).length;
+    return this.#getSent(address)
+      .filter((kind) => kind.case === kindCase).length;
   }
 
   /** Gets the orders that were sent to an address on all of its streams. */
   getStarts(address: string): StartRuns[] {
-    return this.opened.filter((opened) => opened.address === address)
-      .flatMap(({ stream }) => stream.sent)
-      .map(({ kind }) => kind)
+    return this.#getSent(address)
       .filter((kind) => kind.case === "startRuns")
       .map(({ value }) => value);
   }
 
+  /** Gets what was sent to an address on all of its streams. */
+  #getSent(address: string): BatchBody[] {
+    return this.opened.filter((opened) => opened.address === address)
+      .flatMap(({ stream }) => stream.sent)
+      .map(({ kind }) => kind);
+  }
+
   #find(address: string): MemoryStream | undefined {
     return this.opened.findLast((opened) => opened.address === address)?.stream;
   }
--- a/tests/transport/stream/stream_test.ts
+++ b/tests/transport/stream/stream_test.ts
@@ -7,6 +7,7 @@
   StreamClient,
   StreamServer,
 } from "../../../src/transport/stream/mod.ts";
+import { readStreamError } from "../../lib/read_stream_error.ts";
 import { waitUntil } from "../../lib/wait_until.ts";
 
 describe("streams over TCP", () => {
@@ -94,30 +95,14 @@
   it("ends with an error when nothing listens", async () => {
     server.stop();
     const stream = new StreamClient().open(address);
-    let message = "";
-    try {
-      for await (const _ of stream.received) {
-        // Nothing arrives.
-      }
-    } catch (error) {
-      message = (error as Error).message;
-    }
-    expect(message).to.contain("ECONNREFUSED");
+    expect(await readStreamError(stream)).to.contain("ECONNREFUSED");
     expect(stream.isClosed).to.equal(true);
   });
 
   it("ends with an error when the port is out of range", async () => {
     // Guards against an entry that no longer connects to an agent.
     const stream = new StreamClient().open("127.0.0.1:99999");
-    let message = "";
-    try {
-      for await (const _ of stream.received) {
-        // Nothing arrives.
-      }
-    } catch (error) {
-      message = (error as Error).message;
-    }
-    expect(message).to.contain("99999");
+    expect(await readStreamError(stream)).to.contain("99999");
     expect(stream.isClosed).to.equal(true);
   });
 
