--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -254,6 +254,7 @@
     }
     task.run = end.run;
     task.state = "waiting";
+    task.lastEnd = end.outcome;
     if (end.outcome !== "returned" && end.outcome !== "expired") {
       this.#canHaveStarted = true;
     }
@@ -370,6 +371,7 @@
       isAnswered: this.#isAnswered || undefined,
     });
     for (const task of tasks) {
+      task.lastEnd = cause;
       this.#schedulePlacement(task, 0);
     }
     this.#checkRunsEnded();
@@ -533,6 +535,7 @@
     const byAgent = new Map<string, BatchTask[]>();
     for (const { index, agentId } of placements) {
       const task = tasks.find((other) => other.index === index) as BatchTask;
+      this.#recordRepeatedPlacement(task, agentId);
       task.run++;
       task.state = "sent";
       byAgent.set(agentId, [...byAgent.get(agentId) ?? [], task]);
@@ -564,6 +567,21 @@
     }
   }
 
+  /** Logs why a task is placed that has been placed before. */
+  #recordRepeatedPlacement(task: BatchTask, agentId: string): void {
+    if (task.run > 0) {
+      this.#options.log.record("task_placed_again", {
+        job: this.#options.job.id,
+        task: task.name,
+        formerRun: task.run,
+        formerAgent: task.stream?.agentId,
+        formerEnd: task.lastEnd,
+        agent: agentId,
+        jobAgeMs: Math.round(this.#getTime() - this.#createdAt),
+      });
+    }
+  }
+
   /**
    * Answers with an error. An error that says that the job was not run is
    * replaced by `timeout` when a task may have started.
@@ -633,6 +651,7 @@
       run: 0,
       state: "waiting",
       stream: undefined,
+      lastEnd: undefined,
       failures: 0,
       avoidedAgents: new Set(),
     }))
--- a/src/coordination/batch/entry/batch_task.ts
+++ b/src/coordination/batch/entry/batch_task.ts
@@ -14,6 +14,11 @@
   state: "waiting" | "sent" | "lost" | "done";
   /** Stream on which the latest run was ordered. */
   stream: AgentStream | undefined;
+  /**
+   * How the latest ended run ended: its outcome, or for a lost one what excludes
+   * that it is still executing; undefined before the first end.
+   */
+  lastEnd: string | undefined;
   failures: number;
   /** Agents at which a run failed, was returned, stopped or lost. */
   readonly avoidedAgents: Set<string>;
