Let the soak's cluster have equal workers and a shorter restart

A test of a few jobs with known run times needs workers of one speed and capacity, and processes that are back after 200 ms. The defaults, and so the soak, are as before.

--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -27,6 +27,15 @@
   agents: number;
   zones: readonly string[];
   services: readonly string[];
+  /**
+   * Whether all workers have the same speed, exact clocks and a guarded
+   * capacity; by default they differ.
+   */
+  hasEqualWorkers?: boolean;
+  /** CPU of a worker, in thousandths of a core. */
+  workerCpuMillis?: number;
+  /** Time after which a process that has ended runs again. */
+  restartDelayMs?: number;
   findTask: (task: string) => StandInTask | undefined;
   onEvent: (event: WorkerEvent, location: WorkerLocation) => void;
 }
@@ -111,8 +120,10 @@
       readyAddress,
       farFactor: FAR_FACTOR,
     };
-    const { folder } = this.#options;
-    const process = new SoakProcess({ role: "entry", name, folder, settings });
+    const { folder, restartDelayMs } = this.#options;
+    const process = new SoakProcess({
+      ...{ role: "entry", name, folder, settings, restartDelayMs },
+    });
     const { metricsPort } = settings;
     return {
       process,
@@ -124,7 +135,15 @@
   }
 
   async #createAgent(n: number): Promise<SoakAgent> {
-    const { folder, services, findTask, onEvent } = this.#options;
+    const {
+      folder,
+      services,
+      hasEqualWorkers = false,
+      workerCpuMillis = SOAK_LIMITS.workerCpuMillis,
+      restartDelayMs,
+      findTask,
+      onEvent,
+    } = this.#options;
     const name = `agent-${n + 1}`;
     const zone = this.#getZone(n);
     const service = services[n % services.length] as string;
@@ -144,13 +163,13 @@
       name: `worker-${n + 1}`,
       service,
       zone,
-      cpuMillis: SOAK_LIMITS.workerCpuMillis,
-      slowdown: 0.7 + 0.3 * (n % 3),
+      cpuMillis: workerCpuMillis,
+      slowdown: hasEqualWorkers ? 1 : 0.7 + 0.3 * (n % 3),
       // Clocks of workers may run up to 2% slow.
-      clockRate: n % 2 === 0 ? 1 : 0.98,
+      clockRate: hasEqualWorkers || n % 2 === 0 ? 1 : 0.98,
       reportAddress,
       findTask,
-      guardsCapacity: n % 2 === 0,
+      guardsCapacity: hasEqualWorkers || n % 2 === 0,
       onEvent: handleEvent,
     });
     const peerRelay = new Relay(peerAddress);
@@ -168,7 +187,9 @@
       reportAddress,
     };
     this.#peerAddresses.set(name, await peerRelay.start());
-    const process = new SoakProcess({ role: "agent", name, folder, settings });
+    const process = new SoakProcess({
+      ...{ role: "agent", name, folder, settings, restartDelayMs },
+    });
     const { metricsPort } = settings;
     return {
       process,
--- a/scripts/soak/soak_process.ts
+++ b/scripts/soak/soak_process.ts
@@ -4,7 +4,7 @@
 import { SETTINGS_PATH_VARIABLE } from "../../platform/settings_path_variable.ts";
 import { stopChild } from "../lib/stop_child.ts";
 
-/** Delay between the end of a process and its restart. */
+/** Default delay between the end of a process and its restart. */
 const RESTART_DELAY_MS = 300;
 
 export interface SoakProcessOptions {
@@ -13,6 +13,8 @@
   /** Folder for the settings file and the log of the process. */
   folder: string;
   settings: Record<string, unknown>;
+  /** Delay between its end and its restart, in milliseconds. */
+  restartDelayMs?: number | undefined;
 }
 
 /**
@@ -38,7 +40,7 @@
   }
 
   start(): void {
-    const { role, folder } = this.#options;
+    const { role, folder, restartDelayMs = RESTART_DELAY_MS } = this.#options;
     const program = join(this.distFolder, `platform/${role}.js`);
     const log = createWriteStream(join(folder, `${this.name}.log`), {
       flags: "a",
@@ -51,7 +53,7 @@
     child.stderr.pipe(log, { end: false });
     child.once("exit", () => {
       if (!this.#isStopped) {
-        setTimeout(() => this.#isStopped || this.start(), RESTART_DELAY_MS);
+        setTimeout(() => this.#isStopped || this.start(), restartDelayMs);
       }
     });
     this.#child = child;
