Claim a job at two of its homes before its tasks are placed

What callers saw: tasks ran at two workers at the same time, and the entry whose client still waited answered 503, since the other one had placed the tasks again and cancelled its job.

Cause: two entries each decided alone whether they may start runs of a job.

An entry now claims a job at two agents, found by rendezvous hashing of its id, before the first run, and places tasks only while one of them has acknowledged a recent frame. An agent that gets a later claim has the holder stop the job, and grants it when the holder has released it, or when its runs have certainly expired. Costs a round trip for each job and six small frames.

Stand-ins of agents in tests grant claims.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -16,13 +16,14 @@
 } from "../directory/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchEntrySession } from "./batch_entry_session.ts";
+import { JobClaimTable } from "./job_claim_table.ts";
 import { WorkerRunner } from "./worker_runner.ts";
 
 /**
  * Interval at which the agent answers the pings of entries and checks whether
  * the entries still acknowledge its frames, in milliseconds.
  */
-const SESSION_CHECK_INTERVAL_MS = 50;
+const SESSION_CHECK_INTERVAL_MS = BATCH_LIMITS.claimCheckIntervalMs;
 
 /**
  * Shortest interval between status frames to all entries, in milliseconds for
@@ -75,6 +76,7 @@
   readonly runner: WorkerRunner;
   readonly operatorFollower: OperatorFollower;
   readonly #options: BatchAgentOptions;
+  readonly #claims: JobClaimTable;
   readonly #sessions = new Set<BatchEntrySession>();
   readonly #crashes: { id: string; at: number; runs: CrashedRun[] }[] = [];
   readonly #abortController = new AbortController();
@@ -97,6 +99,8 @@
       onChange: () => this.#scheduleStatus(),
       onCrash: (id, runs) => this.#reportCrash(id, [...runs]),
     });
+    this.#claims = new JobClaimTable({ log });
+    metrics.setGauge("jobs_claimed", () => this.#claims.size);
     this.operatorFollower = new OperatorFollower({
       store,
       log,
@@ -114,6 +118,7 @@
     void this.operatorFollower.run();
     void this.#announce();
     this.#sessionCheckTimer = setInterval(() => {
+      this.#claims.runPeriodicChecks();
       for (const session of this.#sessions) {
         session.runPeriodicChecks();
       }
@@ -146,6 +151,7 @@
     const session = new BatchEntrySession({
       stream,
       runner: this.runner,
+      claims: this.#claims,
       operatorFollower: this.operatorFollower,
       log: this.#options.log,
       name: this.#options.name,
@@ -207,6 +213,10 @@
     const { log } = this.#options;
     log.record("job_cancelled", { job: jobId, entry: requester.name });
     this.runner.cancelJob(jobId, requester);
+    const holder = this.#claims.getHolder(jobId);
+    if (holder !== undefined && holder.name !== requester.name) {
+      holder.sendCancel(jobId);
+    }
   }
 
   #findOpenJobs(): string[] | undefined {
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -3,6 +3,7 @@
   BatchBody,
   BatchFrame,
   BatchHello,
+  JobClaimReply,
   RunEnd,
   StartRuns,
   WorkerCrashReport,
@@ -10,6 +11,8 @@
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchStream } from "../batch_stream.ts";
 import type { OperatorFollower } from "../directory/mod.ts";
+import type { ClaimOwner } from "./claim_owner.ts";
+import type { JobClaimTable } from "./job_claim_table.ts";
 import type { RunOwner } from "./run_owner.ts";
 import type { WorkerDescription } from "./worker_description.ts";
 import type { WorkerRunner } from "./worker_runner.ts";
@@ -17,6 +20,7 @@
 export interface BatchEntrySessionOptions {
   stream: PeerStream<BatchFrame>;
   runner: WorkerRunner;
+  claims: JobClaimTable;
   operatorFollower: OperatorFollower;
   /** Receives the log events of this process. */
   log: EventLog;
@@ -47,13 +51,14 @@
  * acknowledged a recent frame of the agent, its runs are stopped and no new
  * ones are started.
  */
-export class BatchEntrySession implements RunOwner {
+export class BatchEntrySession implements RunOwner, ClaimOwner {
   readonly #options: BatchEntrySessionOptions;
   readonly #getTime: () => number;
   readonly #stream: BatchStream;
   /** The entry's hello; undefined until it has arrived. */
   #hello: BatchHello | undefined;
   #isClosed = false;
+  #frameCount = 0;
   /** An entry is not responsive until it has acknowledged a frame. */
   #isUnresponsive = true;
   #receivedBatch = 0;
@@ -75,6 +80,18 @@
     return this.#hello?.name ?? "";
   }
 
+  get incarnation(): string {
+    return this.#hello?.incarnation ?? "";
+  }
+
+  get isClosed(): boolean {
+    return this.#isClosed;
+  }
+
+  get frameCount(): number {
+    return this.#frameCount;
+  }
+
   isResponsive(): boolean {
     return !this.#isClosed &&
       this.#getTime() - this.#stream.acknowledgedSentAt <
@@ -119,6 +136,10 @@
     this.#stream.send({ case: "cancelJob", value: { jobId } });
   }
 
+  sendClaimReply(reply: JobClaimReply): void {
+    this.#stream.send({ case: "claimReply", value: reply });
+  }
+
   /** Sends the jobs that the entry must know of, if they have changed. */
   sendOpenJobs(jobIds: string[]): void {
     const openJobs = jobIds.join();
@@ -137,6 +158,7 @@
     let reason: string | undefined;
     try {
       for await (const body of this.#stream.receive()) {
+        this.#frameCount++;
         this.#checkResponsiveness();
         this.#handleFrame(body);
       }
@@ -243,6 +265,15 @@
       case "cancelJob":
         this.#options.cancelJob(body.value.jobId, this);
         return;
+      case "claimJob":
+        if (!this.#isClosed) {
+          this.#options.claims.claim(this, body.value);
+        }
+        return;
+      case "releaseJobs":
+        this.#options.claims.release(this, body.value.jobIds);
+        return;
+      case "claimReply":
       case "runEnds":
       case "workerCrash":
       case "workerProfile":
--- a/src/coordination/batch/batch_limits.ts
+++ b/src/coordination/batch/batch_limits.ts
@@ -26,6 +26,8 @@
    * Clients send a job to another entry only later than that.
    */
   openJobAgeMs: 1_000,
+  /** Interval at which a home checks whether the holders of jobs are heard. */
+  claimCheckIntervalMs: 50,
   /** Longest time for delivering a stop order and stopping at the worker. */
   maxStopDelayMs: 100,
 } as const;
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -8,6 +8,8 @@
 import type {
   BatchBody,
   BatchFrame,
+  JobClaim,
+  JobClaimReply,
   RunEnd,
   StartRuns,
   WorkerCrashReport,
@@ -19,6 +21,7 @@
 import { getRunExpiryMs } from "../get_run_expiry_ms.ts";
 import type { MemberRecord, OperatorFollower } from "../directory/mod.ts";
 import type { AgentStream } from "./agent_stream.ts";
+import type { ClaimHome } from "./claim_home.ts";
 
 /** Interval of the checks of one link, in milliseconds. */
 const CHECK_INTERVAL_MS = 50;
@@ -49,7 +52,8 @@
   onWorkerCrash: (agentId: string, report: WorkerCrashReport) => void;
   /** Called when a stream is lost; its runs may still be executing. */
   onLost: (stream: AgentStream) => void;
-  /** Called when another entry has cancelled a job at the agent. */
+  onClaimReply: (home: ClaimHome, reply: JobClaimReply) => void;
+  /** Called when another entry has cancelled or claimed a job at the agent. */
   onJobCancelled: (agentId: string, jobId: string) => void;
   /**
    * Called when no run can be executing that was ordered at the agent before the
@@ -63,7 +67,7 @@
  * The entry's side of the streams to one agent. `run` opens a stream, serves it
  * until it breaks or no frames arrive any more, and opens the next one.
  */
-export class BatchAgentLink {
+export class BatchAgentLink implements ClaimHome {
   readonly #options: BatchAgentLinkOptions;
   readonly #getTime: () => number;
   #stream: BatchStream | undefined;
@@ -100,6 +104,22 @@
     return this.#options.member.name;
   }
 
+  get zone(): string {
+    return this.#options.member.zone;
+  }
+
+  get streamNumber(): number {
+    return this.#streamId.number;
+  }
+
+  get canKeepClaims(): boolean {
+    return this.hasStatus && this.#silenceMs < SUSPECT_TIMEOUT_MS;
+  }
+
+  get proofAgeMs(): number {
+    return this.#getTime() - (this.#stream?.acknowledgedSentAt ?? -Infinity);
+  }
+
   get address(): string {
     return this.#options.member.address;
   }
@@ -166,6 +186,14 @@
     this.#stream?.send({ case: "cancelJob", value: { jobId } });
   }
 
+  claimJob(claim: JobClaim): void {
+    this.#stream?.send({ case: "claimJob", value: claim });
+  }
+
+  releaseJobs(jobIds: string[]): void {
+    this.#stream?.send({ case: "releaseJobs", value: { jobIds } });
+  }
+
   /**
    * Returns whether the agent has said that it has runs of a job, which this
    * entry or another one may have ordered.
@@ -302,11 +330,16 @@
       case "cancelJob":
         this.#options.onJobCancelled(this.agentId, body.value.jobId);
         return;
+      case "claimReply":
+        this.#options.onClaimReply(this, body.value);
+        return;
       case "openJobs":
         this.#openJobs = new Set(body.value.jobIds);
         this.#openJobsExpireAt = Infinity;
         return;
       case "announce":
+      case "claimJob":
+      case "releaseJobs":
       case "startRuns":
       case "stopRuns":
         return;
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -30,6 +30,7 @@
 import { BatchAgentLink } from "./batch_agent_link.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
+import { JobClaims } from "./job_claims.ts";
 import { LoopDelayMonitor } from "./loop_delay_monitor.ts";
 import { WarmUpGate } from "./warm_up_gate.ts";
 
@@ -39,6 +40,9 @@
  */
 const TAKE_OVER_CHECK_INTERVAL_MS = 10;
 
+/** Jobs that are held for longer are logged, in milliseconds. */
+const LOGGED_HOLD_MS = 20;
+
 export interface BatchEntryOptions {
   name: string;
   /** Identifies one start of the process; differs after each restart. */
@@ -70,6 +74,7 @@
   readonly operatorFollower: OperatorFollower;
   readonly #options: BatchEntryOptions;
   readonly #members: TopicFollower;
+  readonly #claims: JobClaims;
   readonly #links = new Map<string, BatchAgentLink>();
   readonly #jobs = new Map<string, BatchJobRun>();
   /** Answered jobs of which a run may still be executing. */
@@ -103,6 +108,11 @@
       log,
       apply: (page) => this.#applyMembers(page),
     });
+    this.#claims = new JobClaims({
+      log,
+      metrics: options.metrics,
+      getHomes: () => [...this.#links.values()],
+    });
     options.metrics.setGauge("jobs_open", () => this.#jobs.size);
     options.metrics.setGauge("jobs_ending", () => this.#endingJobs.size);
     options.metrics.setGauge("agents_open", () => this.#countOpenLinks());
@@ -125,12 +135,14 @@
 
   start(): void {
     this.#loopDelay.start();
+    this.#claims.start();
     void this.operatorFollower.run();
     void this.#members.run();
   }
 
   stop(): void {
     this.#loopDelay.stop();
+    this.#claims.stop();
     this.operatorFollower.stop();
     this.#members.stop();
     for (const link of this.#links.values()) {
@@ -167,6 +179,7 @@
       run.cancel();
       this.#jobs.delete(job.id);
       this.#keepWhileRunsEnd(job.id, run);
+      this.#releaseEndedJob(job.id);
     }
     const tookMs = performance.now() - startedAt;
     metrics.recordTime("job", tookMs);
@@ -193,6 +206,7 @@
       getLoads: () => this.#getLoads(route),
       getOffers: () => this.#getOffers(route),
       isConfined: () => this.#getConfinement(route) !== undefined,
+      hasClaim: () => this.#claims.hasProof(job.id),
       sendStart: (agentId, message) =>
         this.#links.get(agentId)?.startRuns(message),
       sendStop: (agentId, tasks) => this.#links.get(agentId)?.stopRuns(tasks),
@@ -200,36 +214,40 @@
   }
 
   /**
-   * Holds a job back until jobs may be placed and no earlier run of its tasks can
-   * be executing, or until it is answered.
+   * Holds a job back until jobs may be placed, no earlier run of its tasks can be
+   * executing and no other entry may start one, or until it is answered.
    */
   async #hold(job: BatchJob, run: BatchJobRun): Promise<void> {
-    const former = this.#endingJobs.get(job.id);
-    const isOpenElsewhere = this.#findOpenLinks(job.id).length > 0;
-    if (
-      this.#warmUpGate.isOpen && former === undefined && !isOpenElsewhere
-    ) {
-      return;
-    }
     const heldSince = performance.now();
     const answered = new AbortController();
     void run.answer.then(() => answered.abort());
     run.startHoldTimer();
     await this.#warmUpGate.wait(answered.signal);
     const warmAt = performance.now();
+    const former = this.#endingJobs.get(job.id);
     await Promise.race([former?.runsEnded, run.answer]);
     const hasWaited = await this.#takeOver(job.id, answered.signal);
-    const endedAt = performance.now();
+    if (!answered.signal.aborted) {
+      await this.#claims.claim(job.id, answered.signal);
+    }
+    const heldMs = Math.round(performance.now() - heldSince);
     const hasFormerRuns = former !== undefined || hasWaited;
     if (hasFormerRuns) {
-      this.#options.metrics.recordTime("former_runs", endedAt - warmAt);
+      this.#options.metrics.recordTime(
+        "former_runs",
+        performance.now() - warmAt,
+      );
+    }
+    if (hasFormerRuns || heldMs >= LOGGED_HOLD_MS) {
+      this.#options.log.record("job_held", {
+        job: job.id,
+        heldMs,
+        formerRunsMs: hasFormerRuns
+          ? Math.round(performance.now() - warmAt)
+          : undefined,
+        isCancelled: answered.signal.aborted,
+      });
     }
-    this.#options.log.record("job_held", {
-      job: job.id,
-      heldMs: Math.round(endedAt - heldSince),
-      formerRunsMs: hasFormerRuns ? Math.round(endedAt - warmAt) : undefined,
-      isCancelled: answered.signal.aborted,
-    });
   }
 
   /**
@@ -265,7 +283,17 @@
   #keepWhileRunsEnd(jobId: string, run: BatchJobRun): void {
     if (run.hasActiveRuns) {
       this.#endingJobs.set(jobId, run);
-      void run.runsEnded.then(() => this.#endingJobs.delete(jobId));
+      void run.runsEnded.then(() => {
+        this.#endingJobs.delete(jobId);
+        this.#releaseEndedJob(jobId);
+      });
+    }
+  }
+
+  /** Releases the claim of a job unless it is open or one of its runs is. */
+  #releaseEndedJob(jobId: string): void {
+    if (!this.#jobs.has(jobId) && !this.#endingJobs.has(jobId)) {
+      this.#claims.release(jobId);
     }
   }
 
@@ -422,9 +450,14 @@
       },
       onWorkerCrash: (agentId, report) =>
         this.#handleWorkerCrash(agentId, report),
+      onClaimReply: (home, reply) => this.#claims.handleReply(home, reply),
       onJobCancelled: (agentId, jobId) => {
         log.record("job_cancelled", { job: jobId, agent: agentId });
         this.#jobs.get(jobId)?.cancel();
+        // The agent may have a claim of a job that this entry has not.
+        if (!this.#jobs.has(jobId) && !this.#endingJobs.has(jobId)) {
+          this.#links.get(agentId)?.releaseJobs([jobId]);
+        }
       },
       onLost: (stream) => this.#handleStreamLost(stream),
       onEarlierRunsEnded: (stream) => {
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -25,6 +25,12 @@
  */
 const PLACE_AGAIN_DELAY_MS = 25;
 
+/**
+ * Interval of the checks whether tasks may be placed after this entry was paused
+ * or has lost the homes of the job, in milliseconds.
+ */
+const CLAIM_CHECK_INTERVAL_MS = 10;
+
 /** Interval of the retries while no worker accepts work, in milliseconds. */
 const NO_WORKER_RETRY_MS = 100;
 
@@ -54,6 +60,8 @@
    * route crash them.
    */
   isConfined: () => boolean;
+  /** Returns whether this entry may start runs of the job now. */
+  hasClaim: () => boolean;
   /**
    * Orders an agent to start tasks. Returns the stream of the order; undefined
    * if there is none.
@@ -462,7 +470,13 @@
   }
 
   #placeAndSend(tasks: readonly BatchTask[]): void {
-    const { getLoads, isConfined } = this.#options;
+    const { getLoads, isConfined, hasClaim } = this.#options;
+    if (!hasClaim()) {
+      tasks.forEach((task) =>
+        this.#schedulePlacement(task, CLAIM_CHECK_INTERVAL_MS)
+      );
+      return;
+    }
     const loads = getLoads();
     if (loads.length === 0 && isConfined()) {
       // The workers that the job may use have crashed, and take seconds to return.
--- a/src/coordination/messages/batch_body.ts
+++ b/src/coordination/messages/batch_body.ts
@@ -1,4 +1,6 @@
 import type { BatchHello } from "./batch_hello.ts";
+import type { JobClaim } from "./job_claim.ts";
+import type { JobClaimReply } from "./job_claim_reply.ts";
 import type { RunEnd } from "./run_end.ts";
 import type { StartRuns } from "./start_runs.ts";
 import type { WorkerCrashReport } from "./worker_crash_report.ts";
@@ -18,9 +20,13 @@
   | { case: "workerCrash"; value: WorkerCrashReport }
   | { case: "workerStatus"; value: WorkerStatus }
   | { case: "operatorSnapshot"; value: { offset: number; state: string } }
+  | { case: "claimJob"; value: JobClaim }
+  | { case: "claimReply"; value: JobClaimReply }
+  /** To a home: no run of these jobs that the entry ordered can be executing. */
+  | { case: "releaseJobs"; value: { jobIds: string[] } }
   /**
    * To an agent: stops a job, whichever entry coordinates it. To an entry: another
-   * one has stopped the job.
+   * one has stopped or claimed the job.
    */
   | { case: "cancelJob"; value: { jobId: string } }
   /**
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -59,6 +59,16 @@
       return createStatusRow(body.value);
     case "operatorSnapshot":
       return [body.value.offset, body.value.state];
+    case "claimJob": {
+      const { jobId, number, ageMs, isRenewal } = body.value;
+      return [jobId, number, ageMs, isRenewal];
+    }
+    case "claimReply": {
+      const { jobId, number, outcome, holder } = body.value;
+      return [jobId, number, outcome, holder];
+    }
+    case "releaseJobs":
+      return body.value.jobIds;
     case "cancelJob":
       return [body.value.jobId];
     case "openJobs":
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -6,6 +6,7 @@
 import type {
   BatchBody,
   BatchFrame,
+  JobClaimReply,
   RunEnd,
   RunOrder,
   WorkerProfile,
@@ -141,6 +142,26 @@
       const [offset, state] = fields as [number, string];
       return { case: kindCase, value: { offset, state } };
     }
+    case "claimJob": {
+      const [jobId, number, ageMs, isRenewal] = fields as [
+        string,
+        number,
+        number,
+        boolean,
+      ];
+      return { case: kindCase, value: { jobId, number, ageMs, isRenewal } };
+    }
+    case "claimReply": {
+      const [jobId, number, outcome, holder] = fields as [
+        string,
+        number,
+        JobClaimReply["outcome"],
+        string,
+      ];
+      return { case: kindCase, value: { jobId, number, outcome, holder } };
+    }
+    case "releaseJobs":
+      return { case: kindCase, value: { jobIds: fields as string[] } };
     case "cancelJob": {
       const [jobId] = fields as [string];
       return { case: kindCase, value: { jobId } };
--- a/tests/coordination/batch/batch_limits_test.ts
+++ b/tests/coordination/batch/batch_limits_test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { BATCH_LIMITS } from "../../../src/coordination/batch/batch_limits.ts";
+import { getClaimExpiryMs } from "../../../src/coordination/batch/get_claim_expiry_ms.ts";
 import { getRunExpiryMs } from "../../../src/coordination/batch/get_run_expiry_ms.ts";
 
 /** Delay after which a client resends its job when its connection broke. */
@@ -37,6 +38,24 @@
     expect(getRunExpiryMs()).to.be.at.least(entryTimeoutMs + leaseExpiryMs);
   });
 
+  it("grants the job of a killed entry before its client resends it", () => {
+    expect(getClaimExpiryMs("closed")).to.be.at.least(leaseExpiryMs);
+    expect(
+      getClaimExpiryMs("closed") + 2 * BATCH_LIMITS.claimCheckIntervalMs,
+    ).to.be.lessThan(RESEND_DELAY_MS);
+  });
+
+  it("grants the job of a silent entry only after its latest possible run", () => {
+    expect(getClaimExpiryMs("silent")).to.be.at.least(
+      pingIntervalMs + getRunExpiryMs(),
+    );
+  });
+
+  it("lets an entry place tasks only while its homes can't have granted the job", () => {
+    expect(entryTimeoutMs).to.be.lessThan(getClaimExpiryMs("closed"));
+    expect(entryTimeoutMs).to.be.lessThan(getClaimExpiryMs("silent"));
+  });
+
   it("tells entries of an open job before its client sends it to one of them", () => {
     expect(
       BATCH_LIMITS.openJobAgeMs + CHECK_INTERVAL_MS +
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -78,6 +78,7 @@
       getLoads: () => this.loads,
       getOffers: () => this.offers,
       isConfined: () => this.isConfined,
+      hasClaim: () => true,
       sendStart: (agentId, { runs, timeLeftMs }) => {
         this.sentTimesLeftMs.push(timeLeftMs);
         const stream = this.getStream(agentId);
--- a/tests/lib/batch_cluster.ts
+++ b/tests/lib/batch_cluster.ts
@@ -122,6 +122,7 @@
       getLoads: () => this.#getLoads(),
       getOffers: () => [],
       isConfined: () => false,
+      hasClaim: () => true,
       sendStart: (agentId, message) => this.#startRuns(agentId, message),
       sendStop: (agentId, tasks) =>
         this.#findAgent(agentId)?.runner.stopWhere(({ task }) =>
--- a/tests/lib/fake_agent_peers.ts
+++ b/tests/lib/fake_agent_peers.ts
@@ -20,16 +20,32 @@
   ...{ failureShare: 0, suspectRuns: 0 },
 };
 
-/** A stream whose agent answers pings. */
+/** A stream whose agent answers pings, and grants each claim. */
 class AnsweringStream extends MemoryStream {
   override send(frame: BatchFrame): void {
     super.send(frame);
-    if (frame.kind.case === "ping") {
-      const now = Math.floor(performance.now());
-      const kind = frame.kind;
-      this.received.add({ sentAtMs: now, echoAtMs: frame.sentAtMs, kind });
+    switch (frame.kind.case) {
+      case "ping":
+        this.#answer(frame, frame.kind);
+        return;
+      case "claimJob": {
+        const { jobId, number } = frame.kind.value;
+        const value = {
+          jobId,
+          number,
+          outcome: "granted",
+          holder: "",
+        } as const;
+        this.#answer(frame, { case: "claimReply", value });
+        return;
+      }
     }
   }
+
+  #answer({ sentAtMs }: BatchFrame, kind: BatchBody): void {
+    const now = Math.floor(performance.now());
+    this.received.add({ sentAtMs: now, echoAtMs: sentAtMs, kind });
+  }
 }
 
 /** In-memory agents that record what an entry sends to them. */
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -87,6 +87,21 @@
   },
   { case: "operatorSnapshot", value: { offset: 5, state: "{}" } },
   { case: "cancelJob", value: { jobId: "00000000000000aa" } },
+  {
+    case: "claimJob",
+    value: {
+      ...{ jobId: "00000000000000aa", number: 3, ageMs: 12 },
+      isRenewal: true,
+    },
+  },
+  {
+    case: "claimReply",
+    value: {
+      ...{ jobId: "00000000000000aa", number: 3, outcome: "held" },
+      holder: "entry-1",
+    },
+  },
+  { case: "releaseJobs", value: { jobIds: ["00000000000000aa"] } },
   { case: "openJobs", value: { jobIds: ["00000000000000aa"] } },
 ];
 
