Add a model of entries, agents and workers on a simulated clock

Two entries, four agents and four workers run in one process. Clocks, timers and random numbers are replaced for the time of a scenario, each process has its own timers, so that it can be suspended or ended, and streams are delayed, cut one way or both ways, and reset. fast-check draws and shrinks the orders. The model moves frames without reading them.

A library of fake timers was not used: its clocks fire the timers of all processes together, and the model must also order messages and workers' runs.

Checks: no task has two runs at once, and when no disruption is left, each client that waits is answered.

--- /dev/null
+++ b/tests/coordination/batch/job_placement_model_test.ts
@@ -0,0 +1,126 @@
+/**
+ * A model of entries, agents and workers on a simulated clock, in which random
+ * disruptions happen at random times. `MODEL_SEED` and `MODEL_RUNS` set the seed
+ * and the number of scenarios of a run by hand, `MODEL_SHRINK_S` the time for
+ * finding a small counterexample.
+ */
+import fc from "fast-check";
+import { createScenarios } from "./model/create_scenarios.ts";
+import type { ModelOrder } from "./model/model_order.ts";
+import { runScenario } from "./model/run_scenario.ts";
+
+const SEED = Number(process.env.MODEL_SEED ?? 41);
+
+const RUNS = Number(process.env.MODEL_RUNS ?? 300);
+
+const SHRINK_MS = Number(process.env.MODEL_SHRINK_S ?? 30) * 1_000;
+
+/** Number of seeds with which each fixed scenario is run. */
+const FIXED_SCENARIO_SEEDS = 10;
+
+/** Time until a client sends its job again, in milliseconds. */
+const RESEND_DELAY_MS = 1_300;
+
+const FIRST = { kind: "submit", job: 0, entry: 0 } as const;
+
+const SECOND = { kind: "submit", job: 0, entry: 1 } as const;
+
+/** Three of the four agents. */
+const AGENT_PROCESSES = [2, 3, 4];
+
+/** Runs a job that is sent to the second entry while something goes on. */
+async function runResubmission(
+  { steps, afterMs, orders }: {
+    steps: { count: number; durationMs: number }[];
+    /** Time from the first submission to the disruption, in milliseconds. */
+    afterMs: number;
+    orders: readonly ModelOrder[];
+  },
+): Promise<void> {
+  for (let seed = 0; seed < FIXED_SCENARIO_SEEDS; seed++) {
+    await runScenario({
+      seed,
+      jobs: [{ steps }],
+      orders: [
+        { afterMs: 0, order: FIRST },
+        ...orders.map((order, index) => ({
+          afterMs: index === 0 ? afterMs : 0,
+          order,
+        })),
+        { afterMs: RESEND_DELAY_MS - afterMs, order: SECOND },
+      ],
+    });
+  }
+}
+
+describe("placement of a job that is sent to another entry", () => {
+  const steps = [{ count: 4, durationMs: 1_286 }];
+
+  it("never overlaps when nothing else happens", async () => {
+    // Guards against a model that finds overlaps without a cause.
+    await runResubmission({ steps, afterMs: 0, orders: [] });
+  });
+
+  it("never overlaps when the first entry is suspended", async () => {
+    // Guards against an entry that places tasks again after a pause.
+    await runResubmission({
+      steps,
+      afterMs: 500,
+      orders: [
+        { kind: "suspend", process: 0, forMs: 1_000, first: "timer" },
+      ],
+    });
+  });
+
+  it("never overlaps when agents are suspended", async () => {
+    // Guards against runs that are placed again at both entries.
+    await runResubmission({
+      steps,
+      afterMs: 300,
+      orders: AGENT_PROCESSES.map((agent) => ({
+        ...{ kind: "suspend", process: agent, forMs: 1_500, first: "timer" },
+      })),
+    });
+  });
+
+  it("never overlaps when agents are restarted", async () => {
+    // Guards against lost runs that the first entry places again by itself.
+    await runResubmission({
+      steps,
+      afterMs: 300,
+      orders: AGENT_PROCESSES.map((agent) => ({
+        ...{ kind: "restart", process: agent, afterMs: 600 },
+      })),
+    });
+  });
+
+  it("never overlaps when an entry is suspended between two steps", async () => {
+    // Guards against a job that no agent tells of, since it has no runs then.
+    await runResubmission({
+      steps: [{ count: 2, durationMs: 600 }, { count: 2, durationMs: 600 }],
+      afterMs: 580,
+      orders: [{ kind: "suspend", process: 0, forMs: 900, first: "timer" }],
+    });
+  });
+});
+
+describe("placement of jobs under random disruptions", () => {
+  it("never has two runs of a task at once, and answers each job", async () => {
+    // Guards against processes that start a task on outdated knowledge.
+    let shrinkUntil = Infinity;
+    await fc.assert(
+      fc.asyncProperty(createScenarios(), async (scenario) => {
+        if (performance.now() > shrinkUntil) {
+          return;
+        }
+        try {
+          await runScenario(scenario);
+        } catch (error) {
+          shrinkUntil = Math.min(shrinkUntil, performance.now() + SHRINK_MS);
+          throw error;
+        }
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+  }).timeout(0);
+});
--- /dev/null
+++ b/tests/coordination/batch/model/create_scenarios.ts
@@ -0,0 +1,100 @@
+import fc from "fast-check";
+import { MODEL_SIZE } from "./model_size.ts";
+import type { ModelOrder } from "./model_order.ts";
+import type { ModelScenario } from "./model_scenario.ts";
+
+const LONGEST_DISRUPTION_MS = 3_000;
+
+/** Creates the generator of scenarios, which shrinks them. */
+export function createScenarios(): fc.Arbitrary<ModelScenario> {
+  const entry = fc.nat({ max: MODEL_SIZE.entries - 1 });
+  const agent = fc.nat({ max: MODEL_SIZE.agents - 1 });
+  const process = fc.nat({ max: MODEL_SIZE.entries + MODEL_SIZE.agents - 1 });
+  const job = fc.nat({ max: MODEL_SIZE.jobs - 1 });
+  const forMs = fc.integer({ min: 20, max: LONGEST_DISRUPTION_MS });
+  const order = fc.oneof(
+    {
+      weight: 5,
+      arbitrary: fc.record({ kind: fc.constant("submit"), job, entry }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({ kind: fc.constant("disconnect"), job }),
+    },
+    {
+      weight: 4,
+      arbitrary: fc.record({
+        kind: fc.constant("suspend"),
+        process,
+        forMs,
+        first: fc.constantFrom("timer", "input"),
+      }),
+    },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: fc.constant("restart"),
+        process,
+        afterMs: fc.nat({ max: LONGEST_DISRUPTION_MS }),
+      }),
+    },
+    {
+      weight: 3,
+      arbitrary: fc.record({
+        kind: fc.constant("cut"),
+        entry,
+        agent,
+        direction: fc.constantFrom("both", "to_agent", "to_entry"),
+        forMs,
+      }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({ kind: fc.constant("reset"), entry, agent }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({ kind: fc.constant("lose_store"), forMs }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({ kind: fc.constant("fail_runs"), worker: agent }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({
+        kind: fc.constant("crash_worker"),
+        worker: agent,
+        forMs,
+      }),
+    },
+    {
+      weight: 1,
+      arbitrary: fc.record({
+        kind: fc.constant("delay_calls"),
+        worker: agent,
+        count: fc.integer({ min: 1, max: 3 }),
+        byMs: fc.integer({ min: 10, max: LONGEST_DISRUPTION_MS }),
+      }),
+    },
+  ) as fc.Arbitrary<ModelOrder>;
+  return fc.record({
+    seed: fc.noShrink(fc.nat()),
+    orders: fc.array(
+      fc.record({ afterMs: fc.nat({ max: 800 }), order }),
+      { minLength: 1, maxLength: 12, size: "max" },
+    ),
+    jobs: fc.array(
+      fc.record({
+        steps: fc.array(
+          fc.record({
+            count: fc.integer({ min: 1, max: 3 }),
+            durationMs: fc.integer({ min: 50, max: 2_500 }),
+          }),
+          { minLength: 1, maxLength: 2 },
+        ),
+      }),
+      { minLength: MODEL_SIZE.jobs, maxLength: MODEL_SIZE.jobs },
+    ),
+  });
+}
--- /dev/null
+++ b/tests/coordination/batch/model/simulated_process.ts
@@ -0,0 +1,48 @@
+/**
+ * One life of a process of the model, from its start until it is ended. While it
+ * is suspended, its timers and what arrives for it wait, and time goes on.
+ */
+import type { SimulatedEvent } from "./simulated_event.ts";
+
+type ProcessState = "running" | "suspended" | "ended";
+
+export class SimulatedProcess {
+  readonly name: string;
+  #state: ProcessState = "running";
+  #waiting: SimulatedEvent[] = [];
+
+  constructor(name: string) {
+    this.name = name;
+  }
+
+  get state(): ProcessState {
+    return this.#state;
+  }
+
+  suspend(): void {
+    if (this.#state === "running") {
+      this.#state = "suspended";
+    }
+  }
+
+  /** Resumes the process, and returns the events that have waited for it. */
+  resume(): SimulatedEvent[] {
+    if (this.#state === "suspended") {
+      this.#state = "running";
+    }
+    const waiting = this.#waiting;
+    this.#waiting = [];
+    return waiting;
+  }
+
+  /** Ends the process at once; nothing of it runs any more. */
+  end(): void {
+    this.#state = "ended";
+    this.#waiting = [];
+  }
+
+  /** Keeps an event until the process is resumed. */
+  buffer(event: SimulatedEvent): void {
+    this.#waiting.push(event);
+  }
+}
