Name the process in the log line that counts dropped lines

lines_dropped was the only line without the field process. ctl explain selects process-wide lines by process, so it listed lines_dropped among the events to show but never showed one, and a gap in collected logs could not be attributed.

The new test in event_writer_test fails on the code before (process undefined) and passes now; the file has 5 passing.

--- a/src/processes/event_writer.ts
+++ b/src/processes/event_writer.ts
@@ -98,6 +98,7 @@
     if (this.#droppedCount > 0) {
       const droppedEvent = {
         time: now,
+        process: fields["process"],
         event: "lines_dropped",
         count: this.#droppedCount,
       };
--- a/tests/processes/event_writer_test.ts
+++ b/tests/processes/event_writer_test.ts
@@ -62,6 +62,21 @@
     expect(metrics.format()).to.match(/log_lines_dropped_total 1[0-9]{3}\n/);
   });
 
+  it("names its process in the line that counts dropped lines", async () => {
+    // Guards against a gap that can't be attributed once logs are collected.
+    const { state, writer } = createBlockedWriter();
+    const detail = "x".repeat(1_000);
+    for (let n = 0; n < 250; n++) {
+      writer.record("run_started", { job: "j", detail });
+    }
+    writer.record("store_lost");
+    await wait(20);
+    const gap = state.text.trim().split("\n")
+      .map((line) => JSON.parse(line)).at(-2);
+    expect(gap.event).to.equal("lines_dropped");
+    expect(gap.process).to.equal("entry-1");
+  });
+
   it("limits only the lines about requests in one second", async () => {
     const { state, metrics, writer } = createBlockedWriter();
     const detail = "x".repeat(1_000);
