Read folders of logs in ctl explain, and report unreadable files

The reading and parsing of log lines moves to files of its own, so that another command can use it. ctl explain now takes folders as well, and an unreadable path is an error with exit code 2 instead of a stack trace.

explain_job_test: 3 passing, unchanged. By hand: a folder is read, and a path that does not exist exits with 2.

--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -1,11 +1,12 @@
 #!/usr/bin/env node
-import { readFileSync } from "node:fs";
 import sade from "sade";
 import { explainJob } from "../ctl/explain_job.ts";
 import { applySettings } from "../ctl/apply_settings.ts";
+import { createErrorResult } from "../ctl/create_error_result.ts";
 import type { CtlFlags } from "../ctl/ctl_flags.ts";
 import type { PublishFlags } from "../ctl/publish_flags.ts";
 import { getSettings } from "../ctl/get_settings.ts";
+import { readLogTexts } from "../ctl/read_log_texts.ts";
 import { readStatus } from "../ctl/read_status.ts";
 import { readTimeline } from "../ctl/read_timeline.ts";
 import { removeSettings } from "../ctl/remove_settings.ts";
@@ -106,8 +107,11 @@
 program.command("explain <job>", "Prints a timeline of a job from log files")
   .example("explain 5c0e7a21d94b36f8 entry-1.log agent-*.log")
   .action((jobId: string, flags: CtlFlags & { _: string[] }) => {
-    const texts = flags._.map((path) => readFileSync(path, "utf8"));
-    writeCommandResult(explainJob(texts, jobId), flags);
+    const result = readLogTexts(flags._).match(
+      (texts) => explainJob(texts, jobId),
+      (error) => createErrorResult(error),
+    );
+    writeCommandResult(result, flags);
   });
 
 program.parse(process.argv);
--- a/src/ctl/explain_job.ts
+++ b/src/ctl/explain_job.ts
@@ -1,5 +1,8 @@
 import type { CommandResult } from "./command_result.ts";
+import { formatLogFields } from "./format_log_fields.ts";
 import { formatTable } from "./format_table.ts";
+import { isLineAboutJob } from "./is_line_about_job.ts";
+import { parseLogLines } from "./parse_log_lines.ts";
 
 /** Process-wide events that may explain what happened to a job. */
 const PROCESS_EVENTS: ReadonlySet<string> = new Set([
@@ -27,17 +30,9 @@
  */
 const EVENT_MARGIN_MS = 1_000;
 
-interface LogLine {
-  time: number;
-  process: string;
-  event: string;
-  [field: string]: unknown;
-}
-
 /**
  * Explains what happened to a job: merges the log lines of all processes about
- * the job into one timeline. Text before the JSON of a line, such as the prefix
- * of a log collector, is skipped.
+ * the job into one timeline.
  * @param texts - Contents of the log files.
  * @param jobId - Id of the job.
  */
@@ -45,8 +40,8 @@
   texts: readonly string[],
   jobId: string,
 ): CommandResult {
-  const lines = texts.flatMap(parseLines);
-  const jobLines = lines.filter((line) => isAboutJob(line, jobId));
+  const lines = texts.flatMap(parseLogLines);
+  const jobLines = lines.filter((line) => isLineAboutJob(line, jobId));
   if (jobLines.length === 0) {
     const text = `no line of job ${jobId}; lines may have been dropped`;
     return { exitCode: 1, text, value: { status: "failed", error: text } };
@@ -64,7 +59,7 @@
     ms: time - startedAt,
     process,
     event,
-    fields: formatFields(fields, jobId),
+    fields: formatLogFields(fields, jobId),
   }));
   return {
     exitCode: 0,
@@ -72,47 +67,3 @@
     value: { status: "ok", jobId, events },
   };
 }
-
-function parseLines(text: string): LogLine[] {
-  const lines: LogLine[] = [];
-  for (const line of text.split("\n")) {
-    const start = line.indexOf("{");
-    const parsed = start < 0 ? undefined : parseLine(line.slice(start));
-    if (parsed !== undefined) {
-      lines.push(parsed);
-    }
-  }
-  return lines;
-}
-
-/** Parses one log line; undefined for text that is not an event. */
-function parseLine(text: string): LogLine | undefined {
-  try {
-    const line = JSON.parse(text) as Partial<LogLine>;
-    return typeof line.time === "number" && typeof line.event === "string"
-      ? { process: "", ...line } as LogLine
-      : undefined;
-  } catch {
-    return undefined;
-  }
-}
-
-function isAboutJob(line: LogLine, jobId: string): boolean {
-  const { task, tasks } = line;
-  const names: unknown[] = [task, ...(Array.isArray(tasks) ? tasks : [])];
-  return line["job"] === jobId ||
-    names.some((name) =>
-      typeof name === "string" && name.startsWith(`${jobId}.`)
-    );
-}
-
-function formatFields(
-  fields: Readonly<Record<string, unknown>>,
-  jobId: string,
-): string {
-  return Object.entries(fields)
-    .filter(([name]) => name !== "job")
-    .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
-    .join(" ")
-    .replaceAll(`${jobId}.`, "");
-}
