Add ctl overlaps, which finds overlapping runs in logs and why both were started

Cause: to tell which of two overlapping runs was started on what knowledge, one had to merge the logs of all processes by hand, after a client or a test had named the task.

ctl overlaps LOGS... pairs run_started and run_ended of all agents, and prints for both runs of each pair the latest decision, what the entry had logged about other submissions, and the lines that led to the run. Ends that no log states (killed or paused agents, lost runs, dropped lines) have bounds; such pairs are possible instead of certain.

--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -4,6 +4,7 @@
 import { applySettings } from "../ctl/apply_settings.ts";
 import { createErrorResult } from "../ctl/create_error_result.ts";
 import type { CtlFlags } from "../ctl/ctl_flags.ts";
+import { explainOverlaps } from "../ctl/overlaps/mod.ts";
 import type { PublishFlags } from "../ctl/publish_flags.ts";
 import { getSettings } from "../ctl/get_settings.ts";
 import { readLogTexts } from "../ctl/read_log_texts.ts";
@@ -114,6 +115,26 @@
     writeCommandResult(result, flags);
   });
 
+program.command("overlaps <path>", "Finds tasks that had two runs at a time")
+  .option(
+    "--tolerance",
+    "Milliseconds by which the clocks of machines may differ",
+    "5",
+  )
+  .example("overlaps logs")
+  .example("overlaps entry-1.log agent-*.log --tolerance 20")
+  .action((
+    path: string,
+    flags: CtlFlags & { _: string[]; tolerance: string },
+  ) => {
+    const result = readLogTexts([path, ...flags._]).match(
+      (texts) =>
+        explainOverlaps(texts, { toleranceMs: Number(flags.tolerance) }),
+      (error) => createErrorResult(error),
+    );
+    writeCommandResult(result, flags);
+  });
+
 program.parse(process.argv);
 
 function addPublishOptions(command: sade.Sade): sade.Sade {
--- /dev/null
+++ b/src/ctl/overlaps/mod.ts
@@ -0,0 +1,1 @@
+export { explainOverlaps } from "./explain_overlaps.ts";
