Renew claims at the agents that are a job's homes now

What callers would have seen: tasks at two workers at the same time after two disruptions, each of which hid another home.

Cause: an entry claimed a job at another agent only when a home was lost, and preferred agents of other zones. So two entries that each could not reach another agent could have no home in common, and an agent that was back was asked by one of them only; there the former claim had expired.

An entry now renews its claims whenever other agents, or others of their streams, can be reached, and homes are ranked without their zones: then any two entries that each miss another agent share a home.

--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -104,10 +104,6 @@
     return this.#options.member.name;
   }
 
-  get zone(): string {
-    return this.#options.member.zone;
-  }
-
   get streamNumber(): number {
     return this.#streamId.number;
   }
--- a/src/coordination/batch/entry/claim_home.ts
+++ b/src/coordination/batch/entry/claim_home.ts
@@ -3,7 +3,6 @@
 /** An agent that can record which entry coordinates a job. */
 export interface ClaimHome {
   readonly agentId: string;
-  readonly zone: string;
   /** Number of the current stream to the agent. */
   readonly streamNumber: number;
   /** Whether the agent is connected, and its frames arrive. */
--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -57,13 +57,16 @@
 
 /**
  * The claims of this entry: a job may be placed only by the entry that its homes
- * name. A claim is made before the first run, costs one round trip, and is
- * renewed at another home when one is lost.
+ * name. A claim is made before the first run, and costs one round trip. Whenever
+ * other agents can be reached than before, it is renewed at those that are now
+ * the job's homes, where another entry would claim the job.
  */
 export class JobClaims {
   readonly #options: JobClaimsOptions;
   readonly #getTime: () => number;
   readonly #claims = new Map<string, OpenClaim>();
+  /** The agents that could keep claims at the last check, and their streams. */
+  #reachable: { home: ClaimHome; stream: number }[] = [];
   #lastNumber = 0;
   #timer: NodeJS.Timeout | undefined;
 
@@ -173,28 +176,49 @@
   }
 
   #runPeriodicChecks(): void {
+    const haveHomesChanged = this.#updateReachable();
     for (const claim of this.#claims.values()) {
-      this.#checkClaim(claim);
+      if (this.#checkReplies(claim) || haveHomesChanged) {
+        this.#askHomes(claim);
+      }
+      if (!claim.isTaken) {
+        claim.notify();
+      }
     }
   }
 
-  /** Looks for homes that are lost or do not reply, and asks others instead. */
-  #checkClaim(claim: OpenClaim): void {
+  /** Returns whether other agents, or others of their streams, are usable now. */
+  #updateReachable(): boolean {
+    const former = this.#reachable;
+    this.#reachable = this.#options.getHomes()
+      .filter((home) => home.canKeepClaims)
+      .map((home) => ({ home, stream: home.streamNumber }));
+    return former.length !== this.#reachable.length ||
+      this.#reachable.some(({ home, stream }, index) =>
+        former[index]?.home !== home || former[index]?.stream !== stream
+      );
+  }
+
+  /**
+   * Checks whether the homes of a job are lost or don't reply.
+   * @returns Whether others have to be asked instead.
+   */
+  #checkReplies(claim: OpenClaim): boolean {
+    let hasChanged = false;
     for (const [agentId, asked] of claim.homes) {
       const { home, stream } = asked;
       if (home.streamNumber !== stream || !home.canKeepClaims) {
         this.#handleLostHome(claim, agentId, asked);
+        hasChanged = true;
       } else if (asked.state === "asked") {
         asked.checks++;
         if (asked.checks >= MAX_CHECKS_WITHOUT_REPLY) {
           asked.state = "silent";
+          hasChanged = true;
         }
       }
     }
-    this.#askHomes(claim);
-    if (!claim.isTaken) {
-      claim.notify();
-    }
+    return hasChanged;
   }
 
   #handleLostHome(claim: OpenClaim, agentId: string, asked: AskedHome): void {
@@ -211,28 +235,22 @@
     }
   }
 
-  /** Claims the job at as many homes as are missing. */
+  /** Claims the job at those of its homes that have not been asked yet. */
   #askHomes(claim: OpenClaim): void {
-    const kept = [...claim.homes.values()];
-    const missing = HOME_COUNT -
-      kept.filter(({ state, checksToExpiry }) =>
-        state !== "silent" && checksToExpiry === undefined
-      ).length;
-    if (missing <= 0) {
-      return;
-    }
-    const homes = selectHomes(claim.jobId, {
-      homes: this.#options.getHomes().filter((home) => home.canKeepClaims),
-      kept: kept.map(({ home }) => home),
-      count: missing,
-    });
-    for (const home of homes) {
+    const isReplacement = claim.homes.size > 0;
+    const candidates = this.#options.getHomes().filter((home) =>
+      home.canKeepClaims && claim.homes.get(home.agentId)?.state !== "silent"
+    );
+    for (const home of selectHomes(claim.jobId, candidates, HOME_COUNT)) {
+      if (claim.homes.has(home.agentId)) {
+        continue;
+      }
       claim.homes.set(home.agentId, {
         home,
         stream: home.streamNumber,
         state: "asked",
         checks: 0,
-        isReplacement: kept.length > 0,
+        isReplacement,
         checksToExpiry: undefined,
       });
       home.claimJob({
--- a/src/coordination/batch/entry/select_homes.ts
+++ b/src/coordination/batch/entry/select_homes.ts
@@ -5,45 +5,28 @@
 const hashes = new Map<string, number>();
 
 /**
- * Selects homes of a job by rendezvous hashing of its id, so that all entries
- * find the same ones without messages. Agents in other availability zones than
- * those of the kept homes go first.
+ * Selects the homes of a job by rendezvous hashing of its id. Two entries that
+ * each can't reach another one of the agents still have a home in common.
  * @param homes - The agents to select from.
- * @param kept - Homes that the job already has.
+ * @param count - Number of homes, if there are as many agents.
  */
 export function selectHomes(
   jobId: string,
-  { homes, kept, count }: {
-    homes: readonly ClaimHome[];
-    kept: readonly ClaimHome[];
-    count: number;
-  },
+  homes: readonly ClaimHome[],
+  count: number,
 ): ClaimHome[] {
   const keyHash = hasher.h32(jobId);
-  const selected: ClaimHome[] = [];
-  const zones = new Set(kept.map(({ zone }) => zone));
-  while (selected.length < count) {
-    let best: ClaimHome | undefined;
-    let bestRank = -1;
-    for (const home of homes) {
-      if (kept.includes(home) || selected.includes(home)) {
-        continue;
-      }
-      // Ranks have 32 bits; a new zone outranks all of them.
-      const rank = getRank(keyHash, getHash(home.agentId)) +
-        (zones.has(home.zone) ? 0 : 2 ** 32);
-      if (rank > bestRank) {
-        bestRank = rank;
-        best = home;
-      }
+  const ranked: { home: ClaimHome; rank: number }[] = [];
+  for (const home of homes) {
+    const rank = getRank(keyHash, getHash(home.agentId));
+    const last = ranked[count - 1];
+    if (last === undefined || rank > last.rank) {
+      ranked.splice(count - 1, 1);
+      ranked.push({ home, rank });
+      ranked.sort((a, b) => b.rank - a.rank);
     }
-    if (best === undefined) {
-      break;
-    }
-    selected.push(best);
-    zones.add(best.zone);
   }
-  return selected;
+  return ranked.map(({ home }) => home);
 }
 
 function getHash(agentId: string): number {
