Reject reports and lease replies of workers with missing or odd fields

`born` was optional in a worker's report.

Each field is required with its type and range, also those without a use here; unknown ones are ignored. A lease reply that can't be read is a failed call, which ends no run. An odd field of another reply is left out, so a refusal keeps its reason, and a 409 without a known reason fails no task. Names such as `constructor` are no kinds of ends any more.

--- a/src/coordination/batch/agent/worker_description.ts
+++ b/src/coordination/batch/agent/worker_description.ts
@@ -4,7 +4,7 @@
 export interface WorkerDescription {
   readonly workerId: string;
   /** Start of this incarnation of the worker, in milliseconds since 1970. */
-  readonly bornAtMs: number | undefined;
+  readonly bornAtMs: number;
   /** Number of the report within one incarnation. */
   readonly sequence: number;
   readonly service: string;
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -571,12 +571,9 @@
     report: LeaseReport,
     request: { fence: number; sentAt: number },
   ): void {
-    const bornAtMs = report.bornAtMs;
+    const { bornAtMs } = report;
     const worker = this.#worker;
-    if (
-      worker !== undefined && bornAtMs !== undefined &&
-      bornAtMs !== worker.bornAtMs
-    ) {
+    if (worker !== undefined && bornAtMs !== worker.bornAtMs) {
       this.#handleOtherIncarnation(worker, bornAtMs);
       return;
     }
@@ -591,14 +588,9 @@
     this.processQueue();
   }
 
-  /**
-   * Handles a report from another incarnation of the worker than the known one,
-   * or the first report that states when the known one was started.
-   */
+  /** Handles a report from another incarnation of the worker than the known one. */
   #handleOtherIncarnation(worker: WorkerDescription, bornAtMs: number): void {
-    if (worker.bornAtMs === undefined) {
-      this.#worker = { ...worker, bornAtMs };
-    } else if (bornAtMs > worker.bornAtMs) {
+    if (bornAtMs > worker.bornAtMs) {
       // The new incarnation states its resources in its own description.
       this.#endIncarnation("the worker has restarted");
     }
@@ -924,9 +916,6 @@
   report: WorkerDescription,
   known: WorkerDescription,
 ): boolean {
-  if (report.bornAtMs === undefined || known.bornAtMs === undefined) {
-    return false;
-  }
   return report.bornAtMs < known.bornAtMs ||
     (report.bornAtMs === known.bornAtMs &&
       report.workerId === known.workerId && report.sequence < known.sequence);
--- a/src/coordination/ports/lease_report.ts
+++ b/src/coordination/ports/lease_report.ts
@@ -6,7 +6,7 @@
   readonly kind: "report";
   readonly workerClockMs: number;
   /** Start time of this worker incarnation, in milliseconds since 1970. */
-  readonly bornAtMs: number | undefined;
+  readonly bornAtMs: number;
   readonly running: readonly ActiveRun[];
   readonly ended: readonly EndedRun[];
 }
--- a/tests/platform/handle_worker_request_test.ts
+++ b/tests/platform/handle_worker_request_test.ts
@@ -12,8 +12,10 @@
   service: "s",
   addr: "10.0.0.1:80",
   zone: "a",
+  version: "v1",
   slots: 8,
   state: "ready",
+  coldLeftMs: 0,
   capacity: { cpu: 16_000, memMb: 1_000, gpu: 0 },
   labels: ["r1"],
   born: 5,
@@ -95,6 +97,16 @@
     );
   });
 
+  it("keeps the incarnation of the worker after a report without its start", () => {
+    // Guards against taking such a report for a restart (review/5).
+    handle(createRequest("PUT", path, REPORT));
+    const found = log.count("worker_found");
+    const report = { ...REPORT, seq: 2, born: undefined };
+    expect(handle(createRequest("PUT", path, report))).to.equal(400);
+    expect(agent.runner.worker?.bornAtMs).to.equal(5);
+    expect(log.count("worker_found")).to.equal(found);
+  });
+
   it("rejects other paths and methods", () => {
     expect(handle(createRequest("PUT", "/other", REPORT))).to.equal(404);
     expect(handle(createRequest("GET", path))).to.equal(405);
--- a/tests/platform/worker_client_test.ts
+++ b/tests/platform/worker_client_test.ts
@@ -118,6 +118,60 @@
     expect((await client.renewLease(RENEWAL)).isErr()).to.equal(true);
   });
 
+  it("fails a renewal whose answer has a missing or odd field", async () => {
+    // Guards against runs that end because of an answer of another form.
+    const body = { clockMs: 9, born: 3, running: [], ended: [] };
+    const oddBodies: unknown[] = ["text", [], 5];
+    for (const value of [undefined, null, "9", -1, {}]) {
+      for (const field of Object.keys(body)) {
+        oddBodies.push({ ...body, [field]: value });
+      }
+    }
+    oddBodies.push({ ...body, born: 1.5 }, { ...body, born: 1e300 });
+    for (const row of [5, [], ["a.0.0.0"], ["a.0.0.0", "1"], [1, 1]]) {
+      oddBodies.push({ ...body, running: [row] });
+    }
+    for (const row of [5, [1, "a.0.0.0", 1], ["1", "a.0.0.0", 1, "done"]]) {
+      oddBodies.push({ ...body, ended: [row] });
+    }
+    for (const odd of oddBodies) {
+      worker.answers.push({ status: 200, body: odd });
+      const reply = await client.renewLease(RENEWAL);
+      expect(reply.isErr(), JSON.stringify(odd)).to.equal(true);
+    }
+  });
+
+  it("ignores unknown fields and kinds of ends in a report", async () => {
+    const ended = [[1, "a.0.0.0", 1, "constructor", ""]];
+    const body = { clockMs: 9, born: 3, running: [], ended, rank: {} };
+    worker.answers.push({ status: 200, body });
+    const report = (await client.renewLease(RENEWAL))._unsafeUnwrap();
+    expect(report).to.deep.include({
+      ended: [{
+        ...{ sequence: 1, task: "a.0.0.0", run: 1 },
+        ...{ outcome: "lost", detail: "constructor" },
+      }],
+    });
+  });
+
+  it("reads the reason of a refusal whose other fields are odd", async () => {
+    const body = { clockMs: "soon", reason: "fence" };
+    worker.answers.push({ status: 409, body });
+    const reply = (await client.startRun(START))._unsafeUnwrap();
+    expect(reply).to.include({
+      refusal: "stale_fence",
+      workerClockMs: undefined,
+    });
+  });
+
+  it("does not blame a task for a refusal without a known reason", async () => {
+    for (const reason of [undefined, 5, "ticket", "constructor"]) {
+      worker.answers.push({ status: 409, body: { clockMs: 9, reason } });
+      const reply = await client.startRun(START);
+      expect(reply.isErr(), String(reason)).to.equal(true);
+    }
+  });
+
   it("distinguishes an unreachable worker from a silent one", async () => {
     worker.answers.push("silent");
     const silent = await client.startRun(START);
