Let a worker's own answer decide between two reports of it

A lease reply with an earlier start than the known one was passed over, so such a worker never got work.

A report of another incarnation is now kept until the worker has answered a lease call that was sent after its arrival: the known one goes on, or it has ended and the reported one is used if it fits the answer. Order by start time is gone, since a clock may be set back.

--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -40,7 +40,7 @@
   /** Called when the lease of all runs must have expired. */
   onExpired: () => void;
   /** Called when no worker listens at the address, or another one answers. */
-  onLost: (reason: string) => void;
+  onLost: (reason: string, isOtherWorker: boolean) => void;
   getTime: () => number;
 }
 
@@ -171,7 +171,7 @@
           return;
         }
         if (answer.refusal === "other_worker") {
-          this.#options.onLost("another worker answers at the address");
+          this.#options.onLost("another worker answers at the address", true);
           return;
         }
         await this.#handleFailure("internal", `refused: ${answer.refusal}`);
@@ -193,7 +193,7 @@
       log.record("worker_silent", { workerId, kind, reason });
     }
     if (kind === "upstream_unreachable") {
-      onLost(reason);
+      onLost(reason, false);
       return;
     }
     if (getTime() > this.#expiresAt) {
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -24,6 +24,7 @@
 import type { LocalRun } from "./local_run.ts";
 import type { RunOwner } from "./run_owner.ts";
 import type { WorkerEnd } from "./worker_end.ts";
+import { ReportSequence } from "./report_sequence.ts";
 import { WorkerClock } from "./worker_clock.ts";
 import type { WorkerDescription } from "./worker_description.ts";
 import { WorkerLease } from "./worker_lease.ts";
@@ -73,6 +74,14 @@
 
 const NO_RESOURCES: TaskResources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
+/** What is known of a worker when an incarnation of it has ended. */
+interface IncarnationEnd {
+  /** Start of the incarnation that has answered instead. */
+  bornAtMs?: number;
+  /** Whether a worker with another id has answered. */
+  isOtherWorker?: boolean;
+}
+
 export interface WorkerRunnerOptions {
   control: WorkerControl;
   /** Identifies one start of the agent process. */
@@ -105,7 +114,13 @@
   readonly #queue = new RunQueue<LocalRun>();
   readonly #runs = new Map<string, LocalRun>();
   readonly #slowdown = new SlowdownEstimate();
+  readonly #reportSequence = new ReportSequence();
   #worker: WorkerDescription | undefined;
+  /**
+   * The latest report of another incarnation than the one in use. It may be
+   * late or of another writer, so the worker's answers decide between the two.
+   */
+  #otherReport: { worker: WorkerDescription; arrivedAt: number } | undefined;
   #lease: WorkerLease | undefined;
   /**
    * Whether a report of this incarnation of the worker has listed no run that
@@ -167,27 +182,40 @@
   /** Handles a description that a worker has reported of itself. */
   handleWorkerReport(worker: WorkerDescription): void {
     const known = this.#worker;
-    if (known !== undefined && isOlderReport(worker, known)) {
-      this.#options.log.record("worker_report_ignored", {
-        workerId: worker.workerId,
-        bornAtMs: worker.bornAtMs,
-        sequence: worker.sequence,
-      });
+    const now = this.#getTime();
+    if (known === undefined) {
+      this.#startIncarnation(worker);
+    } else if (!isSameIncarnation(worker, known)) {
+      this.#otherReport = { worker, arrivedAt: now };
+      void this.#lease?.requestReport();
+      return;
+    } else if (this.#reportSequence.tryAdvance(worker.sequence, now)) {
+      this.#updateWorker(worker, known);
+    } else {
+      this.#logIgnoredReport(worker, "it is older than the latest one");
       return;
     }
-    const isSameIncarnation = known !== undefined &&
-      known.workerId === worker.workerId && known.bornAtMs === worker.bornAtMs;
+    this.processQueue();
+  }
+
+  #updateWorker(worker: WorkerDescription, known: WorkerDescription): void {
     this.#worker = worker;
-    if (!isSameIncarnation) {
-      this.#startIncarnation(worker, known);
-    } else if (known.isDraining !== worker.isDraining) {
+    if (known.isDraining !== worker.isDraining) {
       this.#options.log.record("worker_state", {
         workerId: worker.workerId,
         isDraining: worker.isDraining,
         remainingMs: worker.remainingMs,
       });
     }
-    this.processQueue();
+  }
+
+  #logIgnoredReport(worker: WorkerDescription, reason: string): void {
+    this.#options.log.record("worker_report_ignored", {
+      workerId: worker.workerId,
+      bornAtMs: worker.bornAtMs,
+      sequence: worker.sequence,
+      reason,
+    });
   }
 
   /**
@@ -424,13 +452,10 @@
     return remainingTimesMs;
   }
 
-  #startIncarnation(
-    worker: WorkerDescription,
-    known: WorkerDescription | undefined,
-  ): void {
+  #startIncarnation(worker: WorkerDescription): void {
     const { control, log } = this.#options;
-    this.#interruptRuns(known, "the worker has restarted");
-    this.#lease?.stop();
+    this.#worker = worker;
+    this.#reportSequence.start(worker.sequence);
     this.#clock.reset();
     this.#isSettled = false;
     this.#unhealthyUntil = 0;
@@ -449,21 +474,34 @@
       getTime: this.#getTime,
       onReport: (report, request) => this.#handleReport(lease, report, request),
       onExpired: () => this.#handleLeaseExpired(),
-      onLost: (reason) => this.#endIncarnation(reason),
+      onLost: (reason, isOtherWorker) =>
+        this.#endIncarnation(reason, { isOtherWorker }),
     });
     this.#lease = lease;
     void lease.run();
   }
 
-  #endIncarnation(reason: string): void {
+  /**
+   * Ends the incarnation in use, and starts the one that was reported last if
+   * what is known of the worker allows it.
+   */
+  #endIncarnation(reason: string, evidence: IncarnationEnd): void {
+    const known = this.#worker;
+    const other = this.#otherReport?.worker;
     this.#options.log.record("worker_lost", {
-      workerId: this.#worker?.workerId,
+      workerId: known?.workerId,
+      bornAtMs: known?.bornAtMs,
+      answeredBornAtMs: evidence.bornAtMs,
       reason,
     });
     this.#lease?.stop();
-    this.#interruptRuns(this.#worker, reason);
+    this.#interruptRuns(known, reason);
     this.#lease = undefined;
     this.#worker = undefined;
+    this.#otherReport = undefined;
+    if (other !== undefined && canFollow(other, known, evidence)) {
+      this.#startIncarnation(other);
+    }
     this.processQueue();
   }
 
@@ -572,11 +610,15 @@
     request: { fence: number; sentAt: number },
   ): void {
     const { bornAtMs } = report;
-    const worker = this.#worker;
-    if (worker !== undefined && bornAtMs !== worker.bornAtMs) {
-      this.#handleOtherIncarnation(worker, bornAtMs);
+    if (bornAtMs !== this.#worker?.bornAtMs) {
+      this.#endIncarnation("the worker has restarted", { bornAtMs });
       return;
     }
+    const other = this.#otherReport;
+    if (other !== undefined && request.sentAt >= other.arrivedAt) {
+      this.#otherReport = undefined;
+      this.#logIgnoredReport(other.worker, "the worker in use has answered");
+    }
     this.#expiredRuns = [];
     for (const ended of report.ended) {
       if (ended.sequence > lease.confirmedUpTo) {
@@ -588,14 +630,6 @@
     this.processQueue();
   }
 
-  /** Handles a report from another incarnation of the worker than the known one. */
-  #handleOtherIncarnation(worker: WorkerDescription, bornAtMs: number): void {
-    if (bornAtMs > worker.bornAtMs) {
-      // The new incarnation states its resources in its own description.
-      this.#endIncarnation("the worker has restarted");
-    }
-  }
-
   #handleEnded(ended: EndedRun): void {
     const run = this.#runs.get(ended.task);
     if (run !== undefined && run.state !== "queued" && run.run === ended.run) {
@@ -759,7 +793,9 @@
         return false;
       case "other_worker":
         this.#endRun(run, "returned", "another worker answers");
-        this.#endIncarnation("another worker answers at the address");
+        this.#endIncarnation("another worker answers at the address", {
+          isOtherWorker: true,
+        });
         return false;
       case "invalid":
         this.#endRun(run, "failed", "the worker refused the start as invalid");
@@ -794,7 +830,7 @@
     });
     if (kind === "upstream_unreachable") {
       this.#endRun(run, "returned", reason);
-      this.#endIncarnation(reason);
+      this.#endIncarnation(reason, {});
       return;
     }
     run.state = "uncertain";
@@ -911,14 +947,25 @@
   };
 }
 
-/** Returns whether a report was sent before the known one. */
-function isOlderReport(
-  report: WorkerDescription,
+function isSameIncarnation(
+  worker: WorkerDescription,
   known: WorkerDescription,
 ): boolean {
-  return report.bornAtMs < known.bornAtMs ||
-    (report.bornAtMs === known.bornAtMs &&
-      report.workerId === known.workerId && report.sequence < known.sequence);
+  return worker.workerId === known.workerId &&
+    worker.bornAtMs === known.bornAtMs;
+}
+
+/** Returns whether a reported incarnation may be the one after the known one. */
+function canFollow(
+  worker: WorkerDescription,
+  known: WorkerDescription | undefined,
+  { bornAtMs, isOtherWorker }: IncarnationEnd,
+): boolean {
+  const hasSameId = worker.workerId === known?.workerId;
+  if (bornAtMs !== undefined) {
+    return hasSameId && worker.bornAtMs === bornAtMs;
+  }
+  return isOtherWorker !== true || !hasSameId;
 }
 
 /**
