Check in the model that jobs are served again, and widen its disruptions

- When no disruption is left, each job that was sent is sent again, to either entry, and must be completed; before, an error was answer enough.
- The monotonic clock of each process begins with the process, and frames pass through their encoding.
- Runs of up to 4 s, disruptions of up to 4.5 s, up to 8 late calls.
- Nothing else of the test process runs within a scenario.

--- a/tests/coordination/batch/job_placement_model_test.ts
+++ b/tests/coordination/batch/job_placement_model_test.ts
@@ -11,7 +11,7 @@
 
 const SEED = Number(process.env.MODEL_SEED ?? 41);
 
-const RUNS = Number(process.env.MODEL_RUNS ?? 300);
+const RUNS = Number(process.env.MODEL_RUNS ?? 400);
 
 const SHRINK_MS = Number(process.env.MODEL_SHRINK_S ?? 30) * 1_000;
 
--- a/tests/coordination/batch/model/create_scenarios.ts
+++ b/tests/coordination/batch/model/create_scenarios.ts
@@ -3,7 +3,7 @@
 import type { ModelOrder } from "./model_order.ts";
 import type { ModelScenario } from "./model_scenario.ts";
 
-const LONGEST_DISRUPTION_MS = 3_000;
+const LONGEST_DISRUPTION_MS = 4_500;
 
 /** Creates the generator of scenarios, which shrinks them. */
 export function createScenarios(): fc.Arbitrary<ModelScenario> {
@@ -69,11 +69,11 @@
       }),
     },
     {
-      weight: 1,
+      weight: 2,
       arbitrary: fc.record({
         kind: fc.constant("delay_calls"),
         worker: agent,
-        count: fc.integer({ min: 1, max: 3 }),
+        count: fc.integer({ min: 1, max: 8 }),
         byMs: fc.integer({ min: 10, max: LONGEST_DISRUPTION_MS }),
       }),
     },
@@ -89,7 +89,7 @@
         steps: fc.array(
           fc.record({
             count: fc.integer({ min: 1, max: 3 }),
-            durationMs: fc.integer({ min: 50, max: 2_500 }),
+            durationMs: fc.integer({ min: 50, max: 4_000 }),
           }),
           { minLength: 1, maxLength: 2 },
         ),
--- a/tests/coordination/batch/model/run_scenario.ts
+++ b/tests/coordination/batch/model/run_scenario.ts
@@ -1,3 +1,4 @@
+import { setImmediate as waitForTurn } from "node:timers/promises";
 import { TestRandom } from "../../../lib/test_random.ts";
 import type { ModelScenario } from "./model_scenario.ts";
 import { setSimulatedClocks } from "./set_simulated_clocks.ts";
@@ -11,14 +12,15 @@
 const SETTLE_MS = 3_000;
 
 /** Longest wait for answers after that, in milliseconds. */
-const ANSWER_MS = 14_000;
+const ANSWER_MS = 20_000;
 
 /** Number of events that are printed for a failure. */
-const TRACE_LINES = 150;
+const TRACE_LINES = 80;
 
 /**
  * Runs a scenario. Throws an error if two runs of a task are executing at once,
- * or if a client gets no answer when no disruption is left.
+ * if a client gets no answer, or if a job that is sent again is not completed when
+ * no disruption is left.
  * @returns The number of events that have run.
  */
 export async function runScenario(scenario: ModelScenario): Promise<number> {
@@ -28,8 +30,7 @@
   try {
     const cluster = new SimulatedCluster({ scenario, time, random });
     const hasOverlap = () => cluster.overlaps.length > 0;
-    const isIdle = () =>
-      cluster.waitingSubmissions.length === 0 && !cluster.hasRuns;
+    const isIdle = () => !cluster.hasWaitingClients && !cluster.hasRuns;
     const wait = (delayMs: number, isFinished = hasOverlap) =>
       time.advance(time.nowMs + delayMs, isFinished);
     cluster.start();
@@ -44,13 +45,13 @@
     await wait(SETTLE_MS);
     cluster.endDisruptions();
     await wait(SETTLE_MS, () => hasOverlap() || isIdle());
-    cluster.submitLostJobs();
+    await wait(ANSWER_MS, () => hasOverlap() || isIdle());
+    const missingAnswers = [...cluster.missingAnswers];
+    cluster.submitJobsAgain();
     await wait(ANSWER_MS, () => hasOverlap() || isIdle());
     const problems = hasOverlap()
       ? cluster.overlaps
-      : cluster.waitingSubmissions.map(({ job, entry }) =>
-        `job ${job} at ${entry.name} gets no answer`
-      );
+      : [...missingAnswers, ...cluster.unfinishedJobs];
     if (problems.length > 0) {
       throw new Error(
         [...problems, cluster.formatTrace(TRACE_LINES)].join("\n"),
@@ -59,5 +60,6 @@
     return time.eventCount;
   } finally {
     restoreClocks();
+    await waitForTurn();
   }
 }
--- a/tests/coordination/batch/model/set_simulated_clocks.ts
+++ b/tests/coordination/batch/model/set_simulated_clocks.ts
@@ -67,7 +67,7 @@
     clearTimeout: clearTimer,
     clearInterval: clearTimer,
   });
-  performance.now = () => time.nowMs;
+  performance.now = () => time.clockMs;
   Date.now = () => WALL_CLOCK_START_MS + Math.floor(time.nowMs - time.startMs);
   Math.random = () => random.getInt(0, RANDOM_STEPS - 1) / RANDOM_STEPS;
   timersPromises.setTimeout = (delayMs: number, value?: unknown) =>
--- a/tests/coordination/batch/model/simulated_cluster.ts
+++ b/tests/coordination/batch/model/simulated_cluster.ts
@@ -27,7 +27,7 @@
 const RESEND_DELAY_MS = 1_300;
 
 /** Time in which a submission is answered, in milliseconds. */
-const TIME_LEFT_MS = 10_000;
+const TIME_LEFT_MS = 15_000;
 
 /** Interval of the workers' reports to their agents, in milliseconds. */
 const REPORT_INTERVAL_MS = 500;
@@ -45,7 +45,6 @@
 interface Submission {
   readonly job: number;
   readonly entry: SimulatedProcess;
-  readonly sentAtMs: number;
   readonly client: AbortController;
   answer: BatchAnswer | undefined;
 }
@@ -83,6 +82,7 @@
   readonly #workersByTask = new Map<string, string[]>();
   readonly #overlaps: string[] = [];
   readonly #trace: { atMs: number; source: string; text: () => string }[] = [];
+  #scheduledSubmissions = 0;
   #storeLosses = 0;
 
   constructor({ scenario, time, random }: SimulatedClusterOptions) {
@@ -98,7 +98,11 @@
       ...Array.from({ length: agents }, (_, index) => `agent-${index}`),
     ];
     this.#slots = names.map((name) => ({
-      ...{ name, process: new SimulatedProcess(name), disruption: 0 },
+      ...{
+        name,
+        process: new SimulatedProcess(name, time.nowMs),
+        disruption: 0,
+      },
     }));
     this.#workers = Array.from(
       { length: agents },
@@ -112,13 +116,37 @@
     return this.#overlaps;
   }
 
-  /** Gets the submissions whose clients wait for an answer. */
-  get waitingSubmissions(): readonly Submission[] {
-    return this.#submissions.filter(({ answer, client, entry }) =>
-      answer === undefined && !client.signal.aborted && entry.state !== "ended"
+  /** Gets whether a client waits, or will send its job again. */
+  get hasWaitingClients(): boolean {
+    return this.#scheduledSubmissions > 0 || this.#findWaiting().length > 0;
+  }
+
+  /** Gets a description of each submission whose client waits for an answer. */
+  get missingAnswers(): readonly string[] {
+    return this.#findWaiting().map(({ job, entry }) =>
+      `job ${job} at ${entry.name} gets no answer`
     );
   }
 
+  /**
+   * Gets a description of each job whose latest submission is not completed. A job
+   * may also have failed when workers have crashed.
+   */
+  get unfinishedJobs(): readonly string[] {
+    const canFail = this.#scenario.orders.some(({ order }) =>
+      order.kind === "crash_worker"
+    );
+    return this.#findLastSubmissions()
+      .filter(({ answer }) =>
+        answer?.kind !== "completed" && !(canFail && answer?.kind === "failed")
+      )
+      .map(({ job, entry, answer }) =>
+        `job ${job} at ${entry.name} is not completed: ${
+          JSON.stringify(answer)
+        }`
+      );
+  }
+
   /** Gets whether a run is executing at a worker. */
   get hasRuns(): boolean {
     return [...this.#workersByTask.values()].some(({ length }) => length > 0);
@@ -199,15 +227,11 @@
     });
   }
 
-  /** Sends the jobs again whose clients have lost their connection. */
-  submitLostJobs(): void {
-    for (const job of this.#scenario.jobs.keys()) {
-      const last = this.#submissions.findLast((sent) => sent.job === job);
-      const isLost = last !== undefined && last.answer === undefined &&
-        last.entry.state === "ended";
-      if (isLost) {
-        this.#scheduleSubmission(job, job % MODEL_SIZE.entries);
-      }
+  /** Sends all jobs that were sent again, each to any entry. */
+  submitJobsAgain(): void {
+    for (const { job } of this.#findLastSubmissions()) {
+      const entry = this.#random.getInt(0, MODEL_SIZE.entries - 1);
+      this.#scheduleSubmission(job, entry);
     }
   }
 
@@ -223,6 +247,18 @@
       .join("\n");
   }
 
+  #findWaiting(): Submission[] {
+    return this.#submissions.filter(({ answer, client, entry }) =>
+      answer === undefined && !client.signal.aborted && entry.state !== "ended"
+    );
+  }
+
+  #findLastSubmissions(): Submission[] {
+    return [...this.#scenario.jobs.keys()]
+      .map((job) => this.#submissions.findLast((sent) => sent.job === job))
+      .filter((last) => last !== undefined);
+  }
+
   #createWorker(index: number): SimulatedWorker {
     const name = `worker-${index}`;
     return new SimulatedWorker({
@@ -257,7 +293,7 @@
 
   #startProcess(index: number): void {
     const slot = this.#slots[index] as ProcessSlot;
-    const process = new SimulatedProcess(slot.name);
+    const process = new SimulatedProcess(slot.name, this.#time.nowMs);
     slot.process = process;
     this.#time.schedule(0, () => {
       if (index < MODEL_SIZE.entries) {
@@ -356,9 +392,11 @@
     const now = this.#time.nowMs;
     const atMs = Math.max(now, this.#nextSubmissionAtMs[job] ?? 0);
     this.#nextSubmissionAtMs[job] = atMs + RESEND_DELAY_MS;
-    this.#time.schedule(atMs - now, () => this.#submit(job, entry), {
-      getProcess: () => undefined,
-    });
+    this.#scheduledSubmissions++;
+    this.#time.schedule(atMs - now, () => {
+      this.#scheduledSubmissions--;
+      this.#submit(job, entry);
+    }, { getProcess: () => undefined });
   }
 
   #submit(job: number, entryIndex: number): void {
@@ -366,7 +404,6 @@
     const client = new AbortController();
     const submission: Submission = {
       ...{ job, entry: process, client, answer: undefined },
-      sentAtMs: this.#time.nowMs,
     };
     this.#submissions.push(submission);
     this.#record("client", () => `sends job ${job} to ${process.name}`);
--- a/tests/coordination/batch/model/simulated_process.ts
+++ b/tests/coordination/batch/model/simulated_process.ts
@@ -4,15 +4,25 @@
  */
 import type { SimulatedEvent } from "./simulated_event.ts";
 
+/** Time of the monotonic clock when the product begins to run. */
+const START_UP_MS = 50;
+
 type ProcessState = "running" | "suspended" | "ended";
 
 export class SimulatedProcess {
   readonly name: string;
+  readonly #startedAtMs: number;
   #state: ProcessState = "running";
   #waiting: SimulatedEvent[] = [];
 
-  constructor(name: string) {
+  constructor(name: string, startedAtMs: number) {
     this.name = name;
+    this.#startedAtMs = startedAtMs;
+  }
+
+  /** Gets the time of the monotonic clock, which begins with the process. */
+  getClockMs(nowMs: number): number {
+    return START_UP_MS + nowMs - this.#startedAtMs;
   }
 
   get state(): ProcessState {
--- a/tests/coordination/batch/model/simulated_stream.ts
+++ b/tests/coordination/batch/model/simulated_stream.ts
@@ -5,6 +5,10 @@
  */
 import type { BatchFrame } from "../../../../src/coordination/messages/mod.ts";
 import type { PeerStream } from "../../../../src/coordination/ports/mod.ts";
+import {
+  formatBatchFrame,
+  parseBatchFrame,
+} from "../../../../src/protocol/batch/mod.ts";
 import { MessageQueue } from "../../../../src/transport/message_queue.ts";
 import type { SimulatedPath } from "./simulated_path.ts";
 import type { SimulatedProcess } from "./simulated_process.ts";
@@ -37,7 +41,8 @@
 
   send(frame: BatchFrame): void {
     if (!this.#isClosed) {
-      this.sendToOther((other) => other.received.add(frame));
+      const text = formatBatchFrame(frame);
+      this.sendToOther((other) => other.#receive(text));
     }
   }
 
@@ -52,6 +57,13 @@
     }
   }
 
+  #receive(text: string): void {
+    const frame = parseBatchFrame(text);
+    if (frame !== undefined) {
+      this.received.add(frame);
+    }
+  }
+
   /** Sends the end of the stream, as the system does for a process that ends. */
   sendEnd(): void {
     if (!this.#isClosed) {
--- a/tests/coordination/batch/model/simulated_time.ts
+++ b/tests/coordination/batch/model/simulated_time.ts
@@ -1,13 +1,13 @@
 /**
  * The time of the model. Events run one after the other, each with all of its
- * promise reactions, so that the process of a running event is known.
+ * promise reactions, so that the process of a running event is known. Nothing else
+ * of this process runs meanwhile, which would see the simulated clocks.
  */
-import { setImmediate as waitForTurn } from "node:timers/promises";
 import type { SimulatedEvent } from "./simulated_event.ts";
 import type { SimulatedProcess } from "./simulated_process.ts";
 
-/** Number of events after which the real event loop gets a turn. */
-const EVENTS_PER_TURN = 5_000;
+/** Most events of a model, far more than one has that comes to an end. */
+const MAX_EVENTS = 1_000_000;
 
 /** Time at which each model starts; clocks of real processes are not 0 either. */
 const START_MS = 1_000_000;
@@ -36,6 +36,11 @@
     return this.#process;
   }
 
+  /** Gets the time of the monotonic clock of the current process. */
+  get clockMs(): number {
+    return this.#process?.getClockMs(this.#nowMs) ?? this.#nowMs;
+  }
+
   get eventCount(): number {
     return this.#eventCount;
   }
@@ -111,8 +116,8 @@
     await runPromiseReactions();
     this.#process = undefined;
     this.#eventCount++;
-    if (this.#eventCount % EVENTS_PER_TURN === 0) {
-      await waitForTurn();
+    if (this.#eventCount > MAX_EVENTS) {
+      throw new Error("the model does not come to an end");
     }
   }
 
