Claim only jobs that a client may have sent to another entry

A review and the model showed more ways around the claims: grants by expiry while the holder goes on with other homes, homes that had just been restarted, replies that come late.

A job needs no claim while its client can't have sent it to another entry. From 900 ms on its entry claims it at two homes, which tell all entries of it; from 1,100 ms on a task is placed only after all agents that can be reached have granted it. An agent with runs of a later submission, or a claim of it, has the entry give the job up, and refuses the orders of other entries afterwards. Ages are counted by the entry's clock, with the pauses of both sides left out.

Claims are released at every agent that was ever asked.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -16,6 +16,7 @@
 } from "../directory/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchEntrySession } from "./batch_entry_session.ts";
+import { ClockOffsets } from "./clock_offsets.ts";
 import { JobClaimTable } from "./job_claim_table.ts";
 import { WorkerRunner } from "./worker_runner.ts";
 
@@ -77,6 +78,7 @@
   readonly operatorFollower: OperatorFollower;
   readonly #options: BatchAgentOptions;
   readonly #claims: JobClaimTable;
+  readonly #clockOffsets = new ClockOffsets();
   readonly #sessions = new Set<BatchEntrySession>();
   readonly #crashes: { id: string; at: number; runs: CrashedRun[] }[] = [];
   readonly #abortController = new AbortController();
@@ -99,7 +101,10 @@
       onChange: () => this.#scheduleStatus(),
       onCrash: (id, runs) => this.#reportCrash(id, [...runs]),
     });
-    this.#claims = new JobClaimTable({ log });
+    this.#claims = new JobClaimTable({
+      log,
+      findLatestRun: (jobId) => this.runner.findLatestRun(jobId),
+    });
     metrics.setGauge("jobs_claimed", () => this.#claims.size);
     this.operatorFollower = new OperatorFollower({
       store,
@@ -152,6 +157,7 @@
       stream,
       runner: this.runner,
       claims: this.#claims,
+      clockOffsets: this.#clockOffsets,
       operatorFollower: this.operatorFollower,
       log: this.#options.log,
       name: this.#options.name,
@@ -166,7 +172,7 @@
       closeEarlierSessions: (later) => this.#closeEarlierSessions(later),
       requestAnnouncement: () => this.#announcements.request(),
       cancelJob: (jobId, requester) => this.#cancelJob(jobId, requester),
-      findOpenJobs: () => this.#findOpenJobs(),
+      findOpenJobs: (other) => this.#findOpenJobs(other),
     });
     this.#sessions.add(session);
     try {
@@ -213,20 +219,22 @@
     const { log } = this.#options;
     log.record("job_cancelled", { job: jobId, entry: requester.name });
     this.runner.cancelJob(jobId, requester);
-    const holder = this.#claims.getHolder(jobId);
-    if (holder !== undefined && holder.name !== requester.name) {
-      holder.sendCancel(jobId);
-    }
+    this.#claims.cancel(jobId, requester);
   }
 
-  #findOpenJobs(): string[] | undefined {
-    return this.runner.findOldJobs(BATCH_LIMITS.openJobAgeMs);
+  #findOpenJobs(session: BatchEntrySession): string[] | undefined {
+    const jobIds = this.runner.findOldJobs(BATCH_LIMITS.openJobAgeMs);
+    return jobIds === undefined
+      ? undefined
+      : [...new Set([...jobIds, ...this.#claims.findOldJobs(session)])];
   }
 
   #sendOpenJobs(): void {
-    const jobIds = this.#findOpenJobs();
-    if (jobIds !== undefined) {
-      this.#sessions.forEach((session) => session.sendOpenJobs(jobIds));
+    for (const session of this.#sessions) {
+      const jobIds = this.#findOpenJobs(session);
+      if (jobIds !== undefined) {
+        session.sendOpenJobs(jobIds);
+      }
     }
   }
 
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -12,6 +12,7 @@
 import { BatchStream } from "../batch_stream.ts";
 import type { OperatorFollower } from "../directory/mod.ts";
 import type { ClaimOwner } from "./claim_owner.ts";
+import type { ClockOffsets } from "./clock_offsets.ts";
 import type { JobClaimTable } from "./job_claim_table.ts";
 import type { RunOwner } from "./run_owner.ts";
 import type { WorkerDescription } from "./worker_description.ts";
@@ -21,6 +22,7 @@
   stream: PeerStream<BatchFrame>;
   runner: WorkerRunner;
   claims: JobClaimTable;
+  clockOffsets: ClockOffsets;
   operatorFollower: OperatorFollower;
   /** Receives the log events of this process. */
   log: EventLog;
@@ -42,7 +44,7 @@
   /** Stops the runs of a job in all sessions. */
   cancelJob: (jobId: string, requester: BatchEntrySession) => void;
   /** Finds the jobs that entries are told of; undefined if not known yet. */
-  findOpenJobs: () => string[] | undefined;
+  findOpenJobs: (session: BatchEntrySession) => string[] | undefined;
   getTime?: () => number;
 }
 
@@ -159,6 +161,7 @@
     try {
       for await (const body of this.#stream.receive()) {
         this.#frameCount++;
+        this.#recordClockOffset();
         this.#checkResponsiveness();
         this.#handleFrame(body);
       }
@@ -267,7 +270,9 @@
         return;
       case "claimJob":
         if (!this.#isClosed) {
-          this.#options.claims.claim(this, body.value);
+          const { value } = body;
+          const arrivedAt = this.#getJobArrival(value.ageMs);
+          this.#options.claims.claim(this, value, arrivedAt);
         }
         return;
       case "releaseJobs":
@@ -288,6 +293,7 @@
   #handleHello(hello: BatchHello): void {
     const { name, incarnation, stream } = hello;
     this.#hello = hello;
+    this.#recordClockOffset();
     this.#options.log.record("entry_found", {
       entry: name,
       incarnation,
@@ -301,13 +307,33 @@
       run.owner.name === name && run.owner !== this
     );
     // Before the status, with which the entry may start to place jobs.
-    const openJobs = this.#options.findOpenJobs();
+    const openJobs = this.#options.findOpenJobs(this);
     if (openJobs !== undefined) {
       this.sendOpenJobs(openJobs);
     }
     this.sendStatus();
   }
 
+  #recordClockOffset(): void {
+    if (this.#hello !== undefined) {
+      const { clockOffsets } = this.#options;
+      const offsetMs = this.#getTime() - this.#stream.frameSentAt;
+      clockOffsets.record(this.name, this.incarnation, offsetMs);
+    }
+  }
+
+  /**
+   * Gets when the entry got a job of the frame that is being handled, on this
+   * process's monotonic clock. The frame may have waited while this process or the
+   * link stood still.
+   * @param ageMs - Age of the job when the frame was sent, in milliseconds.
+   */
+  #getJobArrival(ageMs: number): number {
+    const { clockOffsets } = this.#options;
+    return this.#stream.frameSentAt - ageMs +
+      clockOffsets.get(this.name, this.incarnation);
+  }
+
   #handlePing(operatorOffset: number): void {
     const { operatorFollower } = this.#options;
     this.#pingReceivedAt = this.#getTime();
@@ -333,12 +359,26 @@
     }
     const now = this.#getTime();
     this.#receivedBatch = message.batch;
+    const { jobId } = message;
+    const jobArrivedAt = this.#getJobArrival(message.ageMs);
+    const isRefused = !this.#options.claims.canStart(
+      jobId,
+      this,
+      jobArrivedAt,
+    );
     for (const order of message.runs) {
+      if (isRefused) {
+        this.handleEnd({
+          ...{ task: order.task, run: order.run, outcome: "returned" },
+          ...{ runMs: 0, detail: "another entry has claimed the job" },
+        });
+        continue;
+      }
       runner.add({
         task: order.task,
         run: order.run,
         jobId: message.jobId,
-        jobArrivedAt: now - message.ageMs,
+        jobArrivedAt,
         route: message.route,
         crashes: order.crashes,
         crashedAfterMs: order.crashedAfterMs,
--- a/src/coordination/batch/agent/job_claim_table.ts
+++ b/src/coordination/batch/agent/job_claim_table.ts
@@ -2,6 +2,7 @@
 import type { JobClaim } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { getClaimExpiryMs } from "../get_claim_expiry_ms.ts";
+import { NO_CLAIM } from "../no_claim.ts";
 import type { ClaimOwner } from "./claim_owner.ts";
 
 interface HeldJob {
@@ -18,6 +19,8 @@
   silenceMs: number;
   /** The latest other entry that has claimed the job. */
   waiter: ClaimWaiter | undefined;
+  /** Whether the holder was asked to stop the job. */
+  isCancelled: boolean;
 }
 
 interface ClaimWaiter {
@@ -26,16 +29,26 @@
   readonly arrivedAt: number;
 }
 
+interface LatestRun {
+  readonly owner: { readonly name: string; sendCancel(jobId: string): void };
+  readonly jobArrivedAt: number;
+}
+
 export interface JobClaimTableOptions {
   log: EventLog;
+  /** Finds the run of a job here whose entry has got the job last. */
+  findLatestRun: (
+    jobId: string,
+  ) => LatestRun | undefined;
   getTime?: () => number;
 }
 
 /**
- * The jobs whose home is this agent, and the entry that may start runs of each.
- * The latest submission of a job counts: the client has left the entry that got
- * an earlier one. That entry is asked to stop the job, and the later claim is
- * granted when it has released the job, or when its runs have certainly ended.
+ * The jobs that entries have claimed at this agent. The latest submission of a
+ * job counts: the client has left the entry that got an earlier one. That entry
+ * is asked to stop the job, and a later claim is granted when it has released the
+ * job, or when its runs have certainly ended. While a job is claimed, no run of
+ * it is started for another entry.
  */
 export class JobClaimTable {
   readonly #options: JobClaimTableOptions;
@@ -47,55 +60,122 @@
     this.#getTime = options.getTime ?? (() => performance.now());
   }
 
-  /** Gets the number of jobs that are held. */
+  /** Gets the number of jobs that are claimed. */
   get size(): number {
     return this.#jobs.size;
   }
 
-  /** Gets the session of the entry that holds a job; undefined if none does. */
-  getHolder(jobId: string): ClaimOwner | undefined {
-    return this.#jobs.get(jobId)?.holder;
+  /** Finds the claimed jobs, by their age, that an entry is told of. */
+  findOldJobs(owner: ClaimOwner): string[] {
+    const arrivedBefore = this.#getTime() - BATCH_LIMITS.openJobAgeMs;
+    return [...this.#jobs].filter(([, { arrivedAt, holder }]) =>
+      arrivedAt <= arrivedBefore && !isSameEntry(holder, owner)
+    ).map(([jobId]) => jobId);
+  }
+
+  /**
+   * Returns whether runs of a job may be started for an entry. If another one has
+   * claimed the job, the entry with the earlier submission is asked to stop it.
+   */
+  canStart(jobId: string, owner: ClaimOwner, arrivedAt: number): boolean {
+    const held = this.#jobs.get(jobId);
+    if (held === undefined || isSameEntry(held.holder, owner)) {
+      return true;
+    }
+    if (arrivedAt > held.arrivedAt) {
+      this.cancel(jobId, owner);
+      const { name } = held.holder;
+      const value = { jobId, number: NO_CLAIM, holder: name } as const;
+      owner.sendClaimReply({ ...value, outcome: "held" });
+    } else {
+      owner.sendCancel(jobId);
+    }
+    return false;
+  }
+
+  /** Asks the entry that has claimed a job to stop it, for another entry. */
+  cancel(jobId: string, requester: ClaimOwner): void {
+    const held = this.#jobs.get(jobId);
+    if (held !== undefined && !isSameEntry(held.holder, requester)) {
+      held.isCancelled = true;
+      this.#recordSuperseded(jobId, held.holder, requester.name);
+      held.holder.sendCancel(jobId);
+    }
   }
 
-  /** Handles a claim, and replies to it at once unless it is superseded. */
-  claim(owner: ClaimOwner, claim: JobClaim): void {
-    const { jobId, number, ageMs, isRenewal } = claim;
-    const arrivedAt = this.#getTime() - ageMs;
+  /**
+   * Handles a claim, and replies to it at once. An entry whose submission is not
+   * the latest one is asked to stop the job instead.
+   * @param arrivedAt - When the entry got the job, on this process's monotonic
+   * clock.
+   */
+  claim(
+    owner: ClaimOwner,
+    { jobId, number }: JobClaim,
+    arrivedAt: number,
+  ): void {
+    const claim = { owner, number, arrivedAt };
     const held = this.#jobs.get(jobId);
     if (held === undefined) {
-      this.#grant(jobId, { owner, number, arrivedAt });
+      const run = this.#options.findLatestRun(jobId);
+      if (run !== undefined && run.owner.name !== owner.name) {
+        this.#handleClaimDespiteRun(jobId, claim, run);
+      } else {
+        this.#grant(jobId, claim);
+      }
       return;
     }
     if (isSameEntry(held.holder, owner)) {
-      if (isRenewal && held.waiter !== undefined) {
-        owner.sendCancel(jobId);
-        held.holder = owner;
-      } else {
-        const { waiter } = held;
-        this.#grant(jobId, { owner, number, arrivedAt });
-        waiter?.owner.sendCancel(jobId);
-      }
+      this.#renew(jobId, held, claim);
       return;
     }
-    const latestArrivedAt = held.waiter?.arrivedAt ?? held.arrivedAt;
-    if (isRenewal && arrivedAt <= latestArrivedAt) {
-      this.#recordSuperseded(jobId, owner, held.waiter?.owner ?? held.holder);
+    const { holder } = held;
+    const isRepeated = held.waiter !== undefined &&
+      isSameEntry(held.waiter.owner, owner);
+    const waiter = isRepeated ? undefined : held.waiter;
+    if (arrivedAt <= (waiter?.arrivedAt ?? held.arrivedAt)) {
+      this.#recordSuperseded(jobId, owner, (waiter?.owner ?? holder).name);
       owner.sendCancel(jobId);
       return;
     }
-    const { holder, waiter } = held;
-    if (waiter !== undefined && !isSameEntry(waiter.owner, owner)) {
-      waiter.owner.sendCancel(jobId);
-    }
-    held.waiter = { owner, number, arrivedAt };
-    this.#recordSuperseded(jobId, holder, owner);
+    waiter?.owner.sendCancel(jobId);
+    held.waiter = claim;
+    this.#recordSuperseded(jobId, holder, owner.name);
     holder.sendCancel(jobId);
-    owner.sendClaimReply({
-      jobId,
-      number,
-      outcome: "held",
-      holder: holder.name,
-    });
+    const value = { jobId, number, holder: holder.name } as const;
+    owner.sendClaimReply({ ...value, outcome: "held" });
+  }
+
+  /** Handles a claim while runs of the job are here for another entry. */
+  #handleClaimDespiteRun(
+    jobId: string,
+    claim: ClaimWaiter,
+    run: LatestRun,
+  ): void {
+    const { owner, number, arrivedAt } = claim;
+    if (arrivedAt <= run.jobArrivedAt) {
+      this.#recordSuperseded(jobId, owner, run.owner.name);
+      owner.sendCancel(jobId);
+      return;
+    }
+    run.owner.sendCancel(jobId);
+    // The entry repeats its claim until these runs have ended.
+    const value = { jobId, number, holder: run.owner.name } as const;
+    owner.sendClaimReply({ ...value, outcome: "held" });
+  }
+
+  /** Handles a claim by the holder, on another stream or of a later submission. */
+  #renew(jobId: string, held: HeldJob, claim: ClaimWaiter): void {
+    const { waiter, isCancelled, arrivedAt } = held;
+    if (
+      (waiter !== undefined || isCancelled) && claim.arrivedAt <= arrivedAt + 1
+    ) {
+      held.holder = claim.owner;
+      claim.owner.sendCancel(jobId);
+      return;
+    }
+    this.#grant(jobId, claim);
+    waiter?.owner.sendCancel(jobId);
   }
 
   /** Handles the release of jobs by an entry, or the end of its wait for them. */
@@ -139,7 +219,7 @@
       // An entry that is only silent still counts on the job when it returns.
       const isExpired = holder.isClosed
         ? held.silenceMs >= getClaimExpiryMs("closed")
-        : held.waiter !== undefined &&
+        : (held.waiter !== undefined || held.isCancelled) &&
           held.silenceMs >= getClaimExpiryMs("silent");
       if (isExpired) {
         this.#options.log.record("job_claim_expired", {
@@ -170,15 +250,20 @@
       wasClosed: owner.isClosed,
       silenceMs: 0,
       waiter: undefined,
+      isCancelled: false,
     });
     owner.sendClaimReply({ jobId, number, outcome: "granted", holder: "" });
   }
 
-  #recordSuperseded(jobId: string, former: ClaimOwner, by: ClaimOwner): void {
+  #recordSuperseded(
+    jobId: string,
+    former: ClaimOwner,
+    claimedBy: string,
+  ): void {
     this.#options.log.record("job_superseded", {
       job: jobId,
       entry: former.name,
-      claimedBy: by.name,
+      claimedBy,
     });
   }
 }
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -280,6 +280,12 @@
     runs.forEach((run) => this.#stopRun(run));
   }
 
+  /** Finds the run of a job whose entry has got the job last. */
+  findLatestRun(jobId: string): LocalRun | undefined {
+    return [...this.#runs.values()].filter((run) => run.jobId === jobId)
+      .sort((a, b) => b.jobArrivedAt - a.jobArrivedAt)[0];
+  }
+
   /**
    * Gets the jobs with runs at this agent that are as old as the given age, in
    * milliseconds; undefined while runs of a former agent process may be executing.
--- a/src/coordination/batch/batch_limits.ts
+++ b/src/coordination/batch/batch_limits.ts
@@ -26,6 +26,10 @@
    * Clients send a job to another entry only later than that.
    */
   openJobAgeMs: 1_000,
+  /** Age of a job at which its entry claims it at its homes. */
+  publishAgeMs: 900,
+  /** Age of a job from which on its tasks are placed only with a claim. */
+  claimAgeMs: 1_100,
   /** Interval at which a home checks whether the holders of jobs are heard. */
   claimCheckIntervalMs: 50,
   /** Longest time for delivering a stop order and stopping at the worker. */
--- a/src/coordination/batch/batch_stream.ts
+++ b/src/coordination/batch/batch_stream.ts
@@ -16,6 +16,7 @@
   readonly #stream: PeerStream<BatchFrame>;
   readonly #getTime: () => number;
   #receivedSentAt = 0;
+  #frameSentAt = 0;
   #acknowledgedSentAt = -Infinity;
   #sentAt = 0;
 
@@ -40,6 +41,11 @@
     return this.#acknowledgedSentAt;
   }
 
+  /** Gets when the frame was sent that is being handled, on the sender's clock. */
+  get frameSentAt(): number {
+    return this.#frameSentAt;
+  }
+
   send(body: BatchBody): void {
     this.#sentAt = this.#getTime();
     this.#stream.send({
@@ -56,6 +62,7 @@
       if (echoAtMs > 0) {
         this.#acknowledgedSentAt = Math.max(this.#acknowledgedSentAt, echoAtMs);
       }
+      this.#frameSentAt = sentAtMs;
       yield kind;
     }
   }
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -168,6 +168,7 @@
     const run = this.#createJobRun(options);
     // From here on the job can be joined and cancelled, also while it is held.
     this.#jobs.set(job.id, run);
+    this.#claims.add(job.id);
     run.addCaller(signal);
     let answer: BatchAnswer;
     try {
@@ -206,7 +207,7 @@
       getLoads: () => this.#getLoads(route),
       getOffers: () => this.#getOffers(route),
       isConfined: () => this.#getConfinement(route) !== undefined,
-      hasClaim: () => this.#claims.hasProof(job.id),
+      hasClaim: () => this.#claims.canPlace(job.id),
       sendStart: (agentId, message) =>
         this.#links.get(agentId)?.startRuns(message),
       sendStop: (agentId, tasks) => this.#links.get(agentId)?.stopRuns(tasks),
@@ -227,8 +228,8 @@
     const former = this.#endingJobs.get(job.id);
     await Promise.race([former?.runsEnded, run.answer]);
     const hasWaited = await this.#takeOver(job.id, answered.signal);
-    if (!answered.signal.aborted) {
-      await this.#claims.claim(job.id, answered.signal);
+    while (!answered.signal.aborted && !this.#claims.canPlace(job.id)) {
+      await wait(TAKE_OVER_CHECK_INTERVAL_MS);
     }
     const heldMs = Math.round(performance.now() - heldSince);
     const hasFormerRuns = former !== undefined || hasWaited;
@@ -454,7 +455,7 @@
       onJobCancelled: (agentId, jobId) => {
         log.record("job_cancelled", { job: jobId, agent: agentId });
         this.#jobs.get(jobId)?.cancel();
-        // The agent may have a claim of a job that this entry has not.
+        // The agent may have a claim of a job that has ended here.
         if (!this.#jobs.has(jobId) && !this.#endingJobs.has(jobId)) {
           this.#links.get(agentId)?.releaseJobs([jobId]);
         }
--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -2,8 +2,8 @@
 import type { JobClaimReply } from "../../messages/mod.ts";
 import type { EventLog } from "../../ports/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
-import { getClaimExpiryMs } from "../get_claim_expiry_ms.ts";
 import type { ClaimHome } from "./claim_home.ts";
+import { NO_CLAIM } from "../no_claim.ts";
 import { selectHomes } from "./select_homes.ts";
 
 /** Number of homes of a job: one may fail without the claim being lost. */
@@ -18,6 +18,18 @@
  */
 const MAX_CHECKS_WITHOUT_REPLY = 2;
 
+/** Checks after which a job is claimed again that another entry holds. */
+const CHECKS_WHILE_HELD = 5;
+
+/** Delay of a check from which on it counts as a pause, in milliseconds. */
+const MIN_PAUSE_MS = 40;
+
+/**
+ * Time after a pause in which requests are handled that arrived during it, in
+ * milliseconds.
+ */
+const PAUSE_EFFECT_MS = 100;
+
 /** Waits for a claim that take longer are logged, in milliseconds. */
 const LOGGED_WAIT_MS = 20;
 
@@ -28,23 +40,26 @@
   /** `silent`: it has not replied in time; a later reply still counts. */
   state: "asked" | "silent" | "held" | "granted";
   checks: number;
-  /** Whether it was asked instead of a home that is lost or doesn't reply. */
-  isReplacement: boolean;
-  /**
-   * Checks left until a holder's runs have ended that was known to a home which
-   * is lost since; undefined while the home is not lost.
-   */
-  checksToExpiry: number | undefined;
 }
 
+/**
+ * Where a job is claimed: nowhere while its client can't have sent it to another
+ * entry, then at its homes, and at all agents before tasks of it are placed.
+ */
+type ClaimScope = "none" | "homes" | "all";
+
 interface OpenClaim {
   readonly jobId: string;
   readonly number: number;
-  readonly claimedAt: number;
+  readonly openedAt: number;
   readonly homes: Map<string, AskedHome>;
-  /** Whether the wait for the claim has ended, so that runs may have started. */
-  isTaken: boolean;
-  notify: () => void;
+  /** All agents that were asked, also those that are lost since. */
+  readonly askedHomes: Set<ClaimHome>;
+  scope: ClaimScope;
+  /** Whether an agent has refused an order, since another entry has the job. */
+  isContested: boolean;
+  /** When all agents were asked; undefined before that or when logged. */
+  askedAllAt: number | undefined;
 }
 
 export interface JobClaimsOptions {
@@ -56,10 +71,12 @@
 }
 
 /**
- * The claims of this entry: a job may be placed only by the entry that its homes
- * name. A claim is made before the first run, and costs one round trip. Whenever
- * other agents can be reached than before, it is renewed at those that are now
- * the job's homes, where another entry would claim the job.
+ * The claims of this entry. A client sends a job to another entry no sooner than
+ * 1.3 s after the first submission, so a job younger than `claimAgeMs`
+ * needs no claim. An older one is claimed at two agents, its homes, which tell all
+ * entries of it. Before tasks of an older job are placed, it is claimed at all
+ * agents: one that has runs of a later submission has this entry give the
+ * job up, and the others refuse the orders of other entries from then on.
  */
 export class JobClaims {
   readonly #options: JobClaimsOptions;
@@ -68,6 +85,9 @@
   /** The agents that could keep claims at the last check, and their streams. */
   #reachable: { home: ClaimHome; stream: number }[] = [];
   #lastNumber = 0;
+  #checkedAt = 0;
+  /** The latest time in which this process did not run. */
+  #pause = { lengthMs: 0, endedAt: -Infinity };
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: JobClaimsOptions) {
@@ -76,6 +96,7 @@
   }
 
   start(): void {
+    this.#checkedAt = this.#getTime();
     this.#timer = setInterval(
       () => this.#runPeriodicChecks(),
       CHECK_INTERVAL_MS,
@@ -86,47 +107,54 @@
     clearInterval(this.#timer);
   }
 
-  /**
-   * Claims a job, and waits until this entry may place it, or until `signal` is
-   * aborted. Another entry that holds it is asked to stop it.
-   */
-  async claim(jobId: string, signal: AbortSignal): Promise<void> {
-    const claim: OpenClaim = {
+  /** Adds a job that this entry has just got from a client. */
+  add(jobId: string): void {
+    const former = this.#claims.get(jobId);
+    this.#claims.set(jobId, {
       jobId,
       number: ++this.#lastNumber,
-      claimedAt: this.#getTime(),
+      openedAt: this.#getTime() - this.#getLatenessMs(),
       homes: new Map(),
-      isTaken: false,
-      notify: () => {},
-    };
-    const former = this.#claims.get(jobId);
-    this.#claims.set(jobId, claim);
-    this.#askHomes(claim);
-    for (const [agentId, { home }] of former?.homes ?? []) {
-      if (!claim.homes.has(agentId)) {
-        home.releaseJobs([jobId]);
-      }
-    }
-    const stopWaiting = () => claim.notify();
-    signal.addEventListener("abort", stopWaiting, { once: true });
-    while (!signal.aborted && !isGranted(claim)) {
-      await new Promise<void>((resolve) => claim.notify = resolve);
-    }
-    signal.removeEventListener("abort", stopWaiting);
-    claim.isTaken = true;
-    this.#recordWait(claim, signal.aborted);
+      askedHomes: new Set(),
+      scope: "none",
+      isContested: false,
+      askedAllAt: undefined,
+    });
+    former?.askedHomes.forEach((home) => home.releaseJobs([jobId]));
   }
 
   /**
-   * Returns whether a home of the job has certainly not granted it to another
-   * entry: it has acknowledged a recent frame on the stream of the claim, and
-   * would have sent the end of the claim before that.
+   * Returns whether tasks of a job may be placed now. If not, asks for what is
+   * missing; the job is cancelled if another entry has a later submission of it.
    */
-  hasProof(jobId: string): boolean {
+  canPlace(jobId: string): boolean {
     const claim = this.#claims.get(jobId);
     if (claim === undefined) {
       return false;
     }
+    if (
+      !claim.isContested && this.#getAgeMs(claim) < BATCH_LIMITS.claimAgeMs
+    ) {
+      return true;
+    }
+    if (claim.scope !== "all") {
+      claim.scope = "all";
+      claim.askedAllAt = this.#getTime();
+      this.#askHomes(claim);
+    }
+    if (!hasAllGrants(claim)) {
+      return false;
+    }
+    this.#recordWait(claim);
+    return this.#hasProof(claim);
+  }
+
+  /**
+   * Returns whether another entry can't have got the job meanwhile: an agent has
+   * acknowledged a recent frame on the stream of the claim, and would have sent
+   * the end of the claim before that.
+   */
+  #hasProof(claim: OpenClaim): boolean {
     return [...claim.homes.values()].some(({ home, stream, state }) =>
       state === "granted" && home.streamNumber === stream &&
       home.proofAgeMs < BATCH_LIMITS.entryTimeoutMs
@@ -137,11 +165,15 @@
   release(jobId: string): void {
     const claim = this.#claims.get(jobId);
     this.#claims.delete(jobId);
-    claim?.homes.forEach(({ home }) => home.releaseJobs([jobId]));
+    claim?.askedHomes.forEach((home) => home.releaseJobs([jobId]));
   }
 
   handleReply(home: ClaimHome, reply: JobClaimReply): void {
     const claim = this.#claims.get(reply.jobId);
+    if (claim !== undefined && reply.number === NO_CLAIM) {
+      claim.isContested = true;
+      return;
+    }
     const asked = claim?.homes.get(home.agentId);
     if (
       claim === undefined || asked === undefined ||
@@ -157,32 +189,63 @@
         home: home.agentId,
       });
     }
-    claim.notify();
   }
 
-  #recordWait(claim: OpenClaim, isAborted: boolean): void {
-    const waitedMs = this.#getTime() - claim.claimedAt;
+  /**
+   * Gets the longest time for which a request that is handled now can have waited
+   * for this process, which may have been paused, in milliseconds.
+   */
+  #getLatenessMs(): number {
+    const now = this.#getTime();
+    const delayMs = now - this.#checkedAt - CHECK_INTERVAL_MS;
+    const isAfterPause = now - this.#pause.endedAt < PAUSE_EFFECT_MS;
+    return Math.max(0, delayMs, isAfterPause ? this.#pause.lengthMs : 0);
+  }
+
+  #recordPause(): void {
+    const now = this.#getTime();
+    const lengthMs = now - this.#checkedAt - CHECK_INTERVAL_MS;
+    if (lengthMs > MIN_PAUSE_MS) {
+      this.#pause = { lengthMs, endedAt: now };
+    }
+    this.#checkedAt = now;
+  }
+
+  #getAgeMs({ openedAt }: OpenClaim): number {
+    return this.#getTime() - openedAt;
+  }
+
+  #recordWait(claim: OpenClaim): void {
+    if (claim.askedAllAt === undefined) {
+      return;
+    }
+    const waitedMs = this.#getTime() - claim.askedAllAt;
+    claim.askedAllAt = undefined;
     this.#options.metrics.recordTime("claim", waitedMs);
-    if (waitedMs >= LOGGED_WAIT_MS || isAborted) {
+    if (waitedMs >= LOGGED_WAIT_MS) {
       this.#options.log.record("job_claim_waited", {
         job: claim.jobId,
         waitedMs: Math.round(waitedMs),
-        homes: [...claim.homes.values()].map(({ home, state }) =>
-          `${home.agentId} ${state}`
-        ),
-        isAborted: isAborted || undefined,
+        jobAgeMs: Math.round(this.#getAgeMs(claim)),
+        agents: claim.homes.size,
       });
     }
   }
 
   #runPeriodicChecks(): void {
+    this.#recordPause();
     const haveHomesChanged = this.#updateReachable();
     for (const claim of this.#claims.values()) {
-      if (this.#checkReplies(claim) || haveHomesChanged) {
-        this.#askHomes(claim);
+      const isDue = claim.scope === "none" &&
+        this.#getAgeMs(claim) >= BATCH_LIMITS.publishAgeMs;
+      if (isDue) {
+        claim.scope = "homes";
+      }
+      if (claim.scope === "none") {
+        continue;
       }
-      if (!claim.isTaken) {
-        claim.notify();
+      if (this.#checkReplies(claim) || haveHomesChanged || isDue) {
+        this.#askHomes(claim);
       }
     }
   }
@@ -208,73 +271,76 @@
     for (const [agentId, asked] of claim.homes) {
       const { home, stream } = asked;
       if (home.streamNumber !== stream || !home.canKeepClaims) {
-        this.#handleLostHome(claim, agentId, asked);
+        claim.homes.delete(agentId);
         hasChanged = true;
-      } else if (asked.state === "asked") {
+      } else if (asked.state === "asked" || asked.state === "held") {
         asked.checks++;
-        if (asked.checks >= MAX_CHECKS_WITHOUT_REPLY) {
-          asked.state = "silent";
-          hasChanged = true;
-        }
+        hasChanged = this.#checkPending(claim, agentId, asked) || hasChanged;
       }
     }
     return hasChanged;
   }
 
-  #handleLostHome(claim: OpenClaim, agentId: string, asked: AskedHome): void {
-    if (asked.state !== "held") {
+  /** Returns whether an agent that has not granted a job is to be replaced. */
+  #checkPending(
+    claim: OpenClaim,
+    agentId: string,
+    asked: AskedHome,
+  ): boolean {
+    if (asked.state === "held" && asked.checks >= CHECKS_WHILE_HELD) {
       claim.homes.delete(agentId);
-      return;
+      return true;
     }
-    asked.checksToExpiry ??= Math.ceil(
-      getClaimExpiryMs("silent") / CHECK_INTERVAL_MS,
-    );
-    asked.checksToExpiry--;
-    if (asked.checksToExpiry <= 0) {
-      claim.homes.delete(agentId);
+    if (asked.state === "asked" && asked.checks >= MAX_CHECKS_WITHOUT_REPLY) {
+      asked.state = "silent";
+      return true;
     }
+    return false;
   }
 
-  /** Claims the job at those of its homes that have not been asked yet. */
+  /** Claims the job at those agents that have not been asked yet. */
   #askHomes(claim: OpenClaim): void {
-    const isReplacement = claim.homes.size > 0;
-    const candidates = this.#options.getHomes().filter((home) =>
-      home.canKeepClaims && claim.homes.get(home.agentId)?.state !== "silent"
-    );
-    for (const home of selectHomes(claim.jobId, candidates, HOME_COUNT)) {
+    for (const home of this.#selectHomes(claim)) {
       if (claim.homes.has(home.agentId)) {
         continue;
       }
+      claim.askedHomes.add(home);
       claim.homes.set(home.agentId, {
         home,
         stream: home.streamNumber,
         state: "asked",
         checks: 0,
-        isReplacement,
-        checksToExpiry: undefined,
       });
       home.claimJob({
         jobId: claim.jobId,
         number: claim.number,
-        ageMs: Math.round(this.#getTime() - claim.claimedAt),
-        isRenewal: claim.isTaken,
+        ageMs: Math.round(this.#getAgeMs(claim)),
       });
     }
   }
-}
 
-/**
- * Returns whether the job may be placed: a home has granted it, no home knows of
- * a holder, and each of the first ones has replied or has had the time for it.
- */
-function isGranted(claim: OpenClaim): boolean {
-  const homes = [...claim.homes.values()];
-  if (homes.length === 0) {
-    // Without any agent there is nothing that runs could be placed on.
-    return true;
+  #selectHomes(claim: OpenClaim): readonly ClaimHome[] {
+    const reachable = this.#options.getHomes()
+      .filter((home) => home.canKeepClaims);
+    switch (claim.scope) {
+      case "none":
+        return [];
+      case "homes": {
+        const candidates = reachable.filter((home) =>
+          claim.homes.get(home.agentId)?.state !== "silent"
+        );
+        return selectHomes(claim.jobId, candidates, HOME_COUNT);
+      }
+      case "all":
+        return reachable;
+      default:
+        return claim.scope satisfies never;
+    }
   }
-  return homes.some(({ state }) => state === "granted") &&
-    homes.every(({ state, isReplacement }) =>
-      state !== "held" && (state !== "asked" || isReplacement)
-    );
+}
+
+/** Returns whether all agents that can be reached have granted the job. */
+function hasAllGrants({ homes }: OpenClaim): boolean {
+  return homes.size > 0 &&
+    [...homes.values()].every(({ state }) => state === "granted");
 }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -60,8 +60,8 @@
     case "operatorSnapshot":
       return [body.value.offset, body.value.state];
     case "claimJob": {
-      const { jobId, number, ageMs, isRenewal } = body.value;
-      return [jobId, number, ageMs, isRenewal];
+      const { jobId, number, ageMs } = body.value;
+      return [jobId, number, ageMs];
     }
     case "claimReply": {
       const { jobId, number, outcome, holder } = body.value;
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -143,13 +143,8 @@
       return { case: kindCase, value: { offset, state } };
     }
     case "claimJob": {
-      const [jobId, number, ageMs, isRenewal] = fields as [
-        string,
-        number,
-        number,
-        boolean,
-      ];
-      return { case: kindCase, value: { jobId, number, ageMs, isRenewal } };
+      const [jobId, number, ageMs] = fields as [string, number, number];
+      return { case: kindCase, value: { jobId, number, ageMs } };
     }
     case "claimReply": {
       const [jobId, number, outcome, holder] = fields as [
--- a/tests/coordination/batch/batch_limits_test.ts
+++ b/tests/coordination/batch/batch_limits_test.ts
@@ -56,6 +56,14 @@
     expect(entryTimeoutMs).to.be.lessThan(getClaimExpiryMs("silent"));
   });
 
+  it("claims a job before its client sends it to another entry", () => {
+    expect(
+      BATCH_LIMITS.publishAgeMs + 2 * BATCH_LIMITS.claimCheckIntervalMs,
+    ).to.be.at.most(BATCH_LIMITS.openJobAgeMs);
+    expect(BATCH_LIMITS.claimAgeMs + BATCH_LIMITS.maxStopDelayMs)
+      .to.be.lessThan(RESEND_DELAY_MS);
+  });
+
   it("tells entries of an open job before its client sends it to one of them", () => {
     expect(
       BATCH_LIMITS.openJobAgeMs + CHECK_INTERVAL_MS +
