Keep a run that the next incarnation of its worker may have

Orders name a worker by its id alone.

A run ends with an incarnation only if it is known to have been there: a reply or a report of it named the run, or its start was answered before the call that met no such worker was sent. The others stay until a report of the next incarnation under a raised fence lists or excludes them, or, while there is no worker, until their lease must have expired. Order replies may name their incarnation (`born`), which is used if it is there.

The fake worker breaks a renewal that waits when it goes down, as a real one does; it refused the connection of a call that it had already accepted.

--- a/src/coordination/batch/agent/local_run.ts
+++ b/src/coordination/batch/agent/local_run.ts
@@ -20,7 +20,11 @@
   readonly crashedAfterMs: number;
   readonly spec: string;
   readonly owner: RunOwner;
-  /** `interrupted`: the worker ended before the reply to the start. */
+  /**
+   * `interrupted`: the worker ended before the reply to the start.
+   * `uncertain`: a report is to tell whether the worker runs it. With
+   * `workerEnd`, the start may have reached the next incarnation.
+   */
   state:
     | "queued"
     | "starting"
@@ -28,8 +32,17 @@
     | "running"
     | "stopping"
     | "interrupted";
-  /** Why the worker ended before the reply to the start. */
+  /** The end of the incarnation to which the start was sent. */
   workerEnd?: WorkerEnd;
+  /**
+   * When the lease of the start has expired on whichever incarnation got it, on
+   * the monotonic clock; set once that to which it was sent has ended.
+   */
+  unsettledUntil?: number;
+  /** When the worker's confirmation of the start arrived. */
+  answeredAt?: number;
+  /** Whether the incarnation in use is known to have started the run. */
+  isConfirmed?: boolean;
   /** Whether to stop the run once it is known that it has started. */
   isStopRequested: boolean;
   /**
--- a/src/coordination/batch/agent/worker_end.ts
+++ b/src/coordination/batch/agent/worker_end.ts
@@ -10,4 +10,6 @@
    */
   readonly at: number;
   readonly reason: string;
+  /** Start of the incarnation, in milliseconds since 1970. */
+  readonly bornAtMs: number | undefined;
 }
--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -1,7 +1,8 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { EventLog, LeaseReport, WorkerControl } from "../../ports/mod.ts";
-import { BATCH_LIMITS } from "../batch_limits.ts";
 import type { Fence } from "./fence.ts";
+import { getMaxLeaseDurationMs } from "./get_max_lease_duration_ms.ts";
+import type { IncarnationEvidence } from "./incarnation_evidence.ts";
 import type { WorkerClock } from "./worker_clock.ts";
 
 /**
@@ -40,7 +41,7 @@
   /** Called when the lease of all runs must have expired. */
   onExpired: () => void;
   /** Called when no worker listens at the address, or another one answers. */
-  onLost: (reason: string, isOtherWorker: boolean) => void;
+  onLost: (reason: string, evidence: IncarnationEvidence) => void;
   getTime: () => number;
 }
 
@@ -153,7 +154,8 @@
       return;
     }
     if (reply.isErr()) {
-      await this.#handleFailure(reply.error.kind, reply.error.message);
+      const { kind, message } = reply.error;
+      await this.#handleFailure(kind, message, sentAt);
       return;
     }
     const answer = reply.value;
@@ -171,17 +173,27 @@
           return;
         }
         if (answer.refusal === "other_worker") {
-          this.#options.onLost("another worker answers at the address", true);
+          this.#options.onLost("another worker answers at the address", {
+            ...{ sentAt, isOtherWorker: true },
+          });
           return;
         }
-        await this.#handleFailure("internal", `refused: ${answer.refusal}`);
+        await this.#handleFailure(
+          "internal",
+          `refused: ${answer.refusal}`,
+          sentAt,
+        );
         return;
       default:
         answer satisfies never;
     }
   }
 
-  async #handleFailure(kind: string, reason: string): Promise<void> {
+  async #handleFailure(
+    kind: string,
+    reason: string,
+    sentAt: number,
+  ): Promise<void> {
     this.#failedCallCount++;
     const { log, workerId, getTime, onLost, onExpired } = this.#options;
     if (kind === "upstream_reset") {
@@ -193,7 +205,7 @@
       log.record("worker_silent", { workerId, kind, reason });
     }
     if (kind === "upstream_unreachable") {
-      onLost(reason, false);
+      onLost(reason, { sentAt });
       return;
     }
     if (getTime() > this.#expiresAt) {
@@ -205,16 +217,3 @@
     }
   }
 }
-
-/**
- * Gets the longest time that a lease can last after its order was sent, in
- * milliseconds.
- */
-function getMaxLeaseDurationMs(): number {
-  const {
-    leaseMs,
-    maxClockDriftFactor,
-    maxStopDelayMs,
-  } = BATCH_LIMITS;
-  return leaseMs * maxClockDriftFactor + maxStopDelayMs;
-}
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -1,3 +1,4 @@
+import type { Result } from "neverthrow";
 import {
   addResources,
   type CrashedRun,
@@ -21,6 +22,8 @@
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { Fence } from "./fence.ts";
 import type { DispatchError } from "../../../state/errors/mod.ts";
+import { getMaxLeaseDurationMs } from "./get_max_lease_duration_ms.ts";
+import type { IncarnationEvidence } from "./incarnation_evidence.ts";
 import type { LocalRun } from "./local_run.ts";
 import type { RunOwner } from "./run_owner.ts";
 import type { WorkerEnd } from "./worker_end.ts";
@@ -74,14 +77,6 @@
 
 const NO_RESOURCES: TaskResources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
-/** What is known of a worker when an incarnation of it has ended. */
-interface IncarnationEnd {
-  /** Start of the incarnation that has answered instead. */
-  bornAtMs?: number;
-  /** Whether a worker with another id has answered. */
-  isOtherWorker?: boolean;
-}
-
 export interface WorkerRunnerOptions {
   control: WorkerControl;
   /** Identifies one start of the agent process. */
@@ -105,6 +100,10 @@
  * so it knows the free resources and starts no task that does not fit. When the
  * reply to a start is lost, the agent raises its fence: a report requested
  * under the new fence either lists the run, or the run can't start any more.
+ *
+ * Orders name a worker by its id, under which another incarnation may follow at
+ * once. A run of which no answer tells which incarnation has started it is kept
+ * until a report of the next one tells whether it is there.
  */
 export class WorkerRunner {
   readonly #options: WorkerRunnerOptions;
@@ -136,6 +135,8 @@
   #crashCount = 0;
   /** Runs the queue again once a run that waits for a suspect may start. */
   #suspectTimer: NodeJS.Timeout | undefined;
+  /** Ends the runs that no incarnation can have any more. */
+  #unsettledTimer: NodeJS.Timeout | undefined;
   #unhealthyUntil = 0;
   #failureShare = 0;
 
@@ -307,6 +308,7 @@
   /** Stops renewing the lease. */
   stop(): void {
     clearTimeout(this.#suspectTimer);
+    clearTimeout(this.#unsettledTimer);
     this.#lease?.stop();
   }
 
@@ -474,8 +476,7 @@
       getTime: this.#getTime,
       onReport: (report, request) => this.#handleReport(lease, report, request),
       onExpired: () => this.#handleLeaseExpired(),
-      onLost: (reason, isOtherWorker) =>
-        this.#endIncarnation(reason, { isOtherWorker }),
+      onLost: (reason, evidence) => this.#endIncarnation(reason, evidence),
     });
     this.#lease = lease;
     void lease.run();
@@ -485,7 +486,7 @@
    * Ends the incarnation in use, and starts the one that was reported last if
    * what is known of the worker allows it.
    */
-  #endIncarnation(reason: string, evidence: IncarnationEnd): void {
+  #endIncarnation(reason: string, evidence: IncarnationEvidence): void {
     const known = this.#worker;
     const other = this.#otherReport?.worker;
     this.#options.log.record("worker_lost", {
@@ -495,21 +496,26 @@
       reason,
     });
     this.#lease?.stop();
-    this.#interruptRuns(known, reason);
+    this.#interruptRuns(known, reason, evidence);
     this.#lease = undefined;
     this.#worker = undefined;
     this.#otherReport = undefined;
     if (other !== undefined && canFollow(other, known, evidence)) {
       this.#startIncarnation(other);
     }
+    this.#expireUnsettledRuns();
     this.processQueue();
   }
 
   /**
-   * Ends the runs of an incarnation that has ended. Those whose start was not
-   * answered yet end with the reply, which tells whether the worker got it.
+   * Ends the runs of an incarnation that has ended. Those whose start may have
+   * reached the next one wait for a report of it, or for the reply to the start.
    */
-  #interruptRuns(worker: WorkerDescription | undefined, reason: string): void {
+  #interruptRuns(
+    worker: WorkerDescription | undefined,
+    reason: string,
+    evidence: IncarnationEvidence,
+  ): void {
     this.#returnQueuedRuns(reason);
     this.#crashCount++;
     const end: WorkerEnd = {
@@ -517,42 +523,114 @@
       outcome: worker?.isDraining === true ? "lost" : "crashed",
       at: this.#lease?.brokenAt ?? this.#getTime(),
       reason,
+      bornAtMs: worker?.bornAtMs,
     };
     const runs = [...this.#runs.values()];
-    const started = runs.filter(({ state }) =>
-      state !== "starting" && state !== "interrupted"
-    );
+    const ended = runs.filter((run) => hasEndedWithWorker(run, evidence));
     this.#recordWorkerEnd(end, [
       ...this.#expiredRuns.map((run) => createCrashedRun(run, end, false)),
-      ...started.map((run) =>
-        createCrashedRun(run, end, run.state !== "uncertain")
-      ),
+      ...ended.map((run) => createCrashedRun(run, run.workerEnd ?? end, true)),
     ]);
     this.#expiredRuns = [];
-    for (const run of runs) {
+    // The next incarnation must ignore the starts that reach it after a report.
+    this.#fence.raise();
+    const unsettled = runs.filter((run) =>
+      run.state !== "interrupted" && !ended.includes(run)
+    );
+    for (const run of unsettled) {
       if (run.state === "starting") {
         run.state = "interrupted";
         run.workerEnd = end;
+      } else {
+        this.#markUnsettled(run, run.workerEnd ?? end);
       }
     }
-    for (const run of started) {
+    if (unsettled.length > 0) {
+      this.#options.log.record("runs_unsettled", {
+        crash: end.id,
+        reason,
+        tasks: unsettled.map(({ task }) => task),
+      });
+    }
+    for (const run of ended) {
       this.#endRun(run, end.outcome, reason);
     }
   }
 
-  /** Ends a run whose worker ended before the reply to its start. */
-  #endInterruptedRun(
+  /** Keeps a run whose start may have reached the next incarnation. */
+  #markUnsettled(run: LocalRun, end: WorkerEnd): void {
+    run.isStopRequested ||= run.state === "stopping";
+    run.state = "uncertain";
+    run.workerEnd = end;
+    run.isConfirmed = false;
+    run.missedReports = 0;
+    run.minReportFence = this.#fence.value;
+    run.unsettledUntil ??= this.#getTime() + getMaxLeaseDurationMs();
+  }
+
+  /**
+   * Ends the unsettled runs whose lease has expired on any incarnation. While
+   * one is known, its reports or the end of its lease tell about them.
+   */
+  #expireUnsettledRuns(): void {
+    clearTimeout(this.#unsettledTimer);
+    if (this.#lease !== undefined) {
+      return;
+    }
+    const now = this.#getTime();
+    let nextDelayMs = Infinity;
+    for (const run of [...this.#runs.values()]) {
+      const { state, workerEnd, unsettledUntil } = run;
+      if (
+        state === "uncertain" && workerEnd !== undefined &&
+        unsettledUntil !== undefined
+      ) {
+        if (unsettledUntil <= now) {
+          this.#endUnsettledRun(run, workerEnd);
+        } else {
+          nextDelayMs = Math.min(nextDelayMs, unsettledUntil - now);
+        }
+      }
+    }
+    if (nextDelayMs !== Infinity) {
+      this.#unsettledTimer = setTimeout(
+        () => this.#expireUnsettledRuns(),
+        Math.ceil(nextDelayMs),
+      );
+    }
+  }
+
+  /** Ends a run that is at no later incarnation than the one that has ended. */
+  #endUnsettledRun(run: LocalRun, end: WorkerEnd): void {
+    const hasStarted = run.answeredAt !== undefined;
+    this.#recordWorkerEnd(end, [createCrashedRun(run, end, hasStarted)]);
+    this.#endRun(run, end.outcome, end.reason);
+  }
+
+  /** Handles the reply to a start whose worker has ended in the meantime. */
+  #handleInterruptedStart(
     run: LocalRun,
     end: WorkerEnd,
-    error: DispatchError | undefined,
+    reply: Result<WorkerReply, DispatchError>,
   ): void {
-    if (error?.kind === "upstream_unreachable") {
+    const error = reply.isErr() ? reply.error : undefined;
+    const refusal = reply.isOk() ? reply.value.refusal : undefined;
+    if (error?.kind === "upstream_unreachable" || refusal !== undefined) {
       this.#endRun(run, "returned", end.reason);
       return;
     }
-    const hasStarted = error === undefined;
-    this.#recordWorkerEnd(end, [createCrashedRun(run, end, hasStarted)]);
-    this.#endRun(run, end.outcome, end.reason);
+    if (reply.isOk()) {
+      run.answeredAt = this.#getTime();
+      const { bornAtMs } = reply.value;
+      if (bornAtMs !== undefined && bornAtMs === end.bornAtMs) {
+        this.#endUnsettledRun(run, end);
+        return;
+      }
+    }
+    this.#fence.raise();
+    this.#markUnsettled(run, end);
+    void this.#lease?.requestReport();
+    this.#expireUnsettledRuns();
   }
 
   /** Logs the runs of a worker that has ended, and reports a crash. */
@@ -688,9 +766,14 @@
         return;
       case "uncertain":
         if (listed !== undefined) {
+          run.isConfirmed = true;
           this.#handleStarted(run);
         } else if (request.fence >= run.minReportFence) {
-          this.#endRun(run, "returned", "the start was not carried out");
+          if (run.workerEnd === undefined) {
+            this.#endRun(run, "returned", "the start was not carried out");
+          } else {
+            this.#endUnsettledRun(run, run.workerEnd);
+          }
         }
         return;
       case "running":
@@ -703,6 +786,7 @@
           return;
         }
         run.missedReports = 0;
+        run.isConfirmed = true;
         if (
           run.state === "stopping" &&
           this.#getTime() - run.stopSentAt > STOP_RETRY_INTERVAL_MS
@@ -746,8 +830,7 @@
       }
       const { workerEnd } = run;
       if (workerEnd !== undefined) {
-        const error = reply.isErr() ? reply.error : undefined;
-        this.#endInterruptedRun(run, workerEnd, error);
+        this.#handleInterruptedStart(run, workerEnd, reply);
         return;
       }
       if (reply.isErr()) {
@@ -755,7 +838,15 @@
         return;
       }
       this.#recordClock(reply.value);
-      if (!this.#handleStartReply(run, reply.value, fence)) {
+      const { bornAtMs, refusal } = reply.value;
+      const isOtherIncarnation = bornAtMs !== undefined &&
+        bornAtMs !== worker.bornAtMs;
+      run.isConfirmed = refusal === undefined && bornAtMs === worker.bornAtMs;
+      const isRetried = this.#handleStartReply(run, reply.value, fence);
+      if (isOtherIncarnation && this.#worker?.bornAtMs === worker.bornAtMs) {
+        this.#endIncarnation("the worker has restarted", { bornAtMs });
+      }
+      if (!isRetried) {
         return;
       }
     }
@@ -794,7 +885,7 @@
       case "other_worker":
         this.#endRun(run, "returned", "another worker answers");
         this.#endIncarnation("another worker answers at the address", {
-          isOtherWorker: true,
+          ...{ sentAt: run.startedAt, isOtherWorker: true },
         });
         return false;
       case "invalid":
@@ -807,6 +898,9 @@
 
   #handleStarted(run: LocalRun): void {
     run.state = "running";
+    run.answeredAt = this.#getTime();
+    run.workerEnd = undefined;
+    run.unsettledUntil = undefined;
     this.#options.metrics.recordTime("run_wait", run.startedAt - run.arrivedAt);
     this.#options.log.record("run_started", {
       job: run.jobId,
@@ -830,7 +924,7 @@
     });
     if (kind === "upstream_unreachable") {
       this.#endRun(run, "returned", reason);
-      this.#endIncarnation(reason, {});
+      this.#endIncarnation(reason, { sentAt: run.startedAt });
       return;
     }
     run.state = "uncertain";
@@ -889,7 +983,9 @@
   }
 
   #recordClock(reply: WorkerReply): void {
-    if (reply.workerClockMs !== undefined) {
+    const isOtherIncarnation = reply.bornAtMs !== undefined &&
+      reply.bornAtMs !== this.#worker?.bornAtMs;
+    if (reply.workerClockMs !== undefined && !isOtherIncarnation) {
       this.#clock.record(reply.workerClockMs, this.#getTime());
     }
   }
@@ -947,6 +1043,30 @@
   };
 }
 
+/**
+ * Returns whether a run is known to have ended with the incarnation to which its
+ * start was sent.
+ */
+function hasEndedWithWorker(
+  run: LocalRun,
+  { sentAt }: IncarnationEvidence,
+): boolean {
+  switch (run.state) {
+    case "queued":
+    case "starting":
+    case "interrupted":
+      return false;
+    case "running":
+    case "stopping":
+    case "uncertain":
+      return run.isConfirmed === true ||
+        (run.answeredAt !== undefined && sentAt !== undefined &&
+          run.answeredAt < sentAt);
+    default:
+      return run.state satisfies never;
+  }
+}
+
 function isSameIncarnation(
   worker: WorkerDescription,
   known: WorkerDescription,
@@ -959,7 +1079,7 @@
 function canFollow(
   worker: WorkerDescription,
   known: WorkerDescription | undefined,
-  { bornAtMs, isOtherWorker }: IncarnationEnd,
+  { bornAtMs, isOtherWorker }: IncarnationEvidence,
 ): boolean {
   const hasSameId = worker.workerId === known?.workerId;
   if (bornAtMs !== undefined) {
--- a/src/coordination/ports/worker_reply.ts
+++ b/src/coordination/ports/worker_reply.ts
@@ -7,4 +7,6 @@
   readonly refusal: WorkerRefusal | undefined;
   /** Time of the worker's clock in milliseconds; undefined if not reported. */
   readonly workerClockMs: number | undefined;
+  /** Start of the incarnation that has replied; undefined if not reported. */
+  readonly bornAtMs?: number | undefined;
 }
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -416,6 +416,139 @@
     expect(owner.getOutcomes()).to.deep.equal(["crashed"]);
   });
 
+  describe("when the worker has started again under its id without notice", () => {
+    // Guards against runs that are started elsewhere while they run on the new incarnation.
+    const report = createDescription({ bornAtMs: 2_000 });
+    let run: LocalRun;
+    let endsWhileRunning: RunEnd[];
+
+    beforeEach(async () => {
+      await startWorker();
+      // The next renewal waits at the worker, so the agent learns nothing by it.
+      await wait(20);
+      worker.restart(2_000, { keepsCalls: true });
+      endsWhileRunning = [];
+      owner.handleEnd = (end) => {
+        owner.ends.push(end);
+        if (worker.running.has(end.task)) {
+          endsWhileRunning.push(end);
+        }
+      };
+      run = createRun(owner);
+    });
+
+    async function waitForIncarnation(): Promise<void> {
+      await waitUntil(
+        () => runner.worker?.bornAtMs === 2_000 && runner.acceptsWork,
+        "the incarnation is in use",
+      );
+    }
+
+    async function expectEnd(outcome: string): Promise<void> {
+      await waitUntil(() => owner.ends.length === 1, "the run has ended");
+      expect(owner.getOutcomes()).to.deep.equal([outcome]);
+      expect(endsWhileRunning).to.deep.equal([]);
+      expect(worker.running.size).to.equal(0);
+      expect(runner.runCount).to.equal(0);
+    }
+
+    for (const statesBirth of [false, true]) {
+      const name = statesBirth ? "" : " that the reply does not name";
+      it(`keeps a run that was started on an incarnation${name}`, async () => {
+        worker.statesBirth = statesBirth;
+        await startRun(run);
+        runner.handleWorkerReport(report);
+        await waitForIncarnation();
+        expect(worker.running.has(run.task)).to.equal(true);
+        worker.endRun(run.task, "done");
+        await expectEnd("done");
+        expect(crashes).to.deep.equal([]);
+      });
+    }
+
+    it("keeps a run whose start is answered after the worker's report", async () => {
+      worker.startFaults.push("answer_delayed");
+      await startRun(run);
+      runner.handleWorkerReport(report);
+      await waitUntil(() => runner.worker?.bornAtMs === 2_000, "it is found");
+      await wait(2 * worker.answerDelayMs);
+      expect(worker.running.has(run.task)).to.equal(true);
+      worker.endRun(run.task, "done");
+      await expectEnd("done");
+    });
+
+    it("keeps a run whose start is not answered", async () => {
+      worker.startFaults.push("answer_lost");
+      await startRun(run);
+      runner.handleWorkerReport(report);
+      await waitUntil(() => log.count("run_started") === 1, "it is listed");
+      worker.endRun(run.task, "done");
+      await expectEnd("done");
+    });
+
+    it("keeps a run until the worker has described itself", async () => {
+      await startRun(run);
+      await waitUntil(() => runner.worker === undefined, "it is detected");
+      await wait(100);
+      expect(owner.ends).to.deep.equal([]);
+      runner.handleWorkerReport(report);
+      await waitForIncarnation();
+      worker.endRun(run.task, "done");
+      await expectEnd("done");
+    });
+
+    it("reports the end of a run that ended before the worker's report", async () => {
+      await startRun(run);
+      worker.endRun(run.task, "done");
+      runner.handleWorkerReport(report);
+      await expectEnd("done");
+    });
+
+    it("stops a run that is cancelled before it is known where it is", async () => {
+      await startRun(run);
+      await waitUntil(() => runner.worker === undefined, "it is detected");
+      runner.stopWhere(() => true);
+      runner.handleWorkerReport(report);
+      await expectEnd("stopped");
+    });
+
+    it("counts a run against the capacity before it is known where it is", async () => {
+      await startRun(run);
+      runner.handleWorkerReport(report);
+      await waitForIncarnation();
+      expect(runner.getStatus().freeCpuMillis).to.equal(2_000);
+      worker.endRun(run.task, "done");
+      await expectEnd("done");
+    });
+
+    it("reports a run as crashed that a second incarnation does not have", async () => {
+      await startRun(run);
+      worker.restart(3_000);
+      runner.handleWorkerReport(createDescription({ bornAtMs: 3_000 }));
+      await expectEnd("crashed");
+    });
+
+    it("reports a run as crashed once no incarnation can have it", async () => {
+      worker.startFaults.push("connection_reset");
+      runner.add(run);
+      runner.processQueue();
+      const startedAt = performance.now();
+      await expectEnd("crashed");
+      expect(performance.now() - startedAt).to.be.greaterThan(1_100);
+      expect(crashes.flat().map(({ hasStarted }) => hasStarted))
+        .to.deep.equal([false]);
+    });
+
+    it("reports a run as crashed at once if the worker refuses connections later", async () => {
+      await startRun(run);
+      await wait(5);
+      worker.crash();
+      const crashedAt = performance.now();
+      await expectEnd("crashed");
+      expect(performance.now() - crashedAt).to.be.lessThan(1_000);
+    });
+  });
+
   it("reports runs as crashed once their worker no longer listens", async () => {
     await startWorker();
     await startRun(createRun(owner));
--- a/tests/lib/fake_worker.ts
+++ b/tests/lib/fake_worker.ts
@@ -21,6 +21,7 @@
 
 /** A fault that is injected into a start of a run. */
 export type StartFault =
+  | "answer_delayed"
   | "answer_lost"
   | "carried_out_late"
   | "connection_reset"
@@ -46,6 +47,10 @@
   /** Number of the next renewals whose answers can't be read. */
   unreadableRenewals = 0;
   confirmedUpTo = 0;
+  /** Delay of answers with the fault `answer_delayed`, in milliseconds. */
+  answerDelayMs = 60;
+  /** Whether replies to orders name the incarnation. */
+  statesBirth = false;
   /** Delay of starts with the fault `carried_out_late`, in milliseconds. */
   lateStartDelayMs = 250;
   leaseUntilMs = 0;
@@ -67,6 +72,11 @@
   ): Promise<Result<WorkerReply, DispatchError>> {
     const fault = this.startFaults.shift();
     switch (fault) {
+      case "answer_delayed": {
+        const reply = this.#executeStart(order);
+        await wait(this.answerDelayMs);
+        return ok(reply);
+      }
       case "answer_lost":
         this.#executeStart(order);
         return await this.#timeOut(order);
@@ -128,6 +138,9 @@
           wait(renewal.waitMs),
           new Promise<void>((resolve) => this.#pendingRenewals.push(resolve)),
         ]);
+        if (this.isDown) {
+          return err(createError("upstream_reset", "reset"));
+        }
       }
     }
     if (this.unreadableRenewals > 0) {
@@ -165,14 +178,19 @@
     this.restart(this.bornAtMs + 1);
   }
 
-  /** Starts another incarnation at once, without a time of refused connections. */
-  restart(bornAtMs: number): void {
+  /**
+   * Starts another incarnation at once, without a time of refused connections.
+   * @param options - `keepsCalls`: open calls are answered in their time.
+   */
+  restart(bornAtMs: number, options: { keepsCalls?: boolean } = {}): void {
     this.bornAtMs = bornAtMs;
     this.running.clear();
     this.#ended = [];
     this.#sequence = 0;
     this.#fence = 0;
-    this.#pendingRenewals.splice(0).forEach((resolve) => resolve());
+    if (options.keepsCalls !== true) {
+      this.#pendingRenewals.splice(0).forEach((resolve) => resolve());
+    }
   }
 
   #executeStart(order: StartRunOrder): WorkerReply {
@@ -206,6 +224,11 @@
   }
 
   #createReply(refusal: WorkerRefusal | undefined): WorkerReply {
-    return { kind: "reply", refusal, workerClockMs: this.clockMs };
+    return {
+      kind: "reply",
+      refusal,
+      workerClockMs: this.clockMs,
+      bornAtMs: this.statesBirth ? this.bornAtMs : undefined,
+    };
   }
 }
--- a/tests/platform/worker_client_test.ts
+++ b/tests/platform/worker_client_test.ts
@@ -154,6 +154,17 @@
     });
   });
 
+  it("leaves out the start of the incarnation that a reply does not name", async () => {
+    const starts = [];
+    for (const born of [3, undefined, "3", 1.5]) {
+      worker.answers.push({ status: 200, body: { clockMs: 9, born } });
+      const reply = (await client.startRun(START))._unsafeUnwrap();
+      expect(reply.refusal).to.equal(undefined);
+      starts.push(reply.bornAtMs);
+    }
+    expect(starts).to.deep.equal([3, undefined, undefined, undefined]);
+  });
+
   it("reads the reason of a refusal whose other fields are odd", async () => {
     const body = { clockMs: "soon", reason: "fence" };
     worker.answers.push({ status: 409, body });
