Let the soak's clients send jobs again to another entry

The soak had no client that goes to another entry while the first one may still have its job. Groups of four jobs, whose tasks run 0.7 to 1.6 s on a worker of speed 1, are now sent to one entry and, 1.3 s later, to another one if they have no answer that ends them. Their first connections stay open or are reset. Meanwhile the first entry is paused or killed, or the agents that run the jobs are paused, killed or cut off in one direction.

The other clients' random draws are in the same order, but their timing isn't the same beside the additional jobs.

--- a/scripts/soak/apply_soak_fault.ts
+++ b/scripts/soak/apply_soak_fault.ts
@@ -8,6 +8,7 @@
 import type { LinkAction } from "./link_action.ts";
 import type { SoakFault } from "./soak_fault.ts";
 import type { SoakOperator } from "./soak_operator.ts";
+import type { SoakOracle } from "./soak_oracle.ts";
 
 /** Time after which a process that was killed or stopped runs again. */
 const PROCESS_RESTART_MS = 2_000;
@@ -22,28 +23,30 @@
   cluster: SoakCluster;
   clients: SoakClients;
   operator: SoakOperator;
+  oracle: SoakOracle;
   disturbanceHistory: DisturbanceHistory;
 }
 
+/** Runs a function during which the named processes count as disturbed. */
+type Disturb = (names: string[], run: () => Promise<void>) => Promise<void>;
+
+type Member = SoakAgent | SoakEntry;
+
 /** Applies a fault, waits for its duration, and reverts it. */
 export async function applySoakFault(
   fault: SoakFault,
   options: ApplySoakFaultOptions,
 ): Promise<void> {
-  const { cluster, clients, operator, disturbanceHistory } = options;
+  const { cluster, clients, operator, oracle, disturbanceHistory } = options;
   const { forMs } = fault;
-  const disturb = async (names: string[], run: () => Promise<void>) => {
+  const disturb: Disturb = async (names, run) => {
     names.forEach((name) => disturbanceHistory.recordBegin(name));
     await run();
     names.forEach((name) => disturbanceHistory.recordEnd(name));
   };
   switch (fault.kind) {
     case "kill": {
-      const { process } = getMember(cluster, fault);
-      await disturb([process.name], async () => {
-        process.sendSignal("SIGKILL");
-        await wait(PROCESS_RESTART_MS);
-      });
+      await killMembers([getMember(cluster, fault)], disturb);
       return;
     }
     case "stop": {
@@ -56,23 +59,14 @@
       return;
     }
     case "pause": {
-      const { process } = getMember(cluster, fault);
-      await disturb([process.name], async () => {
-        process.sendSignal("SIGSTOP");
-        await wait(forMs);
-        process.sendSignal("SIGCONT");
-      });
+      await pauseMembers([getMember(cluster, fault)], forMs, disturb);
       return;
     }
     case "hup":
       getMember(cluster, fault).process.sendSignal("SIGHUP");
       return;
     case "kill_all": {
-      const all = [...cluster.entries, ...cluster.agents];
-      await disturb(all.map(({ process }) => process.name), async () => {
-        all.forEach(({ process }) => process.sendSignal("SIGKILL"));
-        await wait(PROCESS_RESTART_MS);
-      });
+      await killMembers([...cluster.entries, ...cluster.agents], disturb);
       return;
     }
     case "link": {
@@ -134,11 +128,76 @@
       await wait(forMs);
       clients.rateFactor /= fault.factor;
       return;
+    case "resend": {
+      const { ids, ended } = clients.submitResentJobs(fault);
+      await wait(fault.afterMs);
+      const workerIds = oracle.getActiveWorkerIds(ids);
+      const agents = cluster.agents.filter(({ worker }) =>
+        workerIds.has(worker.workerId)
+      );
+      const entry = cluster.entries[fault.target] as SoakEntry;
+      await disruptResentJobs(fault, { entry, agents, disturb });
+      await ended;
+      return;
+    }
     default:
       fault satisfies never;
   }
 }
 
+/** Disrupts the first entry of jobs, or the agents that run them. */
+async function disruptResentJobs(
+  { disruption, forMs }: SoakFault & { kind: "resend" },
+  options: { entry: SoakEntry; agents: SoakAgent[]; disturb: Disturb },
+): Promise<void> {
+  const { entry, agents, disturb } = options;
+  switch (disruption) {
+    case "pause_entry":
+      return await pauseMembers([entry], forMs, disturb);
+    case "kill_entry":
+      return await killMembers([entry], disturb);
+    case "pause_agents":
+      return await pauseMembers(agents, forMs, disturb);
+    case "kill_agents":
+      return await killMembers(agents, disturb);
+    case "hold_forward":
+    case "hold_backward":
+      await Promise.all(
+        agents.map(({ peerRelay, process }) =>
+          disturb(
+            [process.name],
+            () => applyToLink(peerRelay, disruption, forMs),
+          )
+        ),
+      );
+      return;
+    default:
+      disruption satisfies never;
+  }
+}
+
+async function pauseMembers(
+  members: readonly Member[],
+  forMs: number,
+  disturb: Disturb,
+): Promise<void> {
+  await disturb(members.map(({ process }) => process.name), async () => {
+    members.forEach(({ process }) => process.sendSignal("SIGSTOP"));
+    await wait(forMs);
+    members.forEach(({ process }) => process.sendSignal("SIGCONT"));
+  });
+}
+
+async function killMembers(
+  members: readonly Member[],
+  disturb: Disturb,
+): Promise<void> {
+  await disturb(members.map(({ process }) => process.name), async () => {
+    members.forEach(({ process }) => process.sendSignal("SIGKILL"));
+    await wait(PROCESS_RESTART_MS);
+  });
+}
+
 async function applyToLink(
   relay: Relay,
   action: LinkAction,
@@ -180,7 +239,7 @@
 function getMember(
   cluster: SoakCluster,
   { role, target }: { role: "entry" | "agent"; target: number },
-): SoakAgent | SoakEntry {
+): Member {
   return role === "agent"
     ? getAgent(cluster, target)
     : cluster.entries[target] as SoakEntry;
--- a/scripts/soak/create_soak_plan.ts
+++ b/scripts/soak/create_soak_plan.ts
@@ -1,5 +1,6 @@
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import type { LinkAction } from "./link_action.ts";
+import type { ResendDisruption } from "./resend_disruption.ts";
 import type { SoakFault } from "./soak_fault.ts";
 
 /** Time between the starts of two faults; several are active at a time. */
@@ -47,6 +48,22 @@
   "kill_all",
 ] as const;
 
+/**
+ * Time between groups of jobs that are sent again, time from these to their
+ * disruption, and its duration.
+ */
+const RESEND_MS = {
+  gap: [500, 2_500],
+  disruption: [100, 900],
+  duration: [500, 2_800],
+} as const;
+
+const RESEND_DISRUPTIONS: readonly ResendDisruption[] = [
+  ...["pause_entry", "pause_entry", "kill_entry"] as const,
+  ...["pause_agents", "kill_agents"] as const,
+  ...["hold_forward", "hold_backward"] as const,
+];
+
 export interface SoakPlanOptions {
   seed: number;
   lengthMs: number;
@@ -72,7 +89,8 @@
       ? FAULT_GAP_MS.min
       : getInt(FAULT_GAP_MS.min, FAULT_GAP_MS.max);
   }
-  return faults;
+  return [...faults, ...createResends(options)]
+    .sort((a, b) => a.atMs - b.atMs);
 
   function createFault(startMs: number): SoakFault {
     const kind = select(KINDS);
@@ -128,3 +146,28 @@
     }
   }
 }
+
+/** Uses a generator of its own, so that the other faults don't depend on it. */
+function createResends({ seed, lengthMs, entries }: SoakPlanOptions) {
+  const generator = xoroshiro128plus(~seed);
+  const getInt = (range: readonly [number, number]) =>
+    unsafeUniformIntDistribution(...range, generator);
+  const resends: SoakFault[] = [];
+  for (
+    let atMs = getInt(RESEND_MS.gap);
+    atMs < lengthMs;
+    atMs += getInt(RESEND_MS.gap)
+  ) {
+    resends.push({
+      ...{ kind: "resend", atMs },
+      forMs: getInt(RESEND_MS.duration),
+      disruption: RESEND_DISRUPTIONS[
+        getInt([0, RESEND_DISRUPTIONS.length - 1])
+      ] as ResendDisruption,
+      target: getInt([0, entries - 1]),
+      afterMs: getInt(RESEND_MS.disruption),
+      isReset: getInt([0, 1]) === 1,
+    });
+  }
+  return resends;
+}
--- a/scripts/soak/run_soak_seed.ts
+++ b/scripts/soak/run_soak_seed.ts
@@ -83,6 +83,7 @@
           cluster,
           clients,
           operator,
+          oracle,
           disturbanceHistory,
         }),
       );
--- a/scripts/soak/soak_clients.ts
+++ b/scripts/soak/soak_clients.ts
@@ -1,6 +1,7 @@
 import { setTimeout as wait } from "node:timers/promises";
 import { unsafeUniformIntDistribution, xoroshiro128plus } from "pure-rand";
 import { sendJob, type SubmittedJob } from "../../platform/stand_in/mod.ts";
+import { Relay } from "../lib/relay.ts";
 import { HttpClient } from "../../src/transport/http/mod.ts";
 import type { DisturbanceHistory } from "./disturbance_history.ts";
 import type { SoakEntry } from "./soak_entry.ts";
@@ -33,6 +34,15 @@
 /** Percentages of jobs whose client disconnects early or that fit no worker. */
 const JOB_PERCENT = { disconnecting: 4, unplaceable: 2 } as const;
 
+/** Jobs that are sent to a second entry while the first one may still have them. */
+const RESENT_JOBS = {
+  count: 4,
+  runMs: [700, 1_600],
+  timeoutMs: 6_000,
+  /** Times after which a first connection is reset. */
+  resetAfterMs: [100, 1_200],
+} as const;
+
 /** Of so many jobs, one has a task that crashes each worker that starts it. */
 const CRASHING_JOB_INTERVAL = 150;
 
@@ -45,21 +55,37 @@
   getRoutes: () => readonly SoakRoute[];
 }
 
+interface SendOptions {
+  /** Address of the entry, or of a relay before it. */
+  address?: string;
+  client?: HttpClient;
+  /** Time until the job's deadline; by default it is random. */
+  timeoutMs?: number;
+  /** How the client's connection ends before the answer, if it does. */
+  leaves?: "timeout" | "reset" | undefined;
+}
+
 /** Simulates clients that submit jobs over persistent connections. */
 export class SoakClients {
   /** Factor applied to the usual rate of jobs. */
   rateFactor = 1;
   readonly #options: SoakClientsOptions;
   readonly #generator;
+  /** Generator for jobs that are sent again. */
+  readonly #resendGenerator;
   readonly #httpClient = new HttpClient({ maxConnections: 64 });
+  /** Client of the jobs that are sent again, which wait longer for answers. */
+  readonly #resendClient = new HttpClient({ maxConnections: 64 });
   readonly #pendingJobs = new Set<Promise<void>>();
   readonly #outcomeCounts = new Map<string, number>();
   #jobCount = 0;
+  #resentJobCount = 0;
   #isStopped = false;
 
   constructor(options: SoakClientsOptions) {
     this.#options = options;
     this.#generator = xoroshiro128plus(options.seed);
+    this.#resendGenerator = xoroshiro128plus(~options.seed);
   }
 
   /** Gets the number of submissions by outcome. */
@@ -99,14 +125,65 @@
     return ids;
   }
 
+  /**
+   * Submits jobs to the entry `target`, and 1.3 s later to another one if they
+   * have no answer yet. Their first connections stay open, or are reset.
+   */
+  submitResentJobs(
+    options: { target: number; isReset: boolean },
+  ): { ids: string[]; ended: Promise<void> } {
+    const { entries, oracle, getRoutes } = this.#options;
+    const { target, isReset } = options;
+    const routes = getRoutes();
+    const ids: string[] = [];
+    const ended: Promise<void>[] = [];
+    for (let n = 0; n < RESENT_JOBS.count; n++) {
+      const route = routes[this.#getResendInt([0, routes.length - 1])];
+      const job = this.#createResentJob();
+      oracle.addJob(job, (route as SoakRoute).service);
+      ids.push(job.id);
+      const first = entries[target] as SoakEntry;
+      const second = entries[
+        (target + this.#getResendInt([1, Math.max(1, entries.length - 1)])) %
+        entries.length
+      ] as SoakEntry;
+      ended.push(
+        this.#runResentJob(job, route as SoakRoute, {
+          entries: [first, second],
+          resetAfterMs: isReset
+            ? this.#getResendInt(RESENT_JOBS.resetAfterMs)
+            : undefined,
+        }),
+      );
+    }
+    return { ids, ended: Promise.all(ended).then(() => {}) };
+  }
+
   close(): void {
     this.#httpClient.close();
+    this.#resendClient.close();
   }
 
   #getInt(from: number, to: number): number {
     return unsafeUniformIntDistribution(from, to, this.#generator);
   }
 
+  #getResendInt(range: readonly [number, number]): number {
+    return unsafeUniformIntDistribution(...range, this.#resendGenerator);
+  }
+
+  #createResentJob(): SubmittedJob {
+    this.#resentJobCount++;
+    return {
+      id: `f${this.#resentJobCount.toString(16).padStart(15, "0")}`,
+      spec: `resent ${this.#resentJobCount}`,
+      tasksPerStep: this.#getResendInt([1, 4]),
+      steps: this.#getResendInt([1, 2]),
+      cpuMillis: 2_000,
+      expectedMs: this.#getResendInt(RESENT_JOBS.runMs),
+    };
+  }
+
   #createJob(): SubmittedJob {
     this.#jobCount++;
     const runMs = this.#getInt(20, 300);
@@ -152,19 +229,15 @@
     for (let attempt = 0; attempt < MAX_SUBMISSIONS; attempt++) {
       const entry = lastEntry ?? this.#selectEntry();
       const leaves = disconnectsEarly && attempt === 0;
-      const outcome = await this.#send(job, route, entry, leaves);
-      this.#options.oracle.recordOutcome(job.id, outcome);
-      const name = outcome.kind === "answer"
-        ? `${outcome.status} ${outcome.state ?? ""}`.trim()
-        : outcome.kind;
-      this.#outcomeCounts.set(name, (this.#outcomeCounts.get(name) ?? 0) + 1);
-      const isUnknown = outcome.kind === "broken" ||
-        (outcome.kind === "answer" && [502, 504].includes(outcome.status));
+      const outcome = await this.#send(job, route, entry, {
+        leaves: leaves ? "timeout" : undefined,
+      });
+      this.#recordOutcome(job, outcome);
       if (leaves && outcome.kind === "left") {
         lastEntry = entry;
         continue;
       }
-      if (!isUnknown && outcome.kind !== "not_connected") {
+      if (!canSendAgain(outcome)) {
         return;
       }
       lastEntry = undefined;
@@ -172,6 +245,62 @@
     }
   }
 
+  async #runResentJob(
+    job: SubmittedJob,
+    route: SoakRoute,
+    options: {
+      entries: readonly [SoakEntry, SoakEntry];
+      resetAfterMs: number | undefined;
+    },
+  ): Promise<void> {
+    const { entries: [firstEntry, secondEntry], resetAfterMs } = options;
+    const sendOptions = {
+      client: this.#resendClient,
+      timeoutMs: RESENT_JOBS.timeoutMs,
+    };
+    let firstOutcome: SubmissionOutcome | undefined;
+    const sendFirst = async () => {
+      firstOutcome = resetAfterMs === undefined
+        ? await this.#send(job, route, firstEntry, sendOptions)
+        : await this.#sendWithReset(job, route, firstEntry, resetAfterMs);
+      this.#recordOutcome(job, firstOutcome);
+    };
+    const first = sendFirst();
+    await wait(RESEND_DELAY_MS);
+    if (firstOutcome === undefined || canSendAgain(firstOutcome)) {
+      const outcome = await this.#send(job, route, secondEntry, sendOptions);
+      this.#recordOutcome(job, outcome);
+    }
+    await first;
+  }
+
+  /** Sends a job over a connection that is reset after some time. */
+  async #sendWithReset(
+    job: SubmittedJob,
+    route: SoakRoute,
+    entry: SoakEntry,
+    resetAfterMs: number,
+  ): Promise<SubmissionOutcome> {
+    const relay = new Relay(entry.jobAddress);
+    const address = await relay.start();
+    const timer = setTimeout(() => relay.resetConnections(), resetAfterMs);
+    const outcome = await this.#send(job, route, entry, {
+      ...{ address, timeoutMs: RESENT_JOBS.timeoutMs, leaves: "reset" },
+      client: this.#resendClient,
+    });
+    clearTimeout(timer);
+    relay.stop();
+    return outcome;
+  }
+
+  #recordOutcome(job: SubmittedJob, outcome: SubmissionOutcome): void {
+    this.#options.oracle.recordOutcome(job.id, outcome);
+    const name = outcome.kind === "answer"
+      ? `${outcome.status} ${outcome.state ?? ""}`.trim()
+      : outcome.kind;
+    this.#outcomeCounts.set(name, (this.#outcomeCounts.get(name) ?? 0) + 1);
+  }
+
   #selectEntry(): SoakEntry {
     const { entries } = this.#options;
     return entries[this.#getInt(0, entries.length - 1)] as SoakEntry;
@@ -181,19 +310,24 @@
     job: SubmittedJob,
     route: SoakRoute,
     entry: SoakEntry,
-    disconnectsEarly: boolean,
+    options: SendOptions = {},
   ): Promise<SubmissionOutcome> {
     const { disturbanceHistory, oracle } = this.#options;
     const { name } = entry.process;
-    const timeoutMs = this.#getInt(JOB_TIMEOUT_MS.min, JOB_TIMEOUT_MS.max);
+    const {
+      client = this.#httpClient,
+      address = entry.jobAddress,
+      timeoutMs = this.#getInt(JOB_TIMEOUT_MS.min, JOB_TIMEOUT_MS.max),
+      leaves,
+    } = options;
     const sentAt = performance.now();
     const reply = await sendJob({
       job,
-      client: this.#httpClient,
-      address: entry.jobAddress,
+      client,
+      address,
       ...route,
       deadlineMs: timeoutMs,
-      clientTimeoutMs: disconnectsEarly
+      clientTimeoutMs: leaves === "timeout"
         ? timeoutMs / 8
         : timeoutMs + OVERDUE_MS,
     });
@@ -218,7 +352,7 @@
       case "upstream_unreachable":
         return { kind: "not_connected" };
       case "timeout":
-        if (disconnectsEarly) {
+        if (leaves === "timeout") {
           return { kind: "left" };
         }
         if (isUndisturbed) {
@@ -226,6 +360,9 @@
         }
         return { kind: "no_answer" };
       default:
+        if (leaves === "reset") {
+          return { kind: "left" };
+        }
         if (isUndisturbed && tookMs > CLOSE_RACE_MS) {
           oracle.addViolation(
             `${job.id}: ${name} broke the connection (${
@@ -244,3 +381,10 @@
     );
   }
 }
+
+/** Returns whether a client sends a job again after an outcome. */
+function canSendAgain(outcome: SubmissionOutcome): boolean {
+  return outcome.kind === "answer"
+    ? [502, 504].includes(outcome.status)
+    : outcome.kind !== "no_answer";
+}
--- a/scripts/soak/soak_fault.ts
+++ b/scripts/soak/soak_fault.ts
@@ -1,5 +1,6 @@
 import type { StoreFaults, WorkerFaults } from "../../platform/stand_in/mod.ts";
 import type { LinkAction } from "./link_action.ts";
+import type { ResendDisruption } from "./resend_disruption.ts";
 
 /** One fault of a plan. A target is the index of an entry or an agent. */
 export type SoakFault =
@@ -33,4 +34,14 @@
     | { readonly kind: "zone_out"; readonly zone: string }
     | { readonly kind: "config" }
     | { readonly kind: "burst"; readonly factor: number }
+    | {
+      readonly kind: "resend";
+      readonly disruption: ResendDisruption;
+      /** Entry that gets the jobs first. */
+      readonly target: number;
+      /** Time from the first submissions to the disruption, in milliseconds. */
+      readonly afterMs: number;
+      /** Whether the clients' first connections are reset. */
+      readonly isReset: boolean;
+    }
   );
--- a/scripts/soak/soak_oracle.ts
+++ b/scripts/soak/soak_oracle.ts
@@ -75,6 +75,16 @@
     return this.#jobs.get(id)?.job;
   }
 
+  /** Gets the workers that run tasks of jobs. */
+  getActiveWorkerIds(jobIds: readonly string[]): Set<string> {
+    return new Set(
+      jobIds.flatMap((id) =>
+        this.#getTasks((this.#jobs.get(id) as JobRecord).job)
+      )
+        .flatMap((task) => task?.workerId ?? []),
+    );
+  }
+
   /** Records that the operator took a zone out of service, or put it back. */
   recordZoneState(zone: string, state: "in" | "out"): void {
     if (state === "in") {
--- a/tests/soak/create_soak_plan_test.ts
+++ b/tests/soak/create_soak_plan_test.ts
@@ -18,7 +18,8 @@
     const kinds = new Set(plan.map(({ kind }) => kind));
     expect([...kinds].sort()).to.deep.equal([
       ...["burst", "config", "hup", "kill", "kill_all", "link", "pause"],
-      ...["stop", "store", "store_history", "worker", "worker_crash"],
+      ...["resend", "stop", "store", "store_history", "worker"],
+      "worker_crash",
       ...["worker_drain", "zone_out"],
     ]);
     let overlaps = 0;
@@ -29,4 +30,11 @@
     });
     expect(overlaps).to.be.greaterThan(plan.length / 4);
   });
+
+  it("creates each disruption of jobs that are sent again, with and without a reset", () => {
+    const kinds = create(7).flatMap((fault) =>
+      fault.kind === "resend" ? `${fault.disruption} ${fault.isReset}` : []
+    );
+    expect(new Set(kinds)).to.have.property("size", 12);
+  });
 });
--- a/tests/soak/soak_oracle_test.ts
+++ b/tests/soak/soak_oracle_test.ts
@@ -104,6 +104,13 @@
     expectOneViolation("runs at w-2 and at w-3");
   });
 
+  it("knows the workers that run a job's tasks", () => {
+    start(FIRST_STEP_TASK);
+    expect([...oracle.getActiveWorkerIds([JOB.id])]).to.deep.equal(["w-1"]);
+    end(FIRST_STEP_TASK, "done");
+    expect([...oracle.getActiveWorkerIds([JOB.id])]).to.deep.equal([]);
+  });
+
   it("finds a task that was not submitted, or with another spec", () => {
     start("0000000000000002.0.0.0");
     start(FIRST_STEP_TASK, { spec: "other" });
