--- a/tests/coordination/batch/entry/job_claims_test.ts
+++ b/tests/coordination/batch/entry/job_claims_test.ts
@@ -86,7 +86,7 @@
     expect(getAsked()[0]?.claims[0]?.ageMs).to.equal(BATCH_LIMITS.publishAgeMs);
   });
 
-  it("counts a pause of this entry as part of the age of a job that comes after it", async () => {
+  it("counts a pause of this entry as part of the age of a job that comes after it", () => {
     // Guards against a job that is older than its entry takes it for.
     now += BATCH_LIMITS.claimAgeMs + 100;
     claims.add(JOB_ID);
