Add failing scenarios of jobs whose homes are both disrupted

Two runs of a task still overlap while both homes of its job are disrupted: the first entry is cut off from both; both are restarted while the entry has not read their grants; both are paused for 300 ms while the second entry claims.

--- a/tests/coordination/batch/job_placement_model_test.ts
+++ b/tests/coordination/batch/job_placement_model_test.ts
@@ -25,6 +25,12 @@
 
 const SECOND = { kind: "submit", job: 0, entry: 1 } as const;
 
+/** An order, with its time after the first submission in milliseconds. */
+interface TimedOrder {
+  atMs: number;
+  order: ModelOrder;
+}
+
 /** Three of the four agents. */
 const AGENT_PROCESSES = [2, 3, 4];
 
@@ -104,6 +110,69 @@
   });
 });
 
+describe("placement of a job whose homes are both disrupted", () => {
+  const steps = [{ count: 4, durationMs: 1_286 }];
+  // The agents that are the homes of the job.
+  const homes = [1, 3];
+
+  function create(
+    atMs: number,
+    createOrder: (agent: number) => ModelOrder,
+  ): TimedOrder[] {
+    return homes.map((agent) => ({ atMs, order: createOrder(agent) }));
+  }
+
+  /** Runs orders at given times after the first submission. */
+  async function runOrders(timedOrders: readonly TimedOrder[]): Promise<void> {
+    const sorted = timedOrders.toSorted((a, b) => a.atMs - b.atMs);
+    const orders = sorted.map(({ atMs, order }, index) => ({
+      afterMs: atMs - (sorted[index - 1]?.atMs ?? 0),
+      order,
+    }));
+    for (let seed = 0; seed < FIXED_SCENARIO_SEEDS; seed++) {
+      await runScenario({ seed, jobs: [{ steps }], orders });
+    }
+  }
+
+  it("never overlaps when the first entry is cut off from both", async () => {
+    // Guards against an expiry of the claim of an entry that lives and has other homes.
+    await runOrders([
+      { atMs: 0, order: FIRST },
+      ...create(100, (agent) => ({
+        ...{ kind: "cut", entry: 0, agent, direction: "both", forMs: 6_000 },
+      })),
+      { atMs: 1_500, order: SECOND },
+    ]);
+  });
+
+  it("never overlaps when both are restarted before the entry reads their grants", async () => {
+    // Guards against a first placement on grants that are no longer held.
+    await runOrders([
+      { atMs: 0, order: FIRST },
+      {
+        atMs: 1,
+        order: { kind: "suspend", process: 0, forMs: 1_900, first: "timer" },
+      },
+      ...create(600, (agent) => ({
+        ...{ kind: "restart", process: 2 + agent, afterMs: 300 },
+      })),
+      { atMs: RESEND_DELAY_MS, order: SECOND },
+    ]);
+  });
+
+  it("never overlaps when both are paused while the second entry claims", async () => {
+    // Guards against a claim at other homes while the first entry has proof of these.
+    await runOrders([
+      { atMs: 0, order: FIRST },
+      { atMs: 700, order: { kind: "restart", process: 2, afterMs: 3_000 } },
+      ...create(2_605, (agent) => ({
+        ...{ kind: "suspend", process: 2 + agent, forMs: 300, first: "timer" },
+      })),
+      { atMs: 2_610, order: SECOND },
+    ]);
+  });
+});
+
 describe("placement of jobs under random disruptions", () => {
   it("never has two runs of a task at once, and answers each job", async () => {
     // Guards against processes that start a task on outdated knowledge.
