Settle who has the latest submission before a job is taken over

An entry that reads a request late, after a pause, took the job from the entry that had got it from its client in the meantime: it was told of an old job and cancelled it. It now claims the job first, as any old job, and learns that its own submission is not the latest one.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -227,10 +227,10 @@
     const warmAt = performance.now();
     const former = this.#endingJobs.get(job.id);
     await Promise.race([former?.runsEnded, run.answer]);
+    // A request that this entry has read late may not be the latest submission.
+    await this.#waitForClaim(job.id, answered.signal);
     const hasWaited = await this.#takeOver(job.id, answered.signal);
-    while (!answered.signal.aborted && !this.#claims.canPlace(job.id)) {
-      await wait(TAKE_OVER_CHECK_INTERVAL_MS);
-    }
+    await this.#waitForClaim(job.id, answered.signal);
     const heldMs = Math.round(performance.now() - heldSince);
     const hasFormerRuns = former !== undefined || hasWaited;
     if (hasFormerRuns) {
@@ -251,6 +251,13 @@
     }
   }
 
+  /** Waits until tasks of a job may be placed; a young job needs no claim. */
+  async #waitForClaim(jobId: string, signal: AbortSignal): Promise<void> {
+    while (!signal.aborted && !this.#claims.canPlace(jobId)) {
+      await wait(TAKE_OVER_CHECK_INTERVAL_MS);
+    }
+  }
+
   /**
    * Cancels a job at the agents that have runs of it for another entry, whose
    * client has gone without its notice, and waits until these have ended.
