--- a/src/coordination/batch/agent/job_claim_table.ts
+++ b/src/coordination/batch/agent/job_claim_table.ts
@@ -5,6 +5,9 @@
 import { NO_CLAIM } from "../no_claim.ts";
 import type { ClaimOwner } from "./claim_owner.ts";
 
+/** Difference of two ages of one submission by rounding, in milliseconds. */
+const AGE_ROUNDING_MS = 1;
+
 interface HeldJob {
   holder: ClaimOwner;
   /** When the holder got the job, on this process's monotonic clock. */
@@ -168,7 +171,8 @@
   #renew(jobId: string, held: HeldJob, claim: ClaimWaiter): void {
     const { waiter, isCancelled, arrivedAt } = held;
     if (
-      (waiter !== undefined || isCancelled) && claim.arrivedAt <= arrivedAt + 1
+      (waiter !== undefined || isCancelled) &&
+      claim.arrivedAt <= arrivedAt + AGE_ROUNDING_MS
     ) {
       held.holder = claim.owner;
       claim.owner.sendCancel(jobId);
