--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -6,8 +6,8 @@
 import { NO_CLAIM } from "../no_claim.ts";
 import { selectHomes } from "./select_homes.ts";
 
-/** Number of homes of a job: one may fail without the claim being lost. */
-const HOME_COUNT = 2;
+/** Number of homes of a job, so that another entry hears of it from one. */
+const HOME_COUNT = 3;
 
 /** Interval of the checks of all claims, in milliseconds. */
 const CHECK_INTERVAL_MS = 20;
@@ -73,7 +73,7 @@
 /**
  * The claims of this entry. A client sends a job to another entry no sooner than
  * 1.3 s after the first submission, so a job younger than `claimAgeMs`
- * needs no claim. An older one is claimed at two agents, its homes, which tell all
+ * needs no claim. An older one is claimed at a few agents, its homes, which tell all
  * entries of it. Before tasks of an older job are placed, it is claimed at all
  * agents: one that has runs of a later submission has this entry give the
  * job up, and the others refuse the orders of other entries from then on.
--- a/tests/coordination/batch/entry/job_claims_test.ts
+++ b/tests/coordination/batch/entry/job_claims_test.ts
@@ -79,10 +79,10 @@
     expect(claims.canPlace("00000000000000bb")).to.equal(false);
   });
 
-  it("claims a job at two homes before a copy of it can exist", async () => {
+  it("claims a job at three homes before a copy of it can exist", async () => {
     now += BATCH_LIMITS.publishAgeMs;
     await waitUntil(() => getAsked().length > 0, "the claims");
-    expect(getAsked()).to.have.length(2);
+    expect(getAsked()).to.have.length(3);
     expect(getAsked()[0]?.claims[0]?.ageMs).to.equal(BATCH_LIMITS.publishAgeMs);
   });
 
@@ -105,7 +105,7 @@
     now += BATCH_LIMITS.publishAgeMs;
     await waitUntil(() => getAsked().length > 0, "the claims");
     reply(getAsked()[0] as FakeHome, "granted");
-    await waitUntil(() => getAsked().length >= 3, "a third home");
+    await waitUntil(() => getAsked().length >= 4, "another home");
   });
 
   it("lets an old job be placed only with the grants of all agents", () => {
