Look for old jobs once a check instead of once a session

Claims made an agent search its runs for each connected entry every 50 ms; the jobs with runs are the same for all of them. Agent and two-entry tests (80) pass.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -172,7 +172,10 @@
       closeEarlierSessions: (later) => this.#closeEarlierSessions(later),
       requestAnnouncement: () => this.#announcements.request(),
       cancelJob: (jobId, requester) => this.#cancelJob(jobId, requester),
-      findOpenJobs: (other) => this.#findOpenJobs(other),
+      findOpenJobs: (other) => {
+        const jobIds = this.#findOldJobs();
+        return jobIds && this.#addClaimedJobs(jobIds, other);
+      },
     });
     this.#sessions.add(session);
     try {
@@ -222,19 +225,26 @@
     this.#claims.cancel(jobId, requester);
   }
 
-  #findOpenJobs(session: BatchEntrySession): string[] | undefined {
-    const jobIds = this.runner.findOldJobs(BATCH_LIMITS.openJobAgeMs);
-    return jobIds === undefined
-      ? undefined
-      : [...new Set([...jobIds, ...this.#claims.findOldJobs(session)])];
+  /** Finds the old jobs with runs here; undefined if not known yet. */
+  #findOldJobs(): string[] | undefined {
+    return this.runner.findOldJobs(BATCH_LIMITS.openJobAgeMs);
+  }
+
+  /** Adds to the jobs with runs here those that other entries have claimed. */
+  #addClaimedJobs(jobIds: string[], session: BatchEntrySession): string[] {
+    const claimed = this.#claims.findOldJobs(session);
+    return claimed.length === 0
+      ? jobIds
+      : [...new Set([...jobIds, ...claimed])];
   }
 
   #sendOpenJobs(): void {
+    const jobIds = this.#findOldJobs();
+    if (jobIds === undefined) {
+      return;
+    }
     for (const session of this.#sessions) {
-      const jobIds = this.#findOpenJobs(session);
-      if (jobIds !== undefined) {
-        session.sendOpenJobs(jobIds);
-      }
+      session.sendOpenJobs(this.#addClaimedJobs(jobIds, session));
     }
   }
 
