Use the monitor of the event loop for claims, and part the holding of jobs

Homes had added three tellers for each old job. - Cancels between agents and entries say why: requested, or superseded.

No expectation is changed; frames in tests have the new field.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -1,7 +1,11 @@
 import { setTimeout as wait } from "node:timers/promises";
 import type { CrashedRun } from "../../../state/batch/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
-import type { BatchFrame, WorkerCrashReport } from "../../messages/mod.ts";
+import type {
+  BatchFrame,
+  CancelReason,
+  WorkerCrashReport,
+} from "../../messages/mod.ts";
 import type {
   EventLog,
   KeyedStore,
@@ -171,7 +175,8 @@
         })),
       closeEarlierSessions: (later) => this.#closeEarlierSessions(later),
       requestAnnouncement: () => this.#announcements.request(),
-      cancelJob: (jobId, requester) => this.#cancelJob(jobId, requester),
+      cancelJob: (jobId, requester, reason) =>
+        this.#cancelJob(jobId, requester, reason),
       findOpenJobs: (other) => {
         const jobIds = this.#findOldJobs();
         return jobIds && this.#addClaimedJobs(jobIds, other);
@@ -218,11 +223,16 @@
     return true;
   }
 
-  #cancelJob(jobId: string, requester: BatchEntrySession): void {
+  #cancelJob(
+    jobId: string,
+    requester: BatchEntrySession,
+    reason: CancelReason,
+  ): void {
     const { log } = this.#options;
-    log.record("job_cancelled", { job: jobId, entry: requester.name });
-    this.runner.cancelJob(jobId, requester);
-    this.#claims.cancel(jobId, requester);
+    const entry = requester.name;
+    log.record("job_cancelled", { job: jobId, entry, reason });
+    this.runner.cancelJob(jobId, requester, reason);
+    this.#claims.cancel(jobId, requester, reason);
   }
 
   /** Finds the old jobs with runs here; undefined if not known yet. */
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -3,6 +3,7 @@
   BatchBody,
   BatchFrame,
   BatchHello,
+  CancelReason,
   JobClaimReply,
   RunEnd,
   StartRuns,
@@ -14,6 +15,7 @@
 import type { ClaimOwner } from "./claim_owner.ts";
 import type { ClockOffsets } from "./clock_offsets.ts";
 import type { JobClaimTable } from "./job_claim_table.ts";
+import { OpenJobsNotice } from "./open_jobs_notice.ts";
 import type { RunOwner } from "./run_owner.ts";
 import type { WorkerDescription } from "./worker_description.ts";
 import type { WorkerRunner } from "./worker_runner.ts";
@@ -42,7 +44,11 @@
   /** Requests that the agent announces itself again. */
   requestAnnouncement: () => void;
   /** Stops the runs of a job in all sessions. */
-  cancelJob: (jobId: string, requester: BatchEntrySession) => void;
+  cancelJob: (
+    jobId: string,
+    requester: BatchEntrySession,
+    reason: CancelReason,
+  ) => void;
   /** Finds the jobs that entries are told of; undefined if not known yet. */
   findOpenJobs: (session: BatchEntrySession) => string[] | undefined;
   getTime?: () => number;
@@ -69,8 +75,7 @@
   /** Profile of the worker that the entry was last told, as JSON. */
   #sentProfile = "";
   #profiledWorker: WorkerDescription | undefined;
-  /** Jobs that the entry was last told of; undefined before the first time. */
-  #sentOpenJobs: string | undefined;
+  readonly #openJobsNotice = new OpenJobsNotice();
 
   constructor(options: BatchEntrySessionOptions) {
     this.#options = options;
@@ -134,19 +139,20 @@
     this.#stream.send({ case: "workerCrash", value: report });
   }
 
-  sendCancel(jobId: string): void {
-    this.#stream.send({ case: "cancelJob", value: { jobId } });
+  sendCancel(jobId: string, reason: CancelReason): void {
+    this.#stream.send({ case: "cancelJob", value: { jobId, reason } });
   }
 
   sendClaimReply(reply: JobClaimReply): void {
     this.#stream.send({ case: "claimReply", value: reply });
   }
 
-  /** Sends the jobs that the entry must know of, if they have changed. */
+  /** Sends the jobs that the entry must know of, if that is due. */
   sendOpenJobs(jobIds: string[]): void {
-    const openJobs = jobIds.join();
-    if (this.#hello !== undefined && openJobs !== this.#sentOpenJobs) {
-      this.#sentOpenJobs = openJobs;
+    if (
+      this.#hello !== undefined &&
+      this.#openJobsNotice.update(jobIds, this.#getTime())
+    ) {
       this.#stream.send({ case: "openJobs", value: { jobIds } });
     }
   }
@@ -266,7 +272,7 @@
         this.#options.operatorFollower.mergeSnapshot(body.value, this.name);
         return;
       case "cancelJob":
-        this.#options.cancelJob(body.value.jobId, this);
+        this.#handleCancel(body.value.jobId, body.value.reason);
         return;
       case "claimJob":
         if (!this.#isClosed) {
@@ -314,6 +320,11 @@
     this.sendStatus();
   }
 
+  #handleCancel(jobId: string, reason: CancelReason): void {
+    this.#openJobsNotice.recordStop(jobId);
+    this.#options.cancelJob(jobId, this, reason);
+  }
+
   #recordClockOffset(): void {
     if (this.#hello !== undefined) {
       const { clockOffsets } = this.#options;
--- a/src/coordination/batch/agent/claim_owner.ts
+++ b/src/coordination/batch/agent/claim_owner.ts
@@ -1,4 +1,4 @@
-import type { JobClaimReply } from "../../messages/mod.ts";
+import type { CancelReason, JobClaimReply } from "../../messages/mod.ts";
 
 /** The session on which an entry has claimed jobs. */
 export interface ClaimOwner {
@@ -9,7 +9,7 @@
   readonly isClosed: boolean;
   /** Number of frames that have arrived from the entry. */
   readonly frameCount: number;
-  /** Tells the entry that another one has claimed its job. */
-  sendCancel(jobId: string): void;
+  /** Tells the entry that its job is stopped for another one. */
+  sendCancel(jobId: string, reason: CancelReason): void;
   sendClaimReply(reply: JobClaimReply): void;
 }
--- a/src/coordination/batch/agent/job_claim_table.ts
+++ b/src/coordination/batch/agent/job_claim_table.ts
@@ -1,5 +1,5 @@
 import type { EventLog } from "../../ports/mod.ts";
-import type { JobClaim } from "../../messages/mod.ts";
+import type { CancelReason, JobClaim } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { getClaimExpiryMs } from "../get_claim_expiry_ms.ts";
 import { NO_CLAIM } from "../no_claim.ts";
@@ -33,7 +33,7 @@
 }
 
 interface LatestRun {
-  readonly owner: { readonly name: string; sendCancel(jobId: string): void };
+  readonly owner: Pick<ClaimOwner, "name" | "sendCancel">;
   readonly jobArrivedAt: number;
 }
 
@@ -86,23 +86,23 @@
       return true;
     }
     if (arrivedAt > held.arrivedAt) {
-      this.cancel(jobId, owner);
+      this.#recordSuperseded(jobId, held.holder, owner.name);
+      this.cancel(jobId, owner, "superseded");
       const { name } = held.holder;
       const value = { jobId, number: NO_CLAIM, holder: name } as const;
       owner.sendClaimReply({ ...value, outcome: "held" });
     } else {
-      owner.sendCancel(jobId);
+      owner.sendCancel(jobId, "superseded");
     }
     return false;
   }
 
   /** Asks the entry that has claimed a job to stop it, for another entry. */
-  cancel(jobId: string, requester: ClaimOwner): void {
+  cancel(jobId: string, requester: ClaimOwner, reason: CancelReason): void {
     const held = this.#jobs.get(jobId);
     if (held !== undefined && !isSameEntry(held.holder, requester)) {
       held.isCancelled = true;
-      this.#recordSuperseded(jobId, held.holder, requester.name);
-      held.holder.sendCancel(jobId);
+      held.holder.sendCancel(jobId, reason);
     }
   }
 
@@ -138,13 +138,13 @@
     const waiter = isRepeated ? undefined : held.waiter;
     if (arrivedAt <= (waiter?.arrivedAt ?? held.arrivedAt)) {
       this.#recordSuperseded(jobId, owner, (waiter?.owner ?? holder).name);
-      owner.sendCancel(jobId);
+      owner.sendCancel(jobId, "superseded");
       return;
     }
-    waiter?.owner.sendCancel(jobId);
+    waiter?.owner.sendCancel(jobId, "superseded");
     held.waiter = claim;
     this.#recordSuperseded(jobId, holder, owner.name);
-    holder.sendCancel(jobId);
+    holder.sendCancel(jobId, "superseded");
     const value = { jobId, number, holder: holder.name } as const;
     owner.sendClaimReply({ ...value, outcome: "held" });
   }
@@ -158,10 +158,10 @@
     const { owner, number, arrivedAt } = claim;
     if (arrivedAt <= run.jobArrivedAt) {
       this.#recordSuperseded(jobId, owner, run.owner.name);
-      owner.sendCancel(jobId);
+      owner.sendCancel(jobId, "superseded");
       return;
     }
-    run.owner.sendCancel(jobId);
+    run.owner.sendCancel(jobId, "superseded");
     // The entry repeats its claim until these runs have ended.
     const value = { jobId, number, holder: run.owner.name } as const;
     owner.sendClaimReply({ ...value, outcome: "held" });
@@ -175,11 +175,11 @@
       claim.arrivedAt <= arrivedAt + AGE_ROUNDING_MS
     ) {
       held.holder = claim.owner;
-      claim.owner.sendCancel(jobId);
+      claim.owner.sendCancel(jobId, "superseded");
       return;
     }
     this.#grant(jobId, claim);
-    waiter?.owner.sendCancel(jobId);
+    waiter?.owner.sendCancel(jobId, "superseded");
   }
 
   /** Handles the release of jobs by an entry, or the end of its wait for them. */
--- a/src/coordination/batch/agent/run_owner.ts
+++ b/src/coordination/batch/agent/run_owner.ts
@@ -1,4 +1,4 @@
-import type { RunEnd } from "../../messages/mod.ts";
+import type { CancelReason, RunEnd } from "../../messages/mod.ts";
 
 /** The session that ordered a run and is told of its end. */
 export interface RunOwner {
@@ -10,6 +10,6 @@
    */
   isResponsive(): boolean;
   handleEnd(end: RunEnd): void;
-  /** Tells the entry that another one has cancelled its job. */
-  sendCancel(jobId: string): void;
+  /** Tells the entry that its job is stopped for another one. */
+  sendCancel(jobId: string, reason: CancelReason): void;
 }
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -18,7 +18,11 @@
   WorkerControl,
   WorkerReply,
 } from "../../ports/mod.ts";
-import type { WorkerProfile, WorkerStatus } from "../../messages/mod.ts";
+import type {
+  CancelReason,
+  WorkerProfile,
+  WorkerStatus,
+} from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { Fence } from "./fence.ts";
 import type { DispatchError } from "../../../state/errors/mod.ts";
@@ -241,7 +245,7 @@
         return;
       }
       if (earlier.owner.name !== run.owner.name) {
-        earlier.owner.sendCancel(run.jobId);
+        earlier.owner.sendCancel(run.jobId, "superseded");
       }
       this.#stopRun(earlier);
       this.#reportEnd(
@@ -270,12 +274,12 @@
    * Stops the runs of a job for an entry. Other entries that have ordered some
    * are told, since they would start them again.
    */
-  cancelJob(jobId: string, requester: RunOwner): void {
+  cancelJob(jobId: string, requester: RunOwner, reason: CancelReason): void {
     const runs = [...this.#runs.values()].filter((run) => run.jobId === jobId);
     const owners = new Set(runs.map(({ owner }) => owner));
     for (const owner of owners) {
       if (owner.name !== requester.name) {
-        owner.sendCancel(jobId);
+        owner.sendCancel(jobId, reason);
       }
     }
     runs.forEach((run) => this.#stopRun(run));
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -8,6 +8,7 @@
 import type {
   BatchBody,
   BatchFrame,
+  CancelReason,
   JobClaim,
   JobClaimReply,
   RunEnd,
@@ -53,8 +54,12 @@
   /** Called when a stream is lost; its runs may still be executing. */
   onLost: (stream: AgentStream) => void;
   onClaimReply: (home: ClaimHome, reply: JobClaimReply) => void;
-  /** Called when another entry has cancelled or claimed a job at the agent. */
-  onJobCancelled: (agentId: string, jobId: string) => void;
+  /** Called when another entry has had a job stopped. */
+  onJobCancelled: (
+    agentId: string,
+    jobId: string,
+    reason: CancelReason,
+  ) => void;
   /**
    * Called when no run can be executing that was ordered at the agent before the
    * given stream.
@@ -178,8 +183,8 @@
   }
 
   /** Orders the agent to stop a job, which another entry may coordinate. */
-  cancelJob(jobId: string): void {
-    this.#stream?.send({ case: "cancelJob", value: { jobId } });
+  cancelJob(jobId: string, reason: CancelReason): void {
+    this.#stream?.send({ case: "cancelJob", value: { jobId, reason } });
   }
 
   claimJob(claim: JobClaim): void {
@@ -324,7 +329,7 @@
         this.#handleStatus(body.value);
         return;
       case "cancelJob":
-        this.#options.onJobCancelled(this.agentId, body.value.jobId);
+        this.#handleCancel(body.value.jobId, body.value.reason);
         return;
       case "claimReply":
         this.#options.onClaimReply(this, body.value);
@@ -344,6 +349,10 @@
     }
   }
 
+  #handleCancel(jobId: string, reason: CancelReason): void {
+    this.#options.onJobCancelled(this.agentId, jobId, reason);
+  }
+
   /** Handles a change of the worker; its status follows. */
   #handleProfile(profile: WorkerProfile): void {
     if (this.#profile?.workerId !== profile.workerId) {
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -1,4 +1,3 @@
-import { setTimeout as wait } from "node:timers/promises";
 import {
   type BatchJob,
   CrashHistory,
@@ -13,7 +12,11 @@
 } from "../../../state/batch/mod.ts";
 import { parseJson } from "../../../state/errors/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
-import type { BatchFrame, WorkerCrashReport } from "../../messages/mod.ts";
+import type {
+  BatchFrame,
+  CancelReason,
+  WorkerCrashReport,
+} from "../../messages/mod.ts";
 import type {
   EventLog,
   KeyedPage,
@@ -31,18 +34,10 @@
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
 import { JobClaims } from "./job_claims.ts";
+import { JobHold } from "./job_hold.ts";
 import { LoopDelayMonitor } from "./loop_delay_monitor.ts";
 import { WarmUpGate } from "./warm_up_gate.ts";
 
-/**
- * Interval of the checks whether the runs of a job that another entry has
- * ordered have ended, in milliseconds.
- */
-const TAKE_OVER_CHECK_INTERVAL_MS = 10;
-
-/** Jobs that are held for longer are logged, in milliseconds. */
-const LOGGED_HOLD_MS = 20;
-
 export interface BatchEntryOptions {
   name: string;
   /** Identifies one start of the process; differs after each restart. */
@@ -86,12 +81,10 @@
   readonly #containment = new RouteContainment({
     onRelease: (route) => this.#options.log.record("route_released", { route }),
   });
-  readonly #loopDelay = new LoopDelayMonitor();
-  readonly #warmUpGate = new WarmUpGate({
-    getKnownAgentCount: () => this.#links.size,
-    getUsableAgentCount: () =>
-      [...this.#links.values()].filter(({ isUsable }) => isUsable).length,
+  readonly #loopDelay = new LoopDelayMonitor({
+    onTick: () => this.#claims.runPeriodicChecks(),
   });
+  readonly #jobHold: JobHold;
 
   constructor(options: BatchEntryOptions) {
     this.#options = options;
@@ -112,6 +105,18 @@
       log,
       metrics: options.metrics,
       getHomes: () => [...this.#links.values()],
+      getLongestWaitMs: () => this.#loopDelay.longestWaitMs,
+    });
+    this.#jobHold = new JobHold({
+      log,
+      metrics: options.metrics,
+      claims: this.#claims,
+      getLinks: () => [...this.#links.values()],
+      warmUpGate: new WarmUpGate({
+        getKnownAgentCount: () => this.#links.size,
+        getUsableAgentCount: () =>
+          [...this.#links.values()].filter(({ isUsable }) => isUsable).length,
+      }),
     });
     options.metrics.setGauge("jobs_open", () => this.#jobs.size);
     options.metrics.setGauge("jobs_ending", () => this.#endingJobs.size);
@@ -135,14 +140,12 @@
 
   start(): void {
     this.#loopDelay.start();
-    this.#claims.start();
     void this.operatorFollower.run();
     void this.#members.run();
   }
 
   stop(): void {
     this.#loopDelay.stop();
-    this.#claims.stop();
     this.operatorFollower.stop();
     this.#members.stop();
     for (const link of this.#links.values()) {
@@ -172,7 +175,7 @@
     run.addCaller(signal);
     let answer: BatchAnswer;
     try {
-      await this.#hold(job, run);
+      await this.#jobHold.wait(job.id, run, this.#endingJobs.get(job.id));
       run.start();
       answer = await run.answer;
     } finally {
@@ -214,85 +217,6 @@
     });
   }
 
-  /**
-   * Holds a job back until jobs may be placed, no earlier run of its tasks can be
-   * executing and no other entry may start one, or until it is answered.
-   */
-  async #hold(job: BatchJob, run: BatchJobRun): Promise<void> {
-    const former = this.#endingJobs.get(job.id);
-    if (
-      this.#warmUpGate.isOpen && former === undefined &&
-      this.#findOpenLinks(job.id).length === 0 && this.#claims.canPlace(job.id)
-    ) {
-      return;
-    }
-    const heldSince = performance.now();
-    const answered = new AbortController();
-    void run.answer.then(() => answered.abort());
-    run.startHoldTimer();
-    await this.#warmUpGate.wait(answered.signal);
-    const warmAt = performance.now();
-    await Promise.race([former?.runsEnded, run.answer]);
-    // A request that this entry has read late may not be the latest submission.
-    await this.#waitForClaim(job.id, answered.signal);
-    const hasWaited = await this.#takeOver(job.id, answered.signal);
-    await this.#waitForClaim(job.id, answered.signal);
-    const heldMs = Math.round(performance.now() - heldSince);
-    const hasFormerRuns = former !== undefined || hasWaited;
-    if (hasFormerRuns) {
-      this.#options.metrics.recordTime(
-        "former_runs",
-        performance.now() - warmAt,
-      );
-    }
-    if (hasFormerRuns || heldMs >= LOGGED_HOLD_MS) {
-      this.#options.log.record("job_held", {
-        job: job.id,
-        heldMs,
-        formerRunsMs: hasFormerRuns
-          ? Math.round(performance.now() - warmAt)
-          : undefined,
-        isCancelled: answered.signal.aborted,
-      });
-    }
-  }
-
-  /** Waits until tasks of a job may be placed; a young job needs no claim. */
-  async #waitForClaim(jobId: string, signal: AbortSignal): Promise<void> {
-    while (!signal.aborted && !this.#claims.canPlace(jobId)) {
-      await wait(TAKE_OVER_CHECK_INTERVAL_MS);
-    }
-  }
-
-  /**
-   * Cancels a job at the agents that have runs of it for another entry, whose
-   * client has gone without its notice, and waits until these have ended.
-   * @returns Whether there were any.
-   */
-  async #takeOver(jobId: string, signal: AbortSignal): Promise<boolean> {
-    const cancelledAt = new Set<BatchAgentLink>();
-    for (;;) {
-      const links = this.#findOpenLinks(jobId);
-      if (links.length === 0 || signal.aborted) {
-        return cancelledAt.size > 0;
-      }
-      for (const link of links.filter((open) => !cancelledAt.has(open))) {
-        cancelledAt.add(link);
-        link.cancelJob(jobId);
-        this.#options.log.record("job_taken_over", {
-          job: jobId,
-          agent: link.agentId,
-        });
-      }
-      await wait(TAKE_OVER_CHECK_INTERVAL_MS);
-    }
-  }
-
-  /** Finds the agents that have said to have runs of a job. */
-  #findOpenLinks(jobId: string): BatchAgentLink[] {
-    return [...this.#links.values()].filter((link) => link.hasOpenJob(jobId));
-  }
-
   /** Keeps an answered job until none of its runs can be executing any more. */
   #keepWhileRunsEnd(jobId: string, run: BatchJobRun): void {
     if (run.hasActiveRuns) {
@@ -329,7 +253,7 @@
     const run = this.#jobs.get(jobId);
     run?.cancel();
     for (const link of this.#links.values()) {
-      link.cancelJob(jobId);
+      link.cancelJob(jobId, "requested");
     }
     return run !== undefined;
   }
@@ -465,14 +389,8 @@
       onWorkerCrash: (agentId, report) =>
         this.#handleWorkerCrash(agentId, report),
       onClaimReply: (home, reply) => this.#claims.handleReply(home, reply),
-      onJobCancelled: (agentId, jobId) => {
-        log.record("job_cancelled", { job: jobId, agent: agentId });
-        this.#jobs.get(jobId)?.cancel();
-        // The agent may have a claim of a job that has ended here.
-        if (!this.#jobs.has(jobId) && !this.#endingJobs.has(jobId)) {
-          this.#links.get(agentId)?.releaseJobs([jobId]);
-        }
-      },
+      onJobCancelled: (agentId, jobId, reason) =>
+        this.#handleCancel(agentId, jobId, reason),
       onLost: (stream) => this.#handleStreamLost(stream),
       onEarlierRunsEnded: (stream) => {
         for (const run of this.#getAllJobRuns()) {
@@ -484,6 +402,21 @@
     void link.run();
   }
 
+  /** Handles that an agent has stopped a job for another entry. */
+  #handleCancel(agentId: string, jobId: string, reason: CancelReason): void {
+    this.#options.log.record("job_cancelled", {
+      job: jobId,
+      agent: agentId,
+      reason,
+    });
+    const run = this.#jobs.get(jobId);
+    run?.cancel();
+    // The agent may have a claim of a job that has ended here.
+    if (run === undefined && !this.#endingJobs.has(jobId)) {
+      this.#links.get(agentId)?.releaseJobs([jobId]);
+    }
+  }
+
   #handleWorkerCrash(agentId: string, report: WorkerCrashReport): void {
     const at = performance.now() - report.ageMs;
     const { id, runs } = report;
--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -9,9 +9,6 @@
 /** Number of homes of a job, so that another entry hears of it from one. */
 const HOME_COUNT = 3;
 
-/** Interval of the checks of all claims, in milliseconds. */
-const CHECK_INTERVAL_MS = 50;
-
 /**
  * Checks without a reply after which another home is asked. Counted, so that a
  * pause of this process is not taken for the silence of a home.
@@ -19,16 +16,7 @@
 const MAX_CHECKS_WITHOUT_REPLY = 2;
 
 /** Checks after which a job is claimed again that another entry holds. */
-const CHECKS_WHILE_HELD = 2;
-
-/** Delay of a check from which on it counts as a pause, in milliseconds. */
-const MIN_PAUSE_MS = 50;
-
-/**
- * Time after a pause in which requests are handled that arrived during it, in
- * milliseconds.
- */
-const PAUSE_EFFECT_MS = 100;
+const CHECKS_WHILE_HELD = 5;
 
 /** Waits for a claim that take longer are logged, in milliseconds. */
 const LOGGED_WAIT_MS = 20;
@@ -56,10 +44,8 @@
   /** All agents that were asked, also those that are lost since. */
   readonly askedHomes: Set<ClaimHome>;
   scope: ClaimScope;
-  /** Whether an agent has refused an order, since another entry has the job. */
-  isContested: boolean;
-  /** When all agents were asked; undefined before that or when logged. */
-  askedAllAt: number | undefined;
+  /** When agents were asked last. */
+  askedAt: number;
 }
 
 export interface JobClaimsOptions {
@@ -67,6 +53,11 @@
   metrics: Metrics;
   /** Gets the agents that this entry knows. */
   getHomes: () => readonly ClaimHome[];
+  /**
+   * Gets the longest time for which a request that is handled now can have waited
+   * for this process, in milliseconds.
+   */
+  getLongestWaitMs: () => number;
   getTime?: () => number;
 }
 
@@ -85,40 +76,23 @@
   /** The agents that could keep claims at the last check, and their streams. */
   #reachable: { home: ClaimHome; stream: number }[] = [];
   #lastNumber = 0;
-  #checkedAt = 0;
-  /** The latest time in which this process did not run. */
-  #pause = { lengthMs: 0, endedAt: -Infinity };
-  #timer: NodeJS.Timeout | undefined;
 
   constructor(options: JobClaimsOptions) {
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
   }
 
-  start(): void {
-    this.#checkedAt = this.#getTime();
-    this.#timer = setInterval(
-      () => this.#runPeriodicChecks(),
-      CHECK_INTERVAL_MS,
-    );
-  }
-
-  stop(): void {
-    clearInterval(this.#timer);
-  }
-
   /** Adds a job that this entry has just got from a client. */
   add(jobId: string): void {
     const former = this.#claims.get(jobId);
     this.#claims.set(jobId, {
       jobId,
       number: ++this.#lastNumber,
-      openedAt: this.#getTime() - this.#getLatenessMs(),
+      openedAt: this.#getTime() - this.#options.getLongestWaitMs(),
       homes: new Map(),
       askedHomes: new Set(),
       scope: "none",
-      isContested: false,
-      askedAllAt: undefined,
+      askedAt: 0,
     });
     former?.askedHomes.forEach((home) => home.releaseJobs([jobId]));
   }
@@ -132,21 +106,18 @@
     if (claim === undefined) {
       return false;
     }
-    if (
-      !claim.isContested && this.#getAgeMs(claim) < BATCH_LIMITS.claimAgeMs
-    ) {
-      return true;
-    }
     if (claim.scope !== "all") {
-      claim.scope = "all";
-      claim.askedAllAt = this.#getTime();
-      this.#askHomes(claim);
-    }
-    if (!hasAllGrants(claim)) {
-      return false;
+      if (this.#getAgeMs(claim) < BATCH_LIMITS.claimAgeMs) {
+        return true;
+      }
+      this.#claimEverywhere(claim);
     }
-    this.#recordWait(claim);
-    return this.#hasProof(claim);
+    return hasAllGrants(claim) && this.#hasProof(claim);
+  }
+
+  #claimEverywhere(claim: OpenClaim): void {
+    claim.scope = "all";
+    this.#askHomes(claim);
   }
 
   /**
@@ -171,7 +142,7 @@
   handleReply(home: ClaimHome, reply: JobClaimReply): void {
     const claim = this.#claims.get(reply.jobId);
     if (claim !== undefined && reply.number === NO_CLAIM) {
-      claim.isContested = true;
+      this.#claimEverywhere(claim);
       return;
     }
     const asked = claim?.homes.get(home.agentId);
@@ -182,33 +153,22 @@
       return;
     }
     asked.state = reply.outcome;
-    if (reply.outcome === "held") {
-      this.#options.log.record("job_claim_held", {
-        job: reply.jobId,
-        holder: reply.holder,
-        home: home.agentId,
-      });
-    }
-  }
-
-  /**
-   * Gets the longest time for which a request that is handled now can have waited
-   * for this process, which may have been paused, in milliseconds.
-   */
-  #getLatenessMs(): number {
-    const now = this.#getTime();
-    const delayMs = now - this.#checkedAt - CHECK_INTERVAL_MS;
-    const isAfterPause = now - this.#pause.endedAt < PAUSE_EFFECT_MS;
-    return Math.max(0, delayMs, isAfterPause ? this.#pause.lengthMs : 0);
-  }
-
-  #recordPause(): void {
-    const now = this.#getTime();
-    const lengthMs = now - this.#checkedAt - CHECK_INTERVAL_MS;
-    if (lengthMs > MIN_PAUSE_MS) {
-      this.#pause = { lengthMs, endedAt: now };
+    switch (reply.outcome) {
+      case "held":
+        this.#options.log.record("job_claim_held", {
+          job: reply.jobId,
+          holder: reply.holder,
+          home: home.agentId,
+        });
+        return;
+      case "granted":
+        if (claim.scope === "all" && hasAllGrants(claim)) {
+          this.#recordWait(claim);
+        }
+        return;
+      default:
+        reply.outcome satisfies never;
     }
-    this.#checkedAt = now;
   }
 
   #getAgeMs({ openedAt }: OpenClaim): number {
@@ -216,11 +176,7 @@
   }
 
   #recordWait(claim: OpenClaim): void {
-    if (claim.askedAllAt === undefined) {
-      return;
-    }
-    const waitedMs = this.#getTime() - claim.askedAllAt;
-    claim.askedAllAt = undefined;
+    const waitedMs = this.#getTime() - claim.askedAt;
     this.#options.metrics.recordTime("claim", waitedMs);
     if (waitedMs >= LOGGED_WAIT_MS) {
       this.#options.log.record("job_claim_waited", {
@@ -232,8 +188,8 @@
     }
   }
 
-  #runPeriodicChecks(): void {
-    this.#recordPause();
+  /** Claims the jobs that have become old. Called every 20 ms or so. */
+  runPeriodicChecks(): void {
     let haveHomesChanged: boolean | undefined;
     for (const claim of this.#claims.values()) {
       const isDue = claim.scope === "none" &&
@@ -305,6 +261,7 @@
       if (claim.homes.has(home.agentId)) {
         continue;
       }
+      claim.askedAt = this.#getTime();
       claim.askedHomes.add(home);
       claim.homes.set(home.agentId, {
         home,
--- a/src/coordination/batch/entry/loop_delay_monitor.ts
+++ b/src/coordination/batch/entry/loop_delay_monitor.ts
@@ -7,20 +7,32 @@
 /** Interval of the timer whose delay is measured, in milliseconds. */
 const TICK_INTERVAL_MS = 20;
 
+/**
+ * Time after a pause of the process in which requests are handled that arrived
+ * during it, in milliseconds.
+ */
+const PAUSE_EFFECT_MS = 100;
+
 export interface LoopDelayMonitorOptions {
+  /** Called at each tick, after its delay has been measured. */
+  onTick?: () => void;
   getTime?: () => number;
 }
 
 /** Measures the delay of the event loop of this process. */
 export class LoopDelayMonitor {
   readonly #getTime: () => number;
+  readonly #onTick: () => void;
   #lastTickAt: number;
   #previousDelayMs = 0;
   #lastDelayMs = 0;
+  /** The longest delay of the latest ticks. */
+  #pause = { lengthMs: 0, endedAt: -Infinity };
   #timer: NodeJS.Timeout | undefined;
 
   constructor(options: LoopDelayMonitorOptions = {}) {
     this.#getTime = options.getTime ?? (() => performance.now());
+    this.#onTick = options.onTick ?? (() => {});
     this.#lastTickAt = this.#getTime();
   }
 
@@ -36,6 +48,14 @@
     );
   }
 
+  /**
+   * Gets the longest time for which a request that is handled now can have waited
+   * for this process, in milliseconds. A single long turn counts here.
+   */
+  get longestWaitMs(): number {
+    return Math.max(this.#getCurrentDelayMs(), this.#getLongestWaitMs());
+  }
+
   start(): void {
     this.#lastTickAt = this.#getTime();
     this.#timer = setInterval(() => this.recordTick(), TICK_INTERVAL_MS);
@@ -50,6 +70,15 @@
     this.#previousDelayMs = this.#lastDelayMs;
     this.#lastDelayMs = this.#getCurrentDelayMs();
     this.#lastTickAt = this.#getTime();
+    if (this.#lastDelayMs >= this.#getLongestWaitMs()) {
+      this.#pause = { lengthMs: this.#lastDelayMs, endedAt: this.#lastTickAt };
+    }
+    this.#onTick();
+  }
+
+  #getLongestWaitMs(): number {
+    const { lengthMs, endedAt } = this.#pause;
+    return this.#getTime() - endedAt < PAUSE_EFFECT_MS ? lengthMs : 0;
   }
 
   #getCurrentDelayMs(): number {
--- a/src/coordination/messages/batch_body.ts
+++ b/src/coordination/messages/batch_body.ts
@@ -1,4 +1,5 @@
 import type { BatchHello } from "./batch_hello.ts";
+import type { CancelReason } from "./cancel_reason.ts";
 import type { JobClaim } from "./job_claim.ts";
 import type { JobClaimReply } from "./job_claim_reply.ts";
 import type { RunEnd } from "./run_end.ts";
@@ -26,9 +27,9 @@
   | { case: "releaseJobs"; value: { jobIds: string[] } }
   /**
    * To an agent: stops a job, whichever entry coordinates it. To an entry: another
-   * one has stopped or claimed the job.
+   * one has stopped it.
    */
-  | { case: "cancelJob"; value: { jobId: string } }
+  | { case: "cancelJob"; value: { jobId: string; reason: CancelReason } }
   /**
    * All jobs with runs at the agent that are old enough that their clients may
    * have sent them to another entry.
--- a/src/coordination/messages/mod.ts
+++ b/src/coordination/messages/mod.ts
@@ -1,6 +1,7 @@
 export type { BatchBody } from "./batch_body.ts";
 export type { BatchHello } from "./batch_hello.ts";
 export type { BatchFrame } from "./batch_frame.ts";
+export type { CancelReason } from "./cancel_reason.ts";
 export type { CancelRequest } from "./cancel_request.ts";
 export type { ClaimRequest } from "./claim_request.ts";
 export type { ClaimOutcome } from "./claim_outcome.ts";
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -70,7 +70,7 @@
     case "releaseJobs":
       return body.value.jobIds;
     case "cancelJob":
-      return [body.value.jobId];
+      return [body.value.jobId, body.value.reason];
     case "openJobs":
       return body.value.jobIds;
     default:
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -6,6 +6,7 @@
 import type {
   BatchBody,
   BatchFrame,
+  CancelReason,
   JobClaimReply,
   RunEnd,
   RunOrder,
@@ -158,8 +159,8 @@
     case "releaseJobs":
       return { case: kindCase, value: { jobIds: fields as string[] } };
     case "cancelJob": {
-      const [jobId] = fields as [string];
-      return { case: kindCase, value: { jobId } };
+      const [jobId, reason] = fields as [string, CancelReason];
+      return { case: kindCase, value: { jobId, reason } };
     }
     case "openJobs":
       return { case: kindCase, value: { jobIds: fields as string[] } };
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -205,7 +205,10 @@
     const other = openStream("entry-2");
     sendBody(owner, START_RUNS);
     await waitUntil(() => worker.running.has(TASK), "the run has started");
-    sendBody(other, { case: "cancelJob", value: { jobId: JOB_ID } });
+    sendBody(other, {
+      case: "cancelJob",
+      value: { jobId: JOB_ID, reason: "requested" },
+    });
     await waitUntil(() => getCases(owner).includes("runEnds"), "it has ended");
     const cases = getCases(owner);
     expect(cases.indexOf("cancelJob")).to.be.within(
--- a/tests/coordination/batch/agent/job_claim_table_test.ts
+++ b/tests/coordination/batch/agent/job_claim_table_test.ts
@@ -190,7 +190,7 @@
 
   it("forgets the job of a silent entry that was asked to stop it", () => {
     claim(first);
-    table.cancel(JOB_ID, second);
+    table.cancel(JOB_ID, second, "superseded");
     wait(getClaimExpiryMs("silent") + BATCH_LIMITS.claimCheckIntervalMs);
     expect(table.size).to.equal(0);
   });
--- a/tests/coordination/batch/entry/job_claims_test.ts
+++ b/tests/coordination/batch/entry/job_claims_test.ts
@@ -36,9 +36,12 @@
   let now: number;
   let homes: FakeHome[];
   let claims: JobClaims;
+  let longestWaitMs: number;
+  let timer: NodeJS.Timeout;
 
   beforeEach(() => {
     now = 10_000;
+    longestWaitMs = 0;
     homes = Array.from(
       { length: 6 },
       (_, index) => new FakeHome(`agent-${index}`),
@@ -46,13 +49,14 @@
     claims = new JobClaims({
       ...{ log: new RecordedLog(), metrics: new Metrics() },
       getHomes: () => homes,
+      getLongestWaitMs: () => longestWaitMs,
       getTime: () => now,
     });
-    claims.start();
+    timer = setInterval(() => claims.runPeriodicChecks(), 5);
     claims.add(JOB_ID);
   });
 
-  afterEach(() => claims.stop());
+  afterEach(() => clearInterval(timer));
 
   function getAsked(): FakeHome[] {
     return homes.filter((home) => home.claims.length > 0);
@@ -88,7 +92,7 @@
 
   it("counts a pause of this entry as part of the age of a job that comes after it", () => {
     // Guards against a job that is older than its entry takes it for.
-    now += BATCH_LIMITS.claimAgeMs + 100;
+    longestWaitMs = BATCH_LIMITS.claimAgeMs;
     claims.add(JOB_ID);
     expect(claims.canPlace(JOB_ID)).to.equal(false);
   });
--- a/tests/coordination/batch/entry/loop_delay_monitor_test.ts
+++ b/tests/coordination/batch/entry/loop_delay_monitor_test.ts
@@ -34,4 +34,23 @@
     now += 20 + 500;
     expect(monitor.delayMs).to.equal(300);
   });
+
+  it("counts a single long turn as a wait of requests, until these are handled", () => {
+    // Guards against a request that is older than its entry takes it for.
+    recordTurn(0);
+    now += 20 + 700;
+    expect(monitor.longestWaitMs).to.equal(700);
+    monitor.recordTick();
+    expect(monitor.longestWaitMs).to.equal(700);
+    for (let turn = 0; turn < 6; turn++) {
+      recordTurn(0);
+    }
+    expect(monitor.longestWaitMs).to.equal(0);
+  });
+
+  it("keeps the longest of several waits in a row", () => {
+    recordTurn(700);
+    recordTurn(30);
+    expect(monitor.longestWaitMs).to.equal(700);
+  });
 });
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -86,7 +86,10 @@
     },
   },
   { case: "operatorSnapshot", value: { offset: 5, state: "{}" } },
-  { case: "cancelJob", value: { jobId: "00000000000000aa" } },
+  {
+    case: "cancelJob",
+    value: { jobId: "00000000000000aa", reason: "superseded" },
+  },
   {
     case: "claimJob",
     value: { jobId: "00000000000000aa", number: 3, ageMs: 12 },
--- a/tests/transport/stream/stream_test.ts
+++ b/tests/transport/stream/stream_test.ts
@@ -128,7 +128,7 @@
       stream.send({
         sentAtMs: n,
         echoAtMs: 0,
-        kind: { case: "cancelJob", value: { jobId: key } },
+        kind: { case: "cancelJob", value: { jobId: key, reason: "requested" } },
       });
       await new Promise((resolve) => setTimeout(resolve, 1));
     }
