Do not say of a superseded job that it was not run

What callers saw: 503 from an entry that had run tasks of the job and gave it up for a later submission elsewhere. 503 says that the job never runs.

Cause: the entry gave the job up as if its client had cancelled it, and `cancelled` says "not run". It now answers `cancelled_running` (502, unknown) if a task may have started.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -410,7 +410,16 @@
       reason,
     });
     const run = this.#jobs.get(jobId);
-    run?.cancel();
+    switch (reason) {
+      case "requested":
+        run?.cancel();
+        break;
+      case "superseded":
+        run?.giveUp();
+        break;
+      default:
+        reason satisfies never;
+    }
     // The agent may have a claim of a job that has ended here.
     if (run === undefined && !this.#endingJobs.has(jobId)) {
       this.#links.get(agentId)?.releaseJobs([jobId]);
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -250,6 +250,18 @@
     this.#settleWithError("cancelled");
   }
 
+  /**
+   * Gives the job up, because another entry has got a later submission of it. A
+   * caller that still waits is not told that the job was not run if it may have.
+   */
+  giveUp(): void {
+    const isNotRun = !this.#canHaveStarted && !this.hasActiveRuns;
+    this.#settle({
+      kind: "error",
+      error: isNotRun ? "cancelled" : "cancelled_running",
+    });
+  }
+
   /** Handles the end of a run that was ordered on a stream. */
   handleEnd(stream: AgentStream, end: RunEnd): void {
     const { agentId } = stream;
--- a/tests/coordination/batch/two_entries_test.ts
+++ b/tests/coordination/batch/two_entries_test.ts
@@ -143,6 +143,19 @@
     expect(second.answer).to.deep.equal({ kind: "completed" });
   });
 
+  it("is not answered as not run by the entry that has run tasks of it", async () => {
+    // Guards against a refusal by each entry of a job that has run.
+    const first = submitJob(0);
+    await waitUntil(() => countRunning() === 2, "the tasks are started");
+    await wait(RESEND_DELAY_MS);
+    submitJob(1);
+    await waitUntil(() => first.answer !== undefined, "the first one gives up");
+    expect(first.answer).to.deep.equal({
+      kind: "error",
+      error: "cancelled_running",
+    });
+  });
+
   it("is not started again by its entry when it is cancelled through another one", async () => {
     // Guards against tasks that run on after an acknowledged cancel.
     const job = submitJob(0);
