--- a/review/lib-2/worker.mjs
+++ b/review/lib-2/worker.mjs
@@ -3,10 +3,7 @@
 
 const HEARTBEAT_MS = 1_500;
 const HOLD_MAX_MS = 1_000;
-const STOP_MS = 20;
-
-/** When calls are carried out that get no answer. */
-const LATE_MS = { min: 2_000, max: 12_000 };
+const DEFAULT_STOP_MS = 20;
 
 export class Worker {
   #runs = new Map();
@@ -19,17 +16,20 @@
   #waiters = [];
   #sequence = 0;
   #isStopped = false;
-  /** The calls that get no answer now: `{ calls, share, random }`. */
-  late;
   #bornAt = Date.now();
   #clockStart = performance.now();
 
   /**
    * @param options.getTask - Gets `{ runMs, cpu }` of a task.
    * @param options.onEvent - Called with each start and end of a run.
+   * @param options.stopMs - Time that a stop takes; the platform allows 50 ms.
+   * @param options.answersWhenStopped - Whether a stop is answered once it is done.
    */
   constructor(options) {
-    this.options = { cpu: 16_000, memMb: 65_536, labels: ["a"], state: "ready", ...options };
+    this.options = {
+      cpu: 16_000, memMb: 65_536, labels: ["a"], state: "ready", stopMs: DEFAULT_STOP_MS,
+      answersWhenStopped: false, ...options,
+    };
     this.id = `i-${options.name}`;
   }
 
@@ -78,25 +78,13 @@
     if (expected !== undefined && expected !== this.id) return sendJson(response, 421, {});
     const order = JSON.parse(body.toString());
     const call = request.url.split("/").at(-1);
-    const { late } = this;
-    if (late !== undefined && late.calls.includes(call) && late.random() < late.share) {
-      // The call gets no answer, and is carried out later.
-      this.options.onEvent({ kind: "late", worker: this.id, task: order.task ?? "", run: order.run ?? "", how: call });
-      const afterMs = LATE_MS.min + late.random() * (LATE_MS.max - LATE_MS.min);
-      setTimeout(() => this.#isStopped || this.#execute(call, order, undefined), afterMs).unref();
-      return;
-    }
-    await this.#execute(call, order, response);
-  }
-
-  async #execute(call, order, response) {
     const fence = order.fence ?? 0;
     if (fence < this.#fence) return this.#refuse(response, "fence");
     this.#fence = fence;
     if (call === "run-start") return this.#start(order, response);
     if (call === "run-stop") return this.#stopRun(order, response);
     if (call === "hold") return await this.#hold(order, response);
-    if (response !== undefined) sendJson(response, 404, {});
+    sendJson(response, 404, {});
   }
 
   #start({ task, run, spec, deadlineMs }, response) {
@@ -110,7 +98,7 @@
     const used = [...this.#runs.values()].reduce((sum, other) => sum + other.cpu, 0);
     if (used + cpu > this.options.cpu) return this.#refuse(response, "room");
     this.options.onEvent({ kind: "start", worker: this.id, task, run, spec });
-    const entry = { task, run, cpu, timer: undefined };
+    const entry = { task, run, cpu, timer: undefined, stopped: undefined };
     entry.timer = setTimeout(() => this.#end(entry, "done"), runMs);
     this.#runs.set(task, entry);
     this.#answer(response);
@@ -119,11 +107,21 @@
   #stopRun({ task, run }, response) {
     this.#closed.set(task, Math.max(run, this.#closed.get(task) ?? 0));
     const entry = this.#runs.get(task);
-    if (entry !== undefined && entry.run <= run) {
+    if (entry === undefined || entry.run > run) return this.#answer(response);
+    if (entry.stopped === undefined) {
       clearTimeout(entry.timer);
-      entry.timer = setTimeout(() => this.#end(entry, "stopped"), STOP_MS);
+      entry.stopped = new Promise((resolve) => {
+        entry.timer = setTimeout(() => {
+          this.#end(entry, "stopped");
+          resolve();
+        }, this.options.stopMs);
+      });
+    }
+    if (this.options.answersWhenStopped) {
+      void entry.stopped.then(() => this.#answer(response));
+    } else {
+      this.#answer(response);
     }
-    this.#answer(response);
   }
 
   async #hold({ deadlineMs, ackedUpTo = 0, waitMs = 0 }, response) {
@@ -162,12 +160,10 @@
   }
 
   #answer(response, fields = {}) {
-    if (response === undefined) return;
     sendJson(response, 200, { clockMs: this.#clock(), born: this.#bornAt, ...fields });
   }
 
   #refuse(response, reason) {
-    if (response === undefined) return;
     sendJson(response, 409, { clockMs: this.#clock(), born: this.#bornAt, reason });
   }
 }
