--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -122,6 +122,7 @@
     this.operatorFollower = new OperatorFollower({
       store,
       log,
+      metrics,
       parseOperatorRecord: options.parseOperatorRecord,
       onChange: () => this.runner.processQueue(),
       readWaitMs: MAX_READ_WAIT_MS,
--- a/src/coordination/batch/directory/operator_follower.ts
+++ b/src/coordination/batch/directory/operator_follower.ts
@@ -1,4 +1,5 @@
 import { OperatorState } from "../../../state/batch/mod.ts";
+import type { Metrics } from "../../../state/metrics/mod.ts";
 import type { EventLog, KeyedPage, KeyedStore } from "../../ports/mod.ts";
 import type { OperatorRecordParser } from "./operator_record_parser.ts";
 import { readOperatorPage } from "./read_operator_page.ts";
@@ -7,6 +8,7 @@
 export interface OperatorFollowerOptions {
   store: KeyedStore;
   log: EventLog;
+  metrics: Metrics;
   parseOperatorRecord: OperatorRecordParser;
   /** Called after the state has changed. */
   onChange: () => void;
@@ -45,7 +47,10 @@
 
   /** Gets the state in the form that is sent to peers. */
   getSnapshot(): { offset: number; state: string } {
-    return { offset: this.state.offset, state: this.state.formatSnapshot() };
+    const state = this.state.formatSnapshot();
+    const { metrics } = this.#options;
+    metrics.incrementCounter("operator_snapshot_sent_bytes", state.length);
+    return { offset: this.state.offset, state };
   }
 
   /** Adopts the state of a peer if it is newer. */
@@ -53,6 +58,9 @@
     snapshot: { offset: number; state: string },
     from: string,
   ): void {
+    const { metrics } = this.#options;
+    const { length } = snapshot.state;
+    metrics.incrementCounter("operator_snapshot_received_bytes", length);
     if (this.state.mergeSnapshot(snapshot.state, snapshot.offset)) {
       this.#handleChange(from);
     }
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -97,6 +97,7 @@
     this.operatorFollower = new OperatorFollower({
       store,
       log,
+      metrics: options.metrics,
       parseOperatorRecord,
       onChange: () => {},
     });
--- a/src/transport/http/http_client.ts
+++ b/src/transport/http/http_client.ts
@@ -48,10 +48,11 @@
     const [host, port] = address.split(":");
     const { method, path, body, timeoutMs } = options;
     return new Promise((resolve) => {
-      let isTimedOut = false;
+      let timeout: string | undefined;
+      let receivedBytes = 0;
       const fail = (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
-        resolve(err(createCallError(error, isTimedOut, address)));
+        resolve(err(createCallError(error, timeout, address)));
       };
       const request = http.request({
         agent: this.#agent,
@@ -65,7 +66,10 @@
         },
       }, (response) => {
         const chunks: Buffer[] = [];
-        response.on("data", (chunk: Buffer) => chunks.push(chunk));
+        response.on("data", (chunk: Buffer) => {
+          chunks.push(chunk);
+          receivedBytes += chunk.length;
+        });
         response.on("error", fail);
         response.on("end", () => {
           clearTimeout(timer);
@@ -76,7 +80,7 @@
         });
       });
       const timer = setTimeout(() => {
-        isTimedOut = true;
+        timeout = `no answer in time, ${receivedBytes} bytes were received`;
         request.destroy();
       }, timeoutMs);
       request.on("error", fail);
@@ -92,12 +96,12 @@
 
 function createCallError(
   error: NodeJS.ErrnoException,
-  isTimedOut: boolean,
+  timeout: string | undefined,
   address: string,
 ): DispatchError {
   const message = `${address}: ${error.code ?? error.message}`;
-  if (isTimedOut) {
-    return createError("timeout", `${address}: no answer in time`);
+  if (timeout !== undefined) {
+    return createError("timeout", `${address}: ${timeout}`);
   }
   return error.code === "ECONNREFUSED"
     ? createError("upstream_unreachable", message)
