--- a/src/transport/http/http_client.ts
+++ b/src/transport/http/http_client.ts
@@ -16,6 +16,12 @@
   body?: Uint8Array | string;
   /** Longest time until the complete response has arrived, in milliseconds. */
   timeoutMs: number;
+  /**
+   * Longest time between two parts of the response, in milliseconds. If given,
+   * `timeoutMs` limits only the time until the first part, so that a response may be
+   * of any size.
+   */
+  progressTimeoutMs?: number;
 }
 
 /**
@@ -46,7 +52,7 @@
     options: SendRequestOptions,
   ): Promise<Result<HttpClientResponse, DispatchError>> {
     const [host, port] = address.split(":");
-    const { method, path, body, timeoutMs } = options;
+    const { method, path, body, timeoutMs, progressTimeoutMs } = options;
     return new Promise((resolve) => {
       let timeout: string | undefined;
       let receivedBytes = 0;
@@ -69,6 +75,10 @@
         response.on("data", (chunk: Buffer) => {
           chunks.push(chunk);
           receivedBytes += chunk.length;
+          if (progressTimeoutMs !== undefined) {
+            clearTimeout(timer);
+            timer = setTimeout(handleTimeout, progressTimeoutMs);
+          }
         });
         response.on("error", fail);
         response.on("end", () => {
@@ -79,10 +89,11 @@
           }));
         });
       });
-      const timer = setTimeout(() => {
+      const handleTimeout = () => {
         timeout = `no answer in time, ${receivedBytes} bytes were received`;
         request.destroy();
-      }, timeoutMs);
+      };
+      let timer = setTimeout(handleTimeout, timeoutMs);
       request.on("error", fail);
       request.end(body);
     });
--- a/tests/platform/scripted_http_server.ts
+++ b/tests/platform/scripted_http_server.ts
@@ -1,13 +1,16 @@
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
+import { setTimeout as wait } from "node:timers/promises";
 
 /**
  * One scripted answer; `silent` leaves the call unanswered, and `reset`
- * destroys its connection.
+ * destroys its connection. `parts` are sent one after the other, each after a delay;
+ * with `isStalled`, the answer doesn't end.
  */
 export type ScriptedAnswer =
   | { status: number; body: unknown }
   | { status: number; bytes: Buffer }
+  | { status: number; parts: Buffer[]; delayMs: number; isStalled?: boolean }
   | "silent"
   | "reset";
 
@@ -54,6 +57,15 @@
     const answer = this.answers.shift() ?? { status: 500, body: {} };
     if (answer === "reset") {
       request.socket.destroy();
+    } else if (answer !== "silent" && "parts" in answer) {
+      response.writeHead(answer.status);
+      for (const part of answer.parts) {
+        await wait(answer.delayMs);
+        response.write(part);
+      }
+      if (answer.isStalled !== true) {
+        response.end();
+      }
     } else if (answer !== "silent") {
       response.writeHead(answer.status);
       response.end(
--- a/tests/platform/store_client_test.ts
+++ b/tests/platform/store_client_test.ts
@@ -71,6 +71,36 @@
     expect(page._unsafeUnwrap().records).to.have.length(1);
   });
 
+  /** Creates an answer with one record that arrives in five parts over 1.5 s. */
+  function createSlowAnswer(value: string) {
+    const bytes = Buffer.concat([
+      Buffer.alloc(16),
+      formatKeyedRecord({ key: "k", value }),
+    ]);
+    const partBytes = Math.ceil(bytes.length / 5);
+    const parts = [0, 1, 2, 3, 4].map((n) =>
+      bytes.subarray(n * partBytes, (n + 1) * partBytes)
+    );
+    return { status: 200, parts, delayMs: 300 };
+  }
+
+  it("reads a large record over a slow link, however long it takes", async () => {
+    const value = "v".repeat(250_000);
+    store.answers.push(createSlowAnswer(value));
+    const page = await client.readFrom("operator", { from: 0, waitMs: 10 });
+    expect(page._unsafeUnwrap().records).to.deep.equal([{ key: "k", value }]);
+  });
+
+  it("times out an answer that stops in its middle", async () => {
+    store.answers.push({
+      ...createSlowAnswer("v"),
+      delayMs: 100,
+      isStalled: true,
+    });
+    const page = await client.readFrom("operator", { from: 0, waitMs: 10 });
+    expect(page._unsafeUnwrapErr().kind).to.equal("timeout");
+  });
+
   it("appends a record by key", async () => {
     store.answers.push({ status: 200, body: { offset: 0, end: 1 } });
     const result = await client.append("members", { key: "k", value: "v" });
