Let a process that is behind read the operator's state from one peer, in parts

Each agent answered each ping of an entry that was behind with the whole state, and entries did the same for agents. With a configuration of 1,100 routes, 20 agents filled a link of 2 Mbit/s over which the entry would have read the store; frames behind such an answer came so late that streams counted as silent and were closed.

Pings tell only offsets now.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -13,7 +13,10 @@
 } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchStream } from "../batch_stream.ts";
-import type { OperatorFollower } from "../directory/mod.ts";
+import {
+  type OperatorFollower,
+  OperatorStateExchange,
+} from "../directory/mod.ts";
 import type { AwaitedGrants } from "./awaited_grants.ts";
 import type { ClaimOwner } from "./claim_owner.ts";
 import type { ClockOffsets } from "./clock_offsets.ts";
@@ -83,6 +86,7 @@
   /** Profile of the worker that the entry was last told, as JSON. */
   #sentProfile = "";
   #profiledWorker: WorkerDescription | undefined;
+  readonly #operatorState: OperatorStateExchange;
   readonly #openJobsNotice = new OpenJobsNotice();
   /** Grants that the entry is told with the next frame. */
   #pendingGrants: JobClaimReply[] = [];
@@ -91,6 +95,11 @@
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
     this.#stream = new BatchStream(options.stream, { getTime: this.#getTime });
+    this.#operatorState = new OperatorStateExchange({
+      operatorFollower: options.operatorFollower,
+      send: (body) => this.#stream.send(body),
+      getName: () => this.name,
+    });
   }
 
   get name(): string {
@@ -202,6 +211,7 @@
       reason = (error as Error).message;
     } finally {
       this.#isClosed = true;
+      this.#operatorState.close();
       if (this.#hello !== undefined) {
         log.record("entry_lost", { entry: this.name, reason });
         runner.stopWhere((run) => run.owner === this, "entry_lost");
@@ -305,8 +315,11 @@
         );
         return;
       }
-      case "operatorSnapshot":
-        this.#options.operatorFollower.mergeSnapshot(body.value, this.name);
+      case "readOperatorState":
+        this.#operatorState.handleRequest(body.value);
+        return;
+      case "operatorStatePart":
+        this.#operatorState.handlePart(body.value);
         return;
       case "cancelJob":
         this.#handleCancel(body.value.jobId, body.value.reason);
@@ -404,12 +417,10 @@
     this.#sendPendingGrants();
     this.#pingReceivedAt = this.#getTime();
     const { offset } = operatorFollower.state;
-    if (operatorOffset > offset) {
-      // The entry sends its newer state when this ping shows an older one.
+    if (operatorOffset < offset) {
       this.#stream.send({ case: "ping", value: { operatorOffset: offset } });
-    } else if (operatorOffset < offset) {
-      const value = operatorFollower.getSnapshot();
-      this.#stream.send({ case: "operatorSnapshot", value });
+    } else {
+      this.#operatorState.handleOffset(operatorOffset);
     }
   }
 
--- a/src/coordination/batch/directory/operator_follower.ts
+++ b/src/coordination/batch/directory/operator_follower.ts
@@ -3,6 +3,7 @@
 import type { EventLog, KeyedPage, KeyedStore } from "../../ports/mod.ts";
 import type { OperatorRecordParser } from "./operator_record_parser.ts";
 import { readOperatorPage } from "./read_operator_page.ts";
+import { OperatorStateReader } from "./operator_state_reader.ts";
 import { TopicFollower } from "./topic_follower.ts";
 
 export interface OperatorFollowerOptions {
@@ -22,8 +23,12 @@
  */
 export class OperatorFollower {
   readonly state = new OperatorState();
+  /** Reads the state from peers with a newer one. */
+  readonly stateReader: OperatorStateReader;
   readonly #options: OperatorFollowerOptions;
   readonly #follower: TopicFollower;
+  /** The state as it was last formatted for peers. */
+  #snapshot: { offset: number; state: string } | undefined;
 
   constructor(options: OperatorFollowerOptions) {
     this.#options = options;
@@ -34,6 +39,12 @@
       readWaitMs: options.readWaitMs,
       apply: (page, { isCompacted }) => this.#apply(page, isCompacted),
     });
+    this.stateReader = new OperatorStateReader({
+      log: options.log,
+      getOffset: () => this.state.offset,
+      isStoreReachable: () => this.#follower.isReachable !== false,
+      onRead: (snapshot, from) => this.#mergeSnapshot(snapshot, from),
+    });
   }
 
   /** Follows the store until `stop` is called. */
@@ -47,14 +58,21 @@
 
   /** Gets the state in the form that is sent to peers. */
   getSnapshot(): { offset: number; state: string } {
-    const state = this.state.formatSnapshot();
+    const { offset } = this.state;
+    if (this.#snapshot?.offset !== offset) {
+      this.#snapshot = { offset, state: this.state.formatSnapshot() };
+    }
+    return this.#snapshot;
+  }
+
+  /** Counts a part of the state that was sent to a peer. */
+  recordSentPart(length: number): void {
     const { metrics } = this.#options;
-    metrics.incrementCounter("operator_snapshot_sent_bytes", state.length);
-    return { offset: this.state.offset, state };
+    metrics.incrementCounter("operator_snapshot_sent_bytes", length);
   }
 
   /** Adopts the state of a peer if it is newer. */
-  mergeSnapshot(
+  #mergeSnapshot(
     snapshot: { offset: number; state: string },
     from: string,
   ): void {
--- a/src/coordination/batch/directory/topic_follower.ts
+++ b/src/coordination/batch/directory/topic_follower.ts
@@ -45,6 +45,11 @@
     this.#options = options;
   }
 
+  /** Gets whether the last read of the topic has succeeded; undefined before the first. */
+  get isReachable(): boolean | undefined {
+    return this.#isReachable;
+  }
+
   /** Follows the topic until `stop` is called. */
   async run(): Promise<void> {
     let retryMs: number = RETRY_DELAY_MS.first;
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -22,7 +22,11 @@
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchStream } from "../batch_stream.ts";
 import { getRunExpiryMs } from "../get_run_expiry_ms.ts";
-import type { MemberRecord, OperatorFollower } from "../directory/mod.ts";
+import {
+  type MemberRecord,
+  type OperatorFollower,
+  OperatorStateExchange,
+} from "../directory/mod.ts";
 import type { AgentStream } from "./agent_stream.ts";
 import type { ClaimHome } from "./claim_home.ts";
 
@@ -108,9 +112,15 @@
   #agentStartedAt = Infinity;
   #releasedJobs: string[] = [];
   #isStopped = false;
+  readonly #operatorState: OperatorStateExchange;
 
   constructor(options: BatchAgentLinkOptions) {
     this.#options = options;
+    this.#operatorState = new OperatorStateExchange({
+      operatorFollower: options.operatorFollower,
+      send: (body) => this.#stream?.send(body),
+      getName: () => this.agentId,
+    });
     this.#getTime = options.getTime ?? (() => performance.now());
     const { name, address } = options.member;
     this.#streamId = { agentId: name, address, number: 0 };
@@ -311,6 +321,7 @@
         : (error as Error).message;
     }
     stream.close();
+    this.#operatorState.close();
     const hadStatus = this.#status !== undefined;
     this.#stream = undefined;
     this.#profile = undefined;
@@ -355,7 +366,7 @@
   }
 
   #handleFrame(body: BatchBody): void {
-    const { operatorFollower, onRunEnds, log } = this.#options;
+    const { onRunEnds, log } = this.#options;
     switch (body.case) {
       case "hello":
         log.record("agent_found", {
@@ -366,13 +377,13 @@
         this.#agentStartedAt = this.#getTime() - body.value.uptimeMs;
         return;
       case "ping":
-        if (body.value.operatorOffset < operatorFollower.state.offset) {
-          const value = operatorFollower.getSnapshot();
-          this.#stream?.send({ case: "operatorSnapshot", value });
-        }
+        this.#operatorState.handleOffset(body.value.operatorOffset);
+        return;
+      case "readOperatorState":
+        this.#operatorState.handleRequest(body.value);
         return;
-      case "operatorSnapshot":
-        operatorFollower.mergeSnapshot(body.value, this.agentId);
+      case "operatorStatePart":
+        this.#operatorState.handlePart(body.value);
         return;
       case "runEnds":
         onRunEnds(this.#streamId, body.value.ends);
--- a/src/coordination/messages/batch_body.ts
+++ b/src/coordination/messages/batch_body.ts
@@ -5,6 +5,8 @@
 import type { JobConfirmation } from "./job_confirmation.ts";
 import type { JobGrant } from "./job_grant.ts";
 import type { OpenJobsChange } from "./open_jobs_change.ts";
+import type { OperatorStatePart } from "./operator_state_part.ts";
+import type { OperatorStateRequest } from "./operator_state_request.ts";
 import type { RunEnd } from "./run_end.ts";
 import type { StartRuns } from "./start_runs.ts";
 import type { WorkerCrashReport } from "./worker_crash_report.ts";
@@ -23,7 +25,9 @@
   | { case: "workerProfile"; value: WorkerProfile }
   | { case: "workerCrash"; value: WorkerCrashReport }
   | { case: "workerStatus"; value: WorkerStatus }
-  | { case: "operatorSnapshot"; value: { offset: number; state: string } }
+  /** From the side whose state of the operator is older, as pings have told. */
+  | { case: "readOperatorState"; value: OperatorStateRequest }
+  | { case: "operatorStatePart"; value: OperatorStatePart }
   | { case: "claimJob"; value: JobClaim }
   | { case: "claimReply"; value: JobClaimReply }
   /** From a home to an agent that has orders of the job. */
--- a/src/coordination/messages/mod.ts
+++ b/src/coordination/messages/mod.ts
@@ -22,6 +22,8 @@
 export type { JobClaimReply } from "./job_claim_reply.ts";
 export type { KnownClaim } from "./known_claim.ts";
 export type { OpenJobsChange } from "./open_jobs_change.ts";
+export type { OperatorStatePart } from "./operator_state_part.ts";
+export type { OperatorStateRequest } from "./operator_state_request.ts";
 export type { OutageReport } from "./outage_report.ts";
 export type { PeerMessage } from "./peer_message.ts";
 export type { RawLogRecord } from "./raw_log_record.ts";
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -61,8 +61,12 @@
       ];
     case "workerStatus":
       return createStatusRow(body.value);
-    case "operatorSnapshot":
-      return [body.value.offset, body.value.state];
+    case "readOperatorState":
+      return [body.value.offset, body.value.position];
+    case "operatorStatePart": {
+      const { offset, position, length, text } = body.value;
+      return [offset, position, length, text];
+    }
     case "claimJob": {
       const { jobId, number, ageMs, isDeciding, notify, spec } = body.value;
       return [jobId, number, ageMs, isDeciding, notify, spec];
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -152,9 +152,18 @@
     }
     case "workerStatus":
       return { case: kindCase, value: parseStatus(fields as StatusRow) };
-    case "operatorSnapshot": {
-      const [offset, state] = fields as [number, string];
-      return { case: kindCase, value: { offset, state } };
+    case "readOperatorState": {
+      const [offset, position] = fields as [number, number];
+      return { case: kindCase, value: { offset, position } };
+    }
+    case "operatorStatePart": {
+      const [offset, position, length, text] = fields as [
+        number,
+        number,
+        number,
+        string,
+      ];
+      return { case: kindCase, value: { offset, position, length, text } };
     }
     case "claimJob": {
       const [jobId, number, ageMs, isDeciding, notify, spec] = fields as [
