Don't ask a peer for the operator's state while the store's answer makes progress

An entry that was behind gave the store 1 s, whatever the size of the answer, and then read the state from an agent beside it.

The 1 s now begins again with each 64 KB of the answer, so that the largest record takes at most 4 s before a peer is asked; an answer that stops or trickles is given up as before. 'does not ask a peer while a large answer of the store arrives' failed before.

--- a/src/coordination/batch/directory/operator_follower.ts
+++ b/src/coordination/batch/directory/operator_follower.ts
@@ -43,6 +43,7 @@
       log: options.log,
       getOffset: () => this.state.offset,
       isStoreReachable: () => this.#follower.isReachable !== false,
+      getStoreBytes: () => this.#follower.receivedBytes,
       onRead: (snapshot, from) => this.#mergeSnapshot(snapshot, from),
     });
   }
--- a/src/coordination/batch/directory/operator_state_reader.ts
+++ b/src/coordination/batch/directory/operator_state_reader.ts
@@ -4,10 +4,17 @@
 
 /**
  * Time for which a process that is behind a peer waits for the store, if it can be
- * read, before it reads the state from the peer, in milliseconds.
+ * read, before it reads the state from the peer, in milliseconds. It begins again with
+ * each progress of the store's answer.
  */
 const STORE_PRIORITY_MS = 1_000;
 
+/**
+ * Bytes of the store's answer that count as progress. The largest record, of 256 KB,
+ * thus takes less than 4 s before a peer is asked, however slowly the store sends.
+ */
+const MIN_STORE_PROGRESS_BYTES = 65_536;
+
 /**
  * Time without a part of the state after which it is read from another peer, in
  * milliseconds.
@@ -19,6 +26,8 @@
   /** Gets the offset of the state of this process. */
   getOffset: () => number;
   isStoreReachable: () => boolean;
+  /** Gets how many bytes have arrived from the store, also of an unfinished answer. */
+  getStoreBytes: () => number;
   /** Called with a complete state of a peer. */
   onRead: (snapshot: { offset: number; state: string }, from: string) => void;
   getTime?: () => number;
@@ -43,6 +52,8 @@
   readonly #options: OperatorStateReaderOptions;
   readonly #getTime: () => number;
   #behind: { offset: number; since: number } | undefined;
+  /** When the latest progress of the store was noticed, and the bytes until then. */
+  #storeProgress = { at: -Infinity, bytes: 0 };
   #transfer: Transfer | undefined;
 
   constructor(options: OperatorStateReaderOptions) {
@@ -59,9 +70,10 @@
     const now = this.#getTime();
     if (this.#behind?.offset !== ownOffset) {
       this.#behind = { offset: ownOffset, since: now };
+      this.#storeProgress = { at: now, bytes: this.#options.getStoreBytes() };
     }
     const isWaitingForStore = this.#options.isStoreReachable() &&
-      now - this.#behind.since < STORE_PRIORITY_MS;
+      now - this.#getStoreProgressTime(now) < STORE_PRIORITY_MS;
     if (!isWaitingForStore && !this.#isReading(now)) {
       this.#start(source, offset);
     }
@@ -106,6 +118,14 @@
     }
   }
 
+  #getStoreProgressTime(now: number): number {
+    const bytes = this.#options.getStoreBytes();
+    if (bytes - this.#storeProgress.bytes >= MIN_STORE_PROGRESS_BYTES) {
+      this.#storeProgress = { at: now, bytes };
+    }
+    return this.#storeProgress.at;
+  }
+
   #isReading(now: number): boolean {
     const transfer = this.#transfer;
     if (transfer === undefined) {
--- a/src/coordination/batch/directory/topic_follower.ts
+++ b/src/coordination/batch/directory/topic_follower.ts
@@ -40,6 +40,10 @@
   #offset: number | undefined;
   #isReachable: boolean | undefined;
   #isStopped = false;
+  #receivedBytes = 0;
+  readonly #onProgress = (byteCount: number): void => {
+    this.#receivedBytes += byteCount;
+  };
 
   constructor(options: TopicFollowerOptions) {
     this.#options = options;
@@ -50,6 +54,11 @@
     return this.#isReachable;
   }
 
+  /** Gets how many bytes of answers have arrived, those of unfinished ones included. */
+  get receivedBytes(): number {
+    return this.#receivedBytes;
+  }
+
   /** Follows the topic until `stop` is called. */
   async run(): Promise<void> {
     let retryMs: number = RETRY_DELAY_MS.first;
@@ -75,10 +84,11 @@
     const { topic, store, apply } = this.#options;
     const from = this.#offset;
     const page = from === undefined
-      ? await store.readNewest(topic)
+      ? await store.readNewest(topic, { onProgress: this.#onProgress })
       : await store.readFrom(topic, {
         from,
         waitMs: this.#options.readWaitMs ?? MAX_READ_WAIT_MS,
+        onProgress: this.#onProgress,
       });
     if (page.isOk()) {
       this.#setReachable(true);
--- a/src/coordination/ports/keyed_store.ts
+++ b/src/coordination/ports/keyed_store.ts
@@ -5,8 +5,15 @@
 
 /** Access to the keyed topics of the platform's store. */
 export interface KeyedStore {
-  /** Reads the newest record of each key. */
-  readNewest(topic: KeyedTopic): Promise<Result<KeyedPage, DispatchError>>;
+  /**
+   * Reads the newest record of each key.
+   * @param options.onProgress - Called with the number of bytes of each part of an
+   * answer.
+   */
+  readNewest(
+    topic: KeyedTopic,
+    options?: { onProgress?: (byteCount: number) => void },
+  ): Promise<Result<KeyedPage, DispatchError>>;
   /**
    * Reads the records from an offset on. If there is none, waits for one for up
    * to `waitMs` milliseconds. An error of kind `not_found` means that some of
@@ -14,7 +21,11 @@
    */
   readFrom(
     topic: KeyedTopic,
-    options: { from: number; waitMs: number },
+    options: {
+      from: number;
+      waitMs: number;
+      onProgress?: (byteCount: number) => void;
+    },
   ): Promise<Result<KeyedPage, DispatchError>>;
   /** Appends a record. After an error, it may have been appended or not. */
   append(
--- a/src/transport/http/http_client.ts
+++ b/src/transport/http/http_client.ts
@@ -22,6 +22,8 @@
    * of any size.
    */
   progressTimeoutMs?: number;
+  /** Called with the number of bytes of each part of the response's body. */
+  onProgress?: (byteCount: number) => void;
 }
 
 /**
@@ -75,6 +77,7 @@
         response.on("data", (chunk: Buffer) => {
           chunks.push(chunk);
           receivedBytes += chunk.length;
+          options.onProgress?.(chunk.length);
           if (progressTimeoutMs !== undefined) {
             clearTimeout(timer);
             timer = setTimeout(handleTimeout, progressTimeoutMs);
--- a/tests/coordination/batch/directory/operator_state_reader_test.ts
+++ b/tests/coordination/batch/directory/operator_state_reader_test.ts
@@ -28,6 +28,7 @@
   let now: number;
   let ownOffset: number;
   let isStoreReachable: boolean;
+  let storeBytes: number;
   let read: { offset: number; state: string; from: string }[];
   let reader: OperatorStateReader;
   let peers: RecordedSource[];
@@ -36,6 +37,7 @@
     now = 10_000;
     ownOffset = 0;
     isStoreReachable = false;
+    storeBytes = 0;
     read = [];
     peers = Array.from(
       { length: 100 },
@@ -45,6 +47,7 @@
       log: new RecordedLog(),
       getOffset: () => ownOffset,
       isStoreReachable: () => isStoreReachable,
+      getStoreBytes: () => storeBytes,
       onRead: (snapshot, from) => read.push({ ...snapshot, from }),
       getTime: () => now,
     });
@@ -90,6 +93,33 @@
     expect(countRequests()).to.equal(1);
   });
 
+  it("does not ask a peer while a large answer of the store arrives", () => {
+    // Guards against a state that is read twice over a slow link: the answer of the
+    // store takes longer for it.
+    isStoreReachable = true;
+    for (let n = 0; n < 12; n++) {
+      tellOffsets();
+      now += 200;
+      storeBytes += 20_000;
+    }
+    expect(countRequests()).to.equal(0);
+  });
+
+  it("asks a peer when the answer of the store stops, or trickles", () => {
+    for (const bytesInPeriod of [0, 1_000]) {
+      isStoreReachable = true;
+      storeBytes += 200_000;
+      const before = countRequests();
+      ownOffset--;
+      for (let n = 0; n < 6; n++) {
+        tellOffsets();
+        now += 200;
+        storeBytes += bytesInPeriod;
+      }
+      expect(countRequests()).to.equal(before + 1);
+    }
+  });
+
   it("does not read on once the store has answered", () => {
     tellOffsets();
     ownOffset = OFFSET;
--- a/tests/platform/store_client_test.ts
+++ b/tests/platform/store_client_test.ts
@@ -91,6 +91,18 @@
     expect(page._unsafeUnwrap().records).to.deep.equal([{ key: "k", value }]);
   });
 
+  it("tells its caller of the progress of an answer before it is complete", async () => {
+    // Guards against a caller that takes a large answer for a lost one.
+    store.answers.push(createSlowAnswer("v".repeat(250_000)));
+    const counts: number[] = [];
+    const page = await client.readFrom("operator", {
+      ...{ from: 0, waitMs: 10, onProgress: (count) => counts.push(count) },
+    });
+    expect(page.isOk()).to.equal(true);
+    expect(counts.length).to.be.at.least(5);
+    expect(counts.reduce((sum, count) => sum + count)).to.be.above(250_000);
+  });
+
   it("times out an answer that stops in its middle", async () => {
     store.answers.push({
       ...createSlowAnswer("v"),
