--- a/tests/platform/store_client_test.ts
+++ b/tests/platform/store_client_test.ts
@@ -38,6 +38,30 @@
     expect(store.calls[1]?.url).to.contain("dependsOn=a");
   });
 
+  it("goes on after the pages it has when the store refuses the next one", async () => {
+    // Guards against a large topic that is never read from a busy store, since each
+    // refused page meant a start from the first one.
+    const createPage = (key: string, hasMore: boolean, end: number) => ({
+      status: 200,
+      body: { items: [createItem(key, key)], hasMore, end },
+    });
+    const refused = { status: 429, body: {} };
+    store.answers.push(createPage("a", true, 4), refused);
+    expect((await client.readNewest("members")).isErr()).to.equal(true);
+    store.answers.push(createPage("b", true, 6), "reset");
+    expect((await client.readNewest("members")).isErr()).to.equal(true);
+    store.answers.push(createPage("c", false, 7));
+    const page = await client.readNewest("members");
+    expect(page._unsafeUnwrap()).to.deep.equal({
+      records: ["a", "b", "c"].map((key) => ({ key, value: key })),
+      end: 4,
+    });
+    // The next read is a new one.
+    store.answers.push(createPage("a", false, 8));
+    const next = await client.readNewest("members");
+    expect(next._unsafeUnwrap().end).to.equal(8);
+  });
+
   it("distinguishes deleted records from a refused call", async () => {
     const read = () => client.readFrom("operator", { from: 3, waitMs: 10 });
     store.answers.push(
