Limit the time without progress of a read of the log service, not its whole time

In the product's own interface, a read of the log was aborted 10 s after its start, however much of the page had come. The limit now applies to the time without any part of an answer.

'reads a large page over a slow link, however long it takes' failed before. Not seen on a deployment.

--- a/src/coordination/follower/view_limits.ts
+++ b/src/coordination/follower/view_limits.ts
@@ -13,8 +13,8 @@
   /** Duration of a log read beyond which the log counts as unreachable. */
   logReadTimeoutMs: 1_500,
   /**
-   * Time after which a log read is aborted. Until then, a late reply is still
-   * applied.
+   * Time without any part of an answer after which a log read is aborted. Until then,
+   * a late reply is still applied.
    */
   logReadAbortMs: 10_000,
   /** Time after which an outage report expires. */
--- a/src/transport/log/http_log_service.ts
+++ b/src/transport/log/http_log_service.ts
@@ -22,14 +22,25 @@
   readonly text: string;
 }
 
-/** Client of the platform's log service over HTTP. */
+export interface HttpLogServiceOptions {
+  /** Longest time without any part of an answer to a read, in milliseconds. */
+  readTimeoutMs?: number;
+}
+
+/**
+ * Client of the platform's log service over HTTP. Time limits apply to the time
+ * without any part of an answer: a page may hold a snapshot of several MB, which
+ * takes longer than any fixed time on a slow link.
+ */
 export class HttpLogService implements LogService {
   readonly #baseUrl: string;
+  readonly #readTimeoutMs: number;
   readonly #agent = new http.Agent({ keepAlive: true });
 
   /** @param address - `host:port` of the log service. */
-  constructor(address: string) {
+  constructor(address: string, options: HttpLogServiceOptions = {}) {
     this.#baseUrl = `http://${address}`;
+    this.#readTimeoutMs = options.readTimeoutMs ?? VIEW_LIMITS.logReadAbortMs;
   }
 
   async append(record: LogRecord): Promise<Result<number, DispatchError>> {
@@ -59,7 +70,7 @@
     from: number,
     limit: number,
   ): Promise<Result<LogPage, DispatchError>> {
-    const timeoutMs = VIEW_LIMITS.logReadAbortMs;
+    const timeoutMs = this.#readTimeoutMs;
     const path = `/v1/records?from=${from}&limit=${limit}`;
     const reply = await this.#send("GET", path, { timeoutMs });
     if (reply.isErr()) {
@@ -110,7 +121,9 @@
       };
       const timer = setTimeout(
         () =>
-          request.destroy(new Error(`no reply within ${options.timeoutMs} ms`)),
+          request.destroy(
+            new Error(`no part of a reply within ${options.timeoutMs} ms`),
+          ),
         options.timeoutMs,
       );
       request.on("socket", (socket) => {
@@ -124,7 +137,7 @@
         fail(error.message);
       });
       request.on("response", (response) => {
-        readText(response).then(
+        readText(response, () => timer.refresh()).then(
           (text) => resolve(ok({ status: response.statusCode ?? 0, text })),
           (error) => fail((error as Error).message),
         ).finally(() => clearTimeout(timer));
@@ -142,9 +155,13 @@
   return isNestedWithin(record) ? JSON.stringify(record) : "";
 }
 
-async function readText(response: http.IncomingMessage): Promise<string> {
+async function readText(
+  response: http.IncomingMessage,
+  onProgress: () => void,
+): Promise<string> {
   const chunks: Buffer[] = [];
   for await (const chunk of response) {
+    onProgress();
     chunks.push(chunk);
   }
   return Buffer.concat(chunks).toString("utf8");
