--- a/src/transport/http/http_client.ts
+++ b/src/transport/http/http_client.ts
@@ -24,6 +24,11 @@
   progressTimeoutMs?: number;
   /** Called with the number of bytes of each part of the response's body. */
   onProgress?: (byteCount: number) => void;
+  /**
+   * Whether `timeoutMs` begins when the request has got a connection, which may be a new
+   * one that is being opened, instead of at once. False by default.
+   */
+  waitsForConnection?: boolean;
 }
 
 /**
@@ -96,7 +101,15 @@
         timeout = `no answer in time, ${receivedBytes} bytes were received`;
         request.destroy();
       };
-      let timer = setTimeout(handleTimeout, timeoutMs);
+      let timer: NodeJS.Timeout | undefined;
+      const startTimer = () => {
+        timer = setTimeout(handleTimeout, timeoutMs);
+      };
+      if (options.waitsForConnection === true) {
+        request.once("socket", startTimer);
+      } else {
+        startTimer();
+      }
       request.on("error", fail);
       request.end(body);
     });
