--- a/scripts/lib/relay.ts
+++ b/scripts/lib/relay.ts
@@ -21,9 +21,18 @@
   | { readonly type: "hold"; readonly direction?: RelayDirection }
   | { readonly type: "delay"; readonly delayMs: number };
 
+export interface RelayOptions {
+  /**
+   * Called with the first bytes of a connection. The relay connects to its target
+   * when the returned promise is resolved.
+   */
+  waitToConnect?: (firstBytes: Buffer) => Promise<void>;
+}
+
 /** A TCP relay on the loopback interface that injects faults into one link. */
 export class Relay {
   readonly #target: string;
+  readonly #options: RelayOptions;
   readonly #server: Server;
   readonly #sockets = new Set<Socket>();
   readonly #silenced = new WeakSet<Socket>();
@@ -31,9 +40,10 @@
   #resumeCallbacks: (() => void)[] = [];
 
   /** @param target - Address that the relay connects to, as `host:port`. */
-  constructor(target: string) {
+  constructor(target: string, options: RelayOptions = {}) {
     this.#target = target;
-    this.#server = createServer((socket) => this.#accept(socket));
+    this.#options = options;
+    this.#server = createServer((socket) => void this.#accept(socket));
   }
 
   /** Starts to listen, and returns the relay's own address. */
@@ -82,17 +92,51 @@
     this.setMode({ type: "refuse" });
   }
 
-  #accept(socket: Socket): void {
+  async #accept(socket: Socket): Promise<void> {
     if (this.#mode.type === "refuse") {
       socket.destroy();
       return;
     }
+    const { waitToConnect } = this.#options;
+    if (waitToConnect !== undefined) {
+      const isOpen = await this.#waitToConnect(socket, waitToConnect);
+      if (!isOpen) {
+        return;
+      }
+    }
     const [host, port] = this.#target.split(":") as [string, string];
     const targetSocket = connect(Number(port), host);
     void this.#copyDirection(socket, targetSocket, "forward");
     void this.#copyDirection(targetSocket, socket, "backward");
   }
 
+  /** Returns whether the connection is still open when its target may be used. */
+  async #waitToConnect(
+    socket: Socket,
+    waitToConnect: (firstBytes: Buffer) => Promise<void>,
+  ): Promise<boolean> {
+    this.#sockets.add(socket);
+    socket.on("error", () => {});
+    const chunks: Buffer[] = [];
+    const receive = (chunk: Buffer) => chunks.push(chunk);
+    // Read on meanwhile: a paused socket doesn't notice the end of its connection.
+    socket.on("data", receive);
+    const firstBytes = await new Promise<Buffer | undefined>((resolve) => {
+      socket.once("data", resolve);
+      socket.once("close", () => resolve(undefined));
+    });
+    if (firstBytes !== undefined) {
+      await waitToConnect(firstBytes);
+    }
+    socket.off("data", receive);
+    socket.pause();
+    this.#sockets.delete(socket);
+    if (!socket.destroyed) {
+      socket.unshift(Buffer.concat(chunks));
+    }
+    return !socket.destroyed;
+  }
+
   /** Copies the bytes of one direction of a connection. */
   async #copyDirection(
     from: Socket,
--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -36,6 +36,11 @@
   workerCpuMillis?: number;
   /** Time after which a process that has ended runs again. */
   restartDelayMs?: number;
+  /**
+   * Called with the first bytes of each stream to an agent, which is opened when
+   * the promise is resolved.
+   */
+  waitToConnect?: (agent: string, firstBytes: Buffer) => Promise<void>;
   findTask: (task: string) => StandInTask | undefined;
   onEvent: (event: WorkerEvent, location: WorkerLocation) => void;
 }
@@ -141,6 +146,7 @@
       hasEqualWorkers = false,
       workerCpuMillis = SOAK_LIMITS.workerCpuMillis,
       restartDelayMs,
+      waitToConnect,
       findTask,
       onEvent,
     } = this.#options;
@@ -172,7 +178,12 @@
       guardsCapacity: hasEqualWorkers || n % 2 === 0,
       onEvent: handleEvent,
     });
-    const peerRelay = new Relay(peerAddress);
+    const peerRelay = new Relay(
+      peerAddress,
+      waitToConnect && {
+        waitToConnect: (firstBytes) => waitToConnect(name, firstBytes),
+      },
+    );
     const workerRelay = new Relay(await worker.start());
     const storeRelay = new Relay(this.#storeAddress);
     const settings = {
--- a/scripts/soak/soak_process.ts
+++ b/scripts/soak/soak_process.ts
@@ -25,6 +25,8 @@
   readonly name: string;
   /** Folder of the compiled files from which the next start runs. */
   distFolder = new URL("../..", import.meta.url).pathname;
+  /** Delay between its end and its restart, in milliseconds. */
+  restartDelayMs: number;
   readonly #options: SoakProcessOptions;
   #child: ChildProcess | undefined;
   #isStopped = false;
@@ -32,6 +34,7 @@
   constructor(options: SoakProcessOptions) {
     this.#options = options;
     this.name = options.name;
+    this.restartDelayMs = options.restartDelayMs ?? RESTART_DELAY_MS;
     writeFileSync(this.#settingsPath, JSON.stringify(options.settings));
   }
 
@@ -40,7 +43,7 @@
   }
 
   start(): void {
-    const { role, folder, restartDelayMs = RESTART_DELAY_MS } = this.#options;
+    const { role, folder } = this.#options;
     const program = join(this.distFolder, `platform/${role}.js`);
     const log = createWriteStream(join(folder, `${this.name}.log`), {
       flags: "a",
@@ -53,7 +56,10 @@
     child.stderr.pipe(log, { end: false });
     child.once("exit", () => {
       if (!this.#isStopped) {
-        setTimeout(() => this.#isStopped || this.start(), restartDelayMs);
+        setTimeout(
+          () => this.#isStopped || this.start(),
+          this.restartDelayMs,
+        );
       }
     });
     this.#child = child;
