--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -420,6 +420,7 @@
     claim.isHomeConnecting = false;
     claim.isAsked = true;
     let spec = notify.length > 0 ? claim.spec : undefined;
+    let hasAsked = false;
     const homes = this.#selectHomes(claim);
     const [decidingHome] = selectHomes(claim.jobId, homes, 1);
     for (const home of homes) {
@@ -447,6 +448,34 @@
         spec,
       });
       spec = undefined;
+      hasAsked = true;
+    }
+    if (hasAsked) {
+      this.#recordMissingHomes(claim, homes);
+    }
+  }
+
+  /**
+   * Logs the agents that would be homes of a job if this entry reached all that it
+   * knows: another entry may claim the job there, and not at the homes of this one.
+   */
+  #recordMissingHomes(claim: OpenClaim, homes: readonly ClaimHome[]): void {
+    const known = this.#options.getHomes();
+    if (
+      claim.scope === "all" ||
+      known.every(({ canKeepClaims }) => canKeepClaims)
+    ) {
+      return;
+    }
+    const missing = selectHomes(claim.jobId, known, homes.length)
+      .filter((home) => !homes.includes(home));
+    if (missing.length > 0) {
+      this.#options.log.record("job_homes_missing", {
+        job: claim.jobId,
+        missing: missing.map(({ agentId }) => agentId),
+        homes: homes.map(({ agentId }) => agentId),
+        jobAgeMs: Math.round(this.getAgeMs(claim.jobId)),
+      });
     }
   }
 
