--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -41,6 +41,8 @@
    * the promise is resolved.
    */
   waitToConnect?: (agent: string, firstBytes: Buffer) => Promise<void>;
+  /** Whether there is a relay on each link to an agent; by default there is. */
+  hasPeerRelays?: boolean;
   findTask: (task: string) => StandInTask | undefined;
   onEvent: (event: WorkerEvent, location: WorkerLocation) => void;
 }
@@ -71,8 +73,11 @@
     });
   }
 
-  /** Starts all processes, without waiting until they are ready. */
-  async start(): Promise<void> {
+  /**
+   * Starts all processes, without waiting until they are ready.
+   * @param distFolder - Folder of the compiled programs, if it is another one.
+   */
+  async start(distFolder?: string): Promise<void> {
     const { entries, agents } = this.#options;
     this.#storeAddress = await this.store.start();
     for (let n = 0; n < agents; n++) {
@@ -82,6 +87,7 @@
       this.entries.push(await this.#createEntry(n));
     }
     for (const { process } of [...this.agents, ...this.entries]) {
+      process.distFolder = distFolder ?? process.distFolder;
       process.start();
     }
   }
@@ -147,6 +153,7 @@
       workerCpuMillis = SOAK_LIMITS.workerCpuMillis,
       restartDelayMs,
       waitToConnect,
+      hasPeerRelays = true,
       findTask,
       onEvent,
     } = this.#options;
@@ -197,7 +204,9 @@
       maxLeaseMs: 1_000,
       reportAddress,
     };
-    this.#peerAddresses.set(name, await peerRelay.start());
+    if (hasPeerRelays) {
+      this.#peerAddresses.set(name, await peerRelay.start());
+    }
     const process = new SoakProcess({
       ...{ role: "agent", name, folder, settings, restartDelayMs },
     });
--- a/tests/cluster/loss_of_all_processes_test.ts
+++ b/tests/cluster/loss_of_all_processes_test.ts
@@ -30,6 +30,8 @@
   jobs: Number(process.env["LOSS_JOBS"] ?? 6),
   rounds: Number(process.env["LOSS_ROUNDS"] ?? 1),
   firstSeed: Number(process.env["LOSS_SEED"] ?? 1),
+  /** Share of the streams that open late, in percent. */
+  latePercent: Number(process.env["LOSS_LATE_PERCENT"] ?? 50),
 } as const;
 
 /** Time for which the clients wait for an answer. */
@@ -94,6 +96,8 @@
     ...{ folder, entries: SIZE.entries, agents: SIZE.agents },
     ...{ zones: ["a", "b", "c"], services: ["render"] },
     ...{ hasEqualWorkers: true, workerCpuMillis: 32_000 },
+    // Relays take more processor time than the processes of a large cluster.
+    hasPeerRelays: process.env["LOSS_RELAYS"] !== "0",
     waitToConnect: async (agent, firstBytes) => {
       const entry = findEntryName(firstBytes);
       if (entry === undefined) {
@@ -118,7 +122,7 @@
   let hasFailed = process.env["LOSS_KEEP_LOGS"] !== undefined;
 
   before(async () => {
-    await cluster.start();
+    await cluster.start(process.env["LOSS_PROGRAMS"]);
     const { key, value } = formatOperatorConfig({
       ...{ version: 1, routes: [ROUTE] },
     });
@@ -188,10 +192,14 @@
     for (const { process } of [...cluster.entries, ...cluster.agents]) {
       process.sendSignal("SIGKILL");
     }
-    await waitFor(
-      "the start of all entries",
-      () => startedAt.size === SIZE.entries,
-    );
+    await wait(RESTART_DELAY_MS / 2);
+    for (const { process, readyAddress } of cluster.entries) {
+      await waitFor(`the start of ${process.name}`, async () => {
+        const answer = await fetch(`http://${readyAddress}/`);
+        await answer.arrayBuffer();
+        return true;
+      });
+    }
   }
 
   /** Waits until all runs have ended, and removes the overlaps found so far. */
@@ -281,7 +289,9 @@
         getOpenDelayMs: (entry, agent) => {
           const link = `${entry} ${agent}`;
           const delay = delays.get(link) ??
-            (random.getInt(0, 1) === 0 ? 0 : random.getInt(700, 1_500));
+            (random.getInt(1, 100) > SIZE.latePercent
+              ? 0
+              : random.getInt(700, 1_500));
           delays.set(link, delay);
           return delay;
         },
