--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -41,8 +41,8 @@
    * the promise is resolved.
    */
   waitToConnect?: (agent: string, firstBytes: Buffer) => Promise<void>;
-  /** Whether there is a relay on each link to an agent; by default there is. */
-  hasPeerRelays?: boolean;
+  /** Whether there is a relay on each link to an agent or worker; by default there is. */
+  hasRelays?: boolean;
   findTask: (task: string) => StandInTask | undefined;
   onEvent: (event: WorkerEvent, location: WorkerLocation) => void;
 }
@@ -153,7 +153,7 @@
       workerCpuMillis = SOAK_LIMITS.workerCpuMillis,
       restartDelayMs,
       waitToConnect,
-      hasPeerRelays = true,
+      hasRelays = true,
       findTask,
       onEvent,
     } = this.#options;
@@ -191,7 +191,9 @@
         waitToConnect: (firstBytes) => waitToConnect(name, firstBytes),
       },
     );
-    const workerRelay = new Relay(await worker.start());
+    const workerAddress = await worker.start();
+    const workerRelay = new Relay(workerAddress);
+    const workerRelayAddress = await workerRelay.start();
     const storeRelay = new Relay(this.#storeAddress);
     const settings = {
       name,
@@ -199,12 +201,12 @@
       storeAddress: await storeRelay.start(),
       metricsPort: await findFreePort(),
       peerAddress,
-      workerAddress: await workerRelay.start(),
+      workerAddress: hasRelays ? workerRelayAddress : workerAddress,
       service,
       maxLeaseMs: 1_000,
       reportAddress,
     };
-    if (hasPeerRelays) {
+    if (hasRelays) {
       this.#peerAddresses.set(name, await peerRelay.start());
     }
     const process = new SoakProcess({
