--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -36,6 +36,13 @@
   workerCpuMillis?: number;
   /** Time after which a process that has ended runs again. */
   restartDelayMs?: number;
+  /**
+   * Called with the first bytes of each stream to an agent, which is opened when
+   * the promise is resolved.
+   */
+  waitToConnect?: (agent: string, firstBytes: Buffer) => Promise<void>;
+  /** Whether there is a relay on each link to an agent or worker; by default there is. */
+  hasRelays?: boolean;
   findTask: (task: string) => StandInTask | undefined;
   onEvent: (event: WorkerEvent, location: WorkerLocation) => void;
 }
@@ -66,8 +73,11 @@
     });
   }
 
-  /** Starts all processes, without waiting until they are ready. */
-  async start(): Promise<void> {
+  /**
+   * Starts all processes, without waiting until they are ready.
+   * @param distFolder - Folder of the compiled programs, if it is another one.
+   */
+  async start(distFolder?: string): Promise<void> {
     const { entries, agents } = this.#options;
     this.#storeAddress = await this.store.start();
     for (let n = 0; n < agents; n++) {
@@ -77,6 +87,7 @@
       this.entries.push(await this.#createEntry(n));
     }
     for (const { process } of [...this.agents, ...this.entries]) {
+      process.distFolder = distFolder ?? process.distFolder;
       process.start();
     }
   }
@@ -141,6 +152,8 @@
       hasEqualWorkers = false,
       workerCpuMillis = SOAK_LIMITS.workerCpuMillis,
       restartDelayMs,
+      waitToConnect,
+      hasRelays = true,
       findTask,
       onEvent,
     } = this.#options;
@@ -172,8 +185,15 @@
       guardsCapacity: hasEqualWorkers || n % 2 === 0,
       onEvent: handleEvent,
     });
-    const peerRelay = new Relay(peerAddress);
-    const workerRelay = new Relay(await worker.start());
+    const peerRelay = new Relay(
+      peerAddress,
+      waitToConnect && {
+        waitToConnect: (firstBytes) => waitToConnect(name, firstBytes),
+      },
+    );
+    const workerAddress = await worker.start();
+    const workerRelay = new Relay(workerAddress);
+    const workerRelayAddress = await workerRelay.start();
     const storeRelay = new Relay(this.#storeAddress);
     const settings = {
       name,
@@ -181,12 +201,14 @@
       storeAddress: await storeRelay.start(),
       metricsPort: await findFreePort(),
       peerAddress,
-      workerAddress: await workerRelay.start(),
+      workerAddress: hasRelays ? workerRelayAddress : workerAddress,
       service,
       maxLeaseMs: 1_000,
       reportAddress,
     };
-    this.#peerAddresses.set(name, await peerRelay.start());
+    if (hasRelays) {
+      this.#peerAddresses.set(name, await peerRelay.start());
+    }
     const process = new SoakProcess({
       ...{ role: "agent", name, folder, settings, restartDelayMs },
     });
