--- a/tests/cluster/loss_of_all_processes_test.ts
+++ b/tests/cluster/loss_of_all_processes_test.ts
@@ -61,6 +61,17 @@
 /** Time from the first job to the second loss of half of the agents, and to that of the others. */
 const SECOND_LOSS_INTERVAL_MS = 700;
 
+/**
+ * Times of a loss of all agents after the first request: of the loss and of the copy, and
+ * from the loss to the restarts of the two halves of the agents.
+ */
+const SECOND_LOSS_MS = {
+  killAfter: 250,
+  copyAfter: 700,
+  earlyRestart: 50,
+  lateRestart: 1_500,
+} as const;
+
 /** Range of the times after an entry's start at which late streams open. */
 const LATE_MS = { min: 700, max: 1_500 } as const;
 
@@ -94,9 +105,12 @@
    * default, clients send from the loss on until an entry accepts the job.
    */
   sendAfterMs?: number;
-  /** Time between two jobs, and largest time between the two requests of a job. */
+  /** Time between two jobs. */
   intervalMs?: number;
-  maxApartMs?: number;
+  /** Range of the time between the two requests of a job. */
+  apartMs?: readonly [number, number];
+  /** Whether the second request goes to one entry only, also when it is refused. */
+  isCopyBound?: boolean;
   /** Disrupts the cluster while the jobs are sent. */
   disrupt?: () => Promise<void>;
   /** Range of the delays of the restarts of agents and of entries. */
@@ -200,8 +214,8 @@
   async function submitUntilAccepted(
     job: SubmittedJob,
     firstEntry: SoakEntry,
+    entries: readonly SoakEntry[] = cluster.entries,
   ): Promise<string> {
-    const { entries } = cluster;
     const firstIndex = entries.indexOf(firstEntry);
     let answer = "";
     for (let n = 0; n < MAX_SUBMISSIONS; n++) {
@@ -259,7 +273,8 @@
     options: RoundOptions,
   ): Promise<{ overlaps: string[]; answers: string[][] }> {
     const { selectEntries, isUsable = () => true, sendAfterMs } = options;
-    const { intervalMs = 0, maxApartMs = 0, disrupt } = options;
+    const { intervalMs = 0, apartMs = [0, 0], disrupt } = options;
+    const { isCopyBound = false } = options;
     const random = new TestRandom(seed);
     getOpenDelayMs = options.getOpenDelayMs ?? (() => 0);
     await restartAll(random, options);
@@ -275,11 +290,15 @@
       Array.from({ length: SIZE.jobs }, async (_, index) => {
         const job = createJob(isUsable);
         const [first, second] = selectEntries(random);
-        const apartMs = random.getInt(0, maxApartMs);
+        const delayMs = random.getInt(...apartMs);
         await wait(index * intervalMs);
         const firstAnswer = submitUntilAccepted(job, first);
-        await wait(apartMs);
-        return Promise.all([firstAnswer, submitUntilAccepted(job, second)]);
+        await wait(delayMs);
+        const targets = isCopyBound ? [second] : cluster.entries;
+        return Promise.all([
+          firstAnswer,
+          submitUntilAccepted(job, second, targets),
+        ]);
       }),
     );
     await disrupting;
@@ -331,13 +350,13 @@
       agentDelayMs: [200, 2_700],
       entryDelayMs: [200, 700],
       selectEntries: (random) => selectTwo(cluster.entries, random),
-      ...{ intervalMs: 1_500 / SIZE.jobs, maxApartMs: 200 },
+      ...{ intervalMs: 1_500 / SIZE.jobs, apartMs: [0, 200] },
     })));
 
   it("never has two runs of a task at once when the agents are lost again while jobs are sent", () =>
     checkRounds("second loss", () => ({
       selectEntries: (random) => selectTwo(cluster.entries, random),
-      ...{ sendAfterMs: 900, intervalMs: 1_500 / SIZE.jobs, maxApartMs: 800 },
+      ...{ sendAfterMs: 900, intervalMs: 1_500 / SIZE.jobs, apartMs: [0, 800] },
       disrupt: async () => {
         for (const parity of [0, 1]) {
           await wait(SECOND_LOSS_INTERVAL_MS);
@@ -347,6 +366,26 @@
       },
     })));
 
+  it("never has two runs of a task at once when the agents are lost again and the first entry's streams open late", () =>
+    checkRounds("second loss, late streams", () => ({
+      selectEntries: () =>
+        cluster.entries.slice(0, 2) as [SoakEntry, SoakEntry],
+      sendAfterMs: CONNECT_MS,
+      isCopyBound: true,
+      apartMs: [SECOND_LOSS_MS.copyAfter, SECOND_LOSS_MS.copyAfter],
+      disrupt: async () => {
+        await wait(SECOND_LOSS_MS.killAfter);
+        startedAt.clear();
+        getOpenDelayMs = (entry) => entry === "entry-1" ? LATE_MS.max : 0;
+        cluster.agents.forEach(({ process }, index) => {
+          process.restartDelayMs = index >= SIZE.agents / 2
+            ? SECOND_LOSS_MS.earlyRestart
+            : SECOND_LOSS_MS.lateRestart;
+          process.sendSignal("SIGKILL");
+        });
+      },
+    })));
+
   it("never has two runs of a task at once when streams open late at random", () =>
     checkRounds("links late", (seed) => {
       const random = new TestRandom(seed + 1_000);
