Let runs that must end by a time expire with their lease, however long stops take

Entries count lost runs as ended 2,020 ms after the loss of their stream, and homes end claims after a similar time. Both assume that an agent stops the runs of an entry within 100 ms. It sends stops over four connections, and those that wait for one timed out unsent, so stops could take seconds. Meanwhile the agent renewed the lease, which covers all runs of its worker.

The agent now doesn't extend the lease, by a renewal or a start, while a started run belongs to an entry that it doesn't hear any more, or while the worker lists a run of a former process. So the bound holds by the lease, whatever the stops do.

--- a/src/coordination/batch/agent/worker_lease.ts
+++ b/src/coordination/batch/agent/worker_lease.ts
@@ -40,6 +40,8 @@
   log: EventLog;
   /** Length of the lease, in milliseconds. */
   leaseMs: number;
+  /** Returns whether the lease may last longer than it does now. */
+  canExtend: () => boolean;
   /** Returns whether runs may end at the worker. */
   hasRuns: () => boolean;
   /** Called with each report, and the fence and send time of its request. */
@@ -151,7 +153,7 @@
     // A renewal without an answer may still have been carried out. An
     // unresponsive worker is asked for a report without a renewal, so that its
     // lease is sure to expire.
-    const leaseUntilMs = this.isAnswering
+    const leaseUntilMs = this.isAnswering && this.#options.canExtend()
       ? this.getLeaseEnd(sentAt)
       : undefined;
     if (leaseUntilMs !== undefined) {
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -136,6 +136,10 @@
    * this process did not start.
    */
   #isSettled = false;
+  /** Whether the latest report lists a run that should not be there. */
+  #hasUnknownRuns = false;
+  /** Stops that the worker has not answered. */
+  readonly #openStops = new Set<string>();
   #isStopping = false;
   /**
    * Runs whose lease has expired since the worker was last heard. If another
@@ -405,12 +409,14 @@
       "the worker's capacity has shrunk",
       (run) => !hasRoom(capacity, run.resources),
     );
+    const canExtendLease = this.#canExtendLease();
     const takeOptions = {
       now: this.#getTime(),
       slowdown: this.#slowdown.value,
       // The runs of an entry that is behind wait: it would only send them again.
       canStart: (run: LocalRun) =>
-        run.owner.isResponsive() && run.awaitedGrant?.isComplete !== false &&
+        canExtendLease && run.owner.isResponsive() &&
+        run.awaitedGrant?.isComplete !== false &&
         !this.#mustWaitForSuspect(run),
     };
     for (const run of this.#queue.takeExpired(takeOptions)) {
@@ -426,6 +432,24 @@
     this.#options.onChange();
   }
 
+  /**
+   * Returns whether the lease may be extended. It covers all runs at the worker, also
+   * those that must end by the time at which entries count lost runs as ended
+   * (`getRunExpiryMs`), however long it takes to stop them: runs of entries that are not
+   * heard any more, and of a former agent process.
+   */
+  #canExtendLease(): boolean {
+    if (!this.#isSettled || this.#hasUnknownRuns) {
+      return false;
+    }
+    for (const { state, owner } of this.#runs.values()) {
+      if (state !== "queued" && !owner.isResponsive()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /**
    * Returns whether a run must wait since a worker has crashed under its task,
    * and a started run reaches the point of such a crash at the same time. Kept
@@ -541,6 +565,7 @@
     this.#reportSequence.start(worker.sequence);
     this.#clock.reset();
     this.#isSettled = false;
+    this.#hasUnknownRuns = false;
     this.#unhealthyUntil = 0;
     this.#failureShare = 0;
     log.record("worker_found", { ...worker });
@@ -555,6 +580,7 @@
         this.#options.maxLeaseMs ?? BATCH_LIMITS.leaseMs,
       ),
       getTime: this.#getTime,
+      canExtend: () => this.#canExtendLease(),
       hasRuns: () => this.#runs.size > this.#queue.size,
       onReport: (report, request) => this.#handleReport(lease, report, request),
       onExpired: () => this.#handleLeaseExpired(),
@@ -814,15 +840,15 @@
     request: { fence: number; sentAt: number },
   ): void {
     const byTask = new Map(listed.map((run) => [run.task, run]));
-    let isSettled = true;
+    this.#hasUnknownRuns = false;
     for (const { task, run } of listed) {
       const known = this.#runs.get(task);
       if (known === undefined || known.state === "queued") {
-        isSettled = false;
+        this.#hasUnknownRuns = true;
         void this.#sendStop(task, run);
       }
     }
-    if (isSettled && !this.#isSettled) {
+    if (!this.#hasUnknownRuns && !this.#isSettled) {
       this.#isSettled = true;
       this.#options.log.record("worker_settled", {
         workerId: this.#worker?.workerId,
@@ -893,7 +919,8 @@
       const leaseUntilMs = this.#lease?.getLeaseEnd(now);
       if (
         worker === undefined || leaseUntilMs === undefined ||
-        !this.acceptsWork || !run.owner.isResponsive() || run.isStopRequested
+        !this.acceptsWork || !this.#canExtendLease() ||
+        !run.owner.isResponsive() || run.isStopRequested
       ) {
         const outcome = run.isStopRequested ? "stopped" : "returned";
         this.#endRun(run, outcome, "no start is allowed now");
@@ -1058,9 +1085,11 @@
 
   async #sendStop(task: string, run: number): Promise<void> {
     const workerId = this.#worker?.workerId;
-    if (workerId === undefined) {
+    const name = `${workerId} ${task} ${run}`;
+    if (workerId === undefined || this.#openStops.has(name)) {
       return;
     }
+    this.#openStops.add(name);
     const fence = this.#fence.value;
     const reply = await this.#options.control.stopRun({
       workerId,
@@ -1069,6 +1098,7 @@
       task,
       run,
     });
+    this.#openStops.delete(name);
     if (reply.isErr()) {
       // If a later lease report still lists the run, it is stopped again.
       this.#options.log.record("stop_unanswered", {
--- a/src/transport/http/http_client.ts
+++ b/src/transport/http/http_client.ts
@@ -22,6 +22,11 @@
    * of any size.
    */
   progressTimeoutMs?: number;
+  /**
+   * Whether `timeoutMs` begins when the request has got a connection, which may be a new
+   * one that is being opened, instead of at once. False by default.
+   */
+  waitsForConnection?: boolean;
 }
 
 /**
@@ -93,7 +98,15 @@
         timeout = `no answer in time, ${receivedBytes} bytes were received`;
         request.destroy();
       };
-      let timer = setTimeout(handleTimeout, timeoutMs);
+      let timer: NodeJS.Timeout | undefined;
+      const startTimer = () => {
+        timer = setTimeout(handleTimeout, timeoutMs);
+      };
+      if (options.waitsForConnection === true) {
+        request.once("socket", startTimer);
+      } else {
+        startTimer();
+      }
       request.on("error", fail);
       request.end(body);
     });
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -203,6 +203,54 @@
     await waitUntil(() => !worker.running.has("old"), "the old run is stopped");
   });
 
+  it("does not renew the lease while a run of a former agent process is being stopped", async () => {
+    // Guards against runs that go on longer than their entry's expiry of lost runs.
+    worker.running.set("old", { task: "old", run: 3 });
+    worker.stopDelayMs = 300;
+    runner.handleWorkerReport(createDescription());
+    await wait(250);
+    expect(worker.leaseUntilMs).to.equal(0);
+    await waitUntil(() => runner.acceptsWork, "the old run is stopped");
+  });
+
+  describe("while a run of an entry that is lost is being stopped", () => {
+    const lost = new TestOwner("entry-2");
+
+    beforeEach(async () => {
+      lost.isAcknowledging = true;
+      worker.stopDelayMs = 400;
+      await startWorker();
+      await startRun(createRun(lost, { task: "lost" }));
+      lost.isAcknowledging = false;
+      runner.stopWhere((run) => run.owner === lost, "entry_lost");
+    });
+
+    it("does not renew the lease, which covers that run too", async () => {
+      // Guards against runs that go on longer than their entry's expiry of lost runs.
+      const { leaseUntilMs } = worker;
+      await wait(350);
+      expect(worker.running.has("lost")).to.equal(true);
+      expect(worker.leaseUntilMs).to.equal(leaseUntilMs);
+      await waitUntil(
+        () => worker.leaseUntilMs > leaseUntilMs,
+        "the lease is renewed after the end of the run",
+      );
+      expect(worker.running.has("lost")).to.equal(false);
+    });
+
+    it("starts no run, whose order would renew the lease", async () => {
+      // Guards against a start that extends the lease of a run that must end.
+      const { leaseUntilMs } = worker;
+      runner.add(createRun(owner));
+      runner.processQueue();
+      await wait(350);
+      expect(worker.starts).to.have.length(1);
+      expect(worker.leaseUntilMs).to.equal(leaseUntilMs);
+      await waitUntil(() => worker.starts.length === 2, "the run is started");
+      expect(owner.ends).to.deep.equal([]);
+    });
+  });
+
   it("keeps the runs of an entry that is not responsive queued until it is", async () => {
     await startWorker();
     owner.isAcknowledging = false;
--- a/tests/lib/batch_cluster.ts
+++ b/tests/lib/batch_cluster.ts
@@ -124,6 +124,7 @@
       getOffers: () => [],
       isConfined: () => false,
       declinePolicy: new DeclinePolicy(),
+      hasEarlierRuns: () => false,
       hasClaim: () => true,
       requestGrants: () => {},
       getAgeMs: () => 0,
