Give two entries a home in common while one of them doesn't reach the first ones

Callers saw two runs of a task at the same time when two entries got a job of which one couldn't reach its homes, or whose links opened late after a restart of this entry or of all processes.

An entry selected homes among the agents that it reached at that moment, or had been connecting to for less than 0.7 s. So two entries could claim the job at different homes, and neither was told.

An agent now keeps its rank until other entries certainly know that this one doesn't reach it, and a job needs two of the three agents that rank highest. Agents report how many entries they hear. One that hears fewer than another is not reached by all entries, and the entry that reaches it asks further homes, also for jobs that it has claimed already.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -182,7 +182,7 @@
       log: this.#options.log,
       name: this.#options.name,
       incarnation: this.#options.incarnation,
-      countEntries: () => this.#countEntries(),
+      countEntries: () => this.#countHeardEntries(),
       getCrashes: () =>
         this.#crashes.map(({ id, at, runs }) => ({
           id,
@@ -307,6 +307,14 @@
     return [...this.#sessions].filter(({ name }) => name !== "").length;
   }
 
+  /** Counts the connected entries that are heard. */
+  #countHeardEntries(): number {
+    const heard = [...this.#sessions].filter((session) =>
+      session.name !== "" && session.isHeard
+    );
+    return new Set(heard.map(({ name }) => name)).size;
+  }
+
   #scheduleStatus(): void {
     const entryCount = this.#countEntries();
     if (this.#statusTimer !== undefined || entryCount === 0) {
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -38,7 +38,7 @@
   name: string;
   /** Identifies one start of the agent process. */
   incarnation: string;
-  /** Returns the number of connected entries. */
+  /** Returns the number of connected entries that are heard. */
   countEntries: () => number;
   /** Gets the crashes that a newly connected entry is told. */
   getCrashes: () => WorkerCrashReport[];
@@ -124,6 +124,12 @@
         BATCH_LIMITS.entryTimeoutMs;
   }
 
+  /** Gets whether the entry responds, or has just connected. */
+  get isHeard(): boolean {
+    return !this.#isClosed &&
+      (this.isResponsive() || this.#stream.acknowledgedSentAt === -Infinity);
+  }
+
   /** Returns whether an entry opened this stream before that of the other. */
   isEarlierThan(other: BatchEntrySession): boolean {
     const own = this.#hello;
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -39,6 +39,17 @@
  */
 const SUSPECT_TIMEOUT_MS = 450;
 
+/**
+ * Time in which other entries learn that this one doesn't reach an agent, in
+ * milliseconds. The agent counts an entry as connected for `entryTimeoutMs` after its
+ * last frame; before the first stream, that may be one of the former process. Such a
+ * frame may have come right before the start of this one, hence the additional time.
+ */
+const DOUBT_MS = {
+  lost: BATCH_LIMITS.entryTimeoutMs,
+  neverReached: BATCH_LIMITS.entryTimeoutMs + BATCH_LIMITS.agentTimeoutMs,
+} as const;
+
 /** Delays between attempts to open the stream, in milliseconds. */
 const REOPEN_DELAY_MS = { first: 50, max: 1_000 } as const;
 
@@ -108,6 +119,12 @@
   #openJobsExpireAt = Infinity;
   /** Time of the first attempt to connect, in milliseconds; `Infinity` after its end. */
   #connectingMs = 0;
+  /**
+   * Time for which the agent can't have kept claims, in milliseconds, without the time
+   * in which this process was paused.
+   */
+  #unreachedMs = 0;
+  #hasBeenReached = false;
   /** When the agent's process started to keep claims. */
   #agentStartedAt = Infinity;
   #releasedJobs: string[] = [];
@@ -143,6 +160,17 @@
     return this.#connectingMs < BATCH_LIMITS.agentTimeoutMs;
   }
 
+  get isInDoubt(): boolean {
+    const limitMs = this.#hasBeenReached
+      ? DOUBT_MS.lost
+      : DOUBT_MS.neverReached;
+    return !this.canKeepClaims && this.#unreachedMs < limitMs;
+  }
+
+  get entryCount(): number {
+    return this.#status?.entries ?? 0;
+  }
+
   get uptimeMs(): number {
     return this.#getTime() - this.#agentStartedAt;
   }
@@ -353,6 +381,9 @@
    * paused is left out.
    */
   runPeriodicChecks(): void {
+    this.#unreachedMs = this.canKeepClaims
+      ? 0
+      : this.#unreachedMs + CHECK_INTERVAL_MS;
     const stream = this.#stream;
     if (stream === undefined) {
       return;
@@ -466,6 +497,7 @@
     }
     const previous = this.#status;
     this.#status = status;
+    this.#hasBeenReached = true;
     this.#connectingMs = Infinity;
     this.#unacknowledgedStarts = this.#unacknowledgedStarts.filter((message) =>
       message.batch > status.receivedBatch
--- a/src/coordination/batch/entry/claim_home.ts
+++ b/src/coordination/batch/entry/claim_home.ts
@@ -9,6 +9,13 @@
   readonly canKeepClaims: boolean;
   /** Whether it is not known yet if the agent can be reached. */
   readonly isConnecting: boolean;
+  /**
+   * Whether other entries may still claim jobs at the agent without being told that
+   * this entry doesn't reach it.
+   */
+  readonly isInDoubt: boolean;
+  /** Number of entries that the agent hears; 0 if it is not known. */
+  readonly entryCount: number;
   /** Time since the agent's process started to keep claims, in milliseconds. */
   readonly uptimeMs: number;
   /**
--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -20,6 +20,15 @@
 /** Largest number of homes, with those of which the process has just started. */
 const MAX_HOME_COUNT = 3;
 
+/** The same with those that another entry doesn't reach. */
+const MAX_RANKED_COUNT = 6;
+
+/**
+ * Number of the highest-ranking agents of which two must be homes: any two entries that
+ * know the same agents then have one in common.
+ */
+const QUORUM_RANKS = 3;
+
 /**
  * Checks without a reply after which another home is asked. Counted, so that a
  * pause of this process is not taken for the silence of a home.
@@ -69,7 +78,7 @@
   homeCount: number;
   /** Whether another entry waits for the release of the job. */
   isContested: boolean;
-  /** Whether a home can't be asked yet, since it is still being connected to. */
+  /** Whether too many homes can't be asked yet, since they may be reached soon. */
   isHomeConnecting: boolean;
   /** When agents were asked last. */
   askedAt: number;
@@ -105,7 +114,13 @@
   readonly #getTime: () => number;
   readonly #claims = new Map<string, OpenClaim>();
   /** The agents that could keep claims at the last check, and their streams. */
-  #reachable: { home: ClaimHome; stream: number }[] = [];
+  #reachable: {
+    home: ClaimHome;
+    stream: number;
+    isReachedByAll: boolean;
+  }[] = [];
+  /** Largest number of entries that an agent has said to hear. */
+  #entryCount = 0;
   #lastNumber = 0;
   /** Whether agents were lost or found since the homes of all jobs were selected. */
   #isSelectionDue = false;
@@ -334,11 +349,15 @@
 
   /** Replaces homes that are lost. Called once in each `linkCheckIntervalMs`. */
   runPeriodicChecks(): void {
+    const counts = this.#options.getHomes().map((home) => home.entryCount);
+    this.#entryCount = Math.max(0, ...counts);
     if (this.#claims.size === 0) {
       return;
     }
+    const formerlyReachedByAll = this.#countReachedByAll();
     const haveHomesChanged = this.#updateReachable();
     this.#isSelectionDue ||= haveHomesChanged;
+    const isNeedHigher = this.#countReachedByAll() < formerlyReachedByAll;
     this.#checks++;
     const selectsAgain = this.#isSelectionDue &&
       this.#checks % CHECKS_BETWEEN_SELECTIONS === 0;
@@ -346,7 +365,7 @@
     for (const claim of this.#claims.values()) {
       if (
         claim.isAsked &&
-        (this.#checkReplies(claim) || selectsAgain ||
+        (this.#checkReplies(claim) || selectsAgain || isNeedHigher ||
           (haveHomesChanged && claim.scope === "all") ||
           claim.isHomeConnecting || claim.homes.size === 0 ||
           this.#publishOldJob(claim))
@@ -370,15 +389,28 @@
   /** Returns whether other agents, or others of their streams, are usable now. */
   #updateReachable(): boolean {
     const former = this.#reachable;
-    this.#reachable = this.#options.getHomes()
-      .filter((home) => home.canKeepClaims)
-      .map((home) => ({ home, stream: home.streamNumber }));
+    const homes = this.#options.getHomes().filter((home) => home.canKeepClaims);
+    this.#reachable = homes.map((home) => ({
+      home,
+      stream: home.streamNumber,
+      isReachedByAll: this.#isReachedByAll(home),
+    }));
     return former.length !== this.#reachable.length ||
       this.#reachable.some(({ home, stream }, index) =>
         former[index]?.home !== home || former[index]?.stream !== stream
       );
   }
 
+  #countReachedByAll(): number {
+    return this.#reachable.filter(({ isReachedByAll }) => isReachedByAll)
+      .length;
+  }
+
+  /** Returns whether an agent hears as many entries as any other one. */
+  #isReachedByAll({ entryCount }: ClaimHome): boolean {
+    return entryCount >= this.#entryCount;
+  }
+
   /**
    * Checks whether the homes of a job are lost or don't reply.
    * @returns Whether others have to be asked instead.
@@ -453,12 +485,21 @@
   #selectHomes(claim: OpenClaim): readonly ClaimHome[] {
     switch (claim.scope) {
       case "homes": {
-        const candidates = this.#options.getHomes().filter((home) =>
-          (home.canKeepClaims || home.isConnecting) &&
+        const homes = this.#options.getHomes().filter((home) =>
           claim.homes.get(home.agentId)?.state !== "silent"
         );
-        const ranked = selectHomes(claim.jobId, candidates, MAX_HOME_COUNT);
-        return ranked.slice(0, countNeededHomes(ranked, claim.homeCount));
+        const candidates = homes.filter((home) =>
+          home.canKeepClaims || home.isConnecting
+        );
+        const maxCount = candidates.every((home) => this.#isReachedByAll(home))
+          ? MAX_HOME_COUNT
+          : MAX_RANKED_COUNT;
+        const ranked = selectHomes(claim.jobId, candidates, maxCount);
+        const count = this.#countNeededHomes(ranked, claim.homeCount);
+        return [
+          ...ranked.slice(0, count),
+          ...findMissingHomes(claim.jobId, homes),
+        ];
       }
       case "all":
         return this.#options.getHomes().filter((home) => home.canKeepClaims);
@@ -466,24 +507,49 @@
         return claim.scope satisfies never;
     }
   }
+
+  /**
+   * Counts the homes in order of their rank until enough of them are reached by all
+   * entries and know of all earlier claims.
+   */
+  #countNeededHomes(ranked: readonly ClaimHome[], homeCount: number): number {
+    let rememberingCount = 0;
+    let reachedByAllCount = 0;
+    for (const [index, home] of ranked.entries()) {
+      if (home.canKeepClaims && !this.#isReachedByAll(home)) {
+        continue;
+      }
+      reachedByAllCount++;
+      rememberingCount += home.uptimeMs >= getClaimMemoryMs() ? 1 : 0;
+      if (
+        rememberingCount === homeCount || reachedByAllCount === MAX_HOME_COUNT
+      ) {
+        return index + 1;
+      }
+    }
+    return ranked.length;
+  }
 }
 
 /**
- * Counts the homes in order of their rank until enough of them know of all earlier
- * claims.
+ * Finds the agents that another entry may have chosen as the homes of a job, and of
+ * which this one doesn't reach enough to have a home in common with it.
  */
-function countNeededHomes(
-  ranked: readonly ClaimHome[],
-  homeCount: number,
-): number {
-  let rememberingCount = 0;
-  for (const [index, { uptimeMs }] of ranked.entries()) {
-    rememberingCount += uptimeMs >= getClaimMemoryMs() ? 1 : 0;
-    if (rememberingCount === homeCount) {
-      return index + 1;
-    }
+function findMissingHomes(
+  jobId: string,
+  homes: readonly ClaimHome[],
+): ClaimHome[] {
+  if (!homes.some(({ isInDoubt }) => isInDoubt)) {
+    return [];
   }
-  return ranked.length;
+  const candidates = homes.filter((home) =>
+    home.canKeepClaims || home.isConnecting || home.isInDoubt
+  );
+  const ranked = selectHomes(jobId, candidates, QUORUM_RANKS);
+  const missing = ranked.filter(({ canKeepClaims }) => !canKeepClaims);
+  return missing.length <= QUORUM_RANKS - HOME_COUNT
+    ? []
+    : missing.filter(({ isConnecting }) => !isConnecting);
 }
 
 function releaseHomes({ jobId, askedHomes, isContested }: OpenClaim): void {
--- a/tests/coordination/batch/disrupted_homes_model_test.ts
+++ b/tests/coordination/batch/disrupted_homes_model_test.ts
@@ -7,6 +7,7 @@
 import { expect } from "chai";
 import type { ClaimHome } from "../../../src/coordination/batch/entry/claim_home.ts";
 import { selectHomes } from "../../../src/coordination/batch/entry/select_homes.ts";
+import { TestRandom } from "../../lib/test_random.ts";
 import { getLongestOverlapMs } from "./model/get_longest_overlap_ms.ts";
 import type { ModelOrder } from "./model/model_order.ts";
 import type { ModelScenario } from "./model/model_scenario.ts";
@@ -17,6 +18,9 @@
 /** Number of seeds with which each scenario is run. */
 const SEEDS = 10;
 
+/** The same for restarts of all processes with random links. */
+const RESTART_SEEDS = 100;
+
 /** Longest time of a test on a busy machine, in milliseconds. */
 const TIMEOUT_MS = 120_000;
 
@@ -283,6 +287,49 @@
   });
 });
 
+/** Bounds of the time until a link opens after a restart, in milliseconds. */
+const LINK_OPENING_MS = { min: 200, max: 1_500 } as const;
+
+/**
+ * Restarts all processes, with links of the entries that open at random times, and has
+ * the entries read copies of a job that is sent some time after the restart.
+ */
+function createRestartOfAll(seed: number, sentAtMs: number): ModelScenario {
+  const random = new TestRandom(seed);
+  const { min, max } = LINK_OPENING_MS;
+  const entries = [0, 1];
+  const links = entries.flatMap((entry) =>
+    AGENTS.map((agent) => ({
+      ...{ atMs: 0, order: cut(entry, agent, random.getInt(min, max)) },
+    }))
+  );
+  return createScenario(seed, createSteps(4_000), [
+    ...entries.map((entry) => ({ atMs: 0, order: restartEntry(entry) })),
+    ...each(AGENTS, 0, (agent) => restartAgent(agent, 0)),
+    ...links,
+    { atMs: sentAtMs, order: submit(0, 1_285) },
+    { atMs: sentAtMs, order: submit(1) },
+  ]);
+}
+
+describe("runs of a job at two entries after the loss of all processes", function () {
+  this.timeout(TIMEOUT_MS);
+
+  for (const sentAtMs of [1, 150]) {
+    it(`never overlap when their links open late and it is sent ${sentAtMs} ms after it`, async () => {
+      // Guards against homes that depend on which links have opened when a copy is read.
+      const overlaps: string[] = [];
+      for (let seed = 0; seed < RESTART_SEEDS; seed++) {
+        const scenario = createRestartOfAll(seed, sentAtMs);
+        const { trace } = await observeScenario(scenario);
+        const longestMs = Math.round(getLongestOverlapMs(trace));
+        overlaps.push(...longestMs > 0 ? [`${seed}: ${longestMs} ms`] : []);
+      }
+      expect(overlaps).to.deep.equal([]);
+    });
+  }
+});
+
 /** Restarts the homes at about the time at which the copies are read. */
 async function findRestartProblems(
   otherOrders: readonly TimedOrder[],
--- a/tests/coordination/batch/entry/job_claims_test.ts
+++ b/tests/coordination/batch/entry/job_claims_test.ts
@@ -24,6 +24,8 @@
   streamNumber = 1;
   canKeepClaims = true;
   isConnecting = false;
+  isInDoubt = false;
+  entryCount = 2;
   uptimeMs = 60_000;
   proofAgeMs = 0;
   readonly claims: JobClaim[] = [];
@@ -198,6 +200,45 @@
     expect(claims.canPlace(JOB_ID)).to.equal(true);
   });
 
+  it("claims a job at another home when one of the first is not reached by all entries", async () => {
+    // Guards against another entry that claims the job only where this one doesn't.
+    const [first] = getAsked() as [FakeHome];
+    getAsked().forEach((home) => reply(home, "granted"));
+    expect(claims.canPlace(JOB_ID)).to.equal(true);
+    first.entryCount = 1;
+    await waitUntil(() => getAsked().length === 3, "the third home");
+    expect(claims.canPlace(JOB_ID)).to.equal(false);
+    getAsked().forEach((home) => reply(home, "granted"));
+    expect(claims.canPlace(JOB_ID)).to.equal(true);
+  });
+
+  it("waits for two of the three first homes while other entries may reach them", async () => {
+    // Guards against two entries that claim the job at different homes.
+    const missing = getAsked();
+    missing.forEach((home) => {
+      home.canKeepClaims = false;
+      home.isInDoubt = true;
+    });
+    await waitUntil(() => getAsked().length >= 4, "other homes");
+    const others = getAsked().filter((home) => !missing.includes(home));
+    others.forEach((home) => reply(home, "granted"));
+    await wait(LOST_HOME_CHECK_MS);
+    expect(claims.canPlace(JOB_ID)).to.equal(false);
+    missing.forEach((home) => home.isInDoubt = false);
+    await waitUntil(() => claims.canPlace(JOB_ID), "the claim without them");
+  });
+
+  it("does not wait for one of the three first homes", async () => {
+    // Guards against jobs that wait for a lost agent though enough others are reached.
+    const [missing] = getAsked() as [FakeHome];
+    missing.canKeepClaims = false;
+    missing.isInDoubt = true;
+    await waitUntil(() => getAsked().length >= 3, "another home");
+    getAsked().filter((home) => home !== missing)
+      .forEach((home) => reply(home, "granted"));
+    expect(claims.canPlace(JOB_ID)).to.equal(true);
+  });
+
   it("counts a pause of this entry as part of the age of a job that comes after it", () => {
     // Guards against a job that is older than its entry takes it for.
     longestWaitMs = BATCH_LIMITS.claimAgeMs;
