Ignore changes of the operator's log that a peer's state already includes

A page of the store that ends before the state that a peer has told put zones back in service which the peer knew to be out: zones, unlike configurations, have no version. 'ignores changes that the state of a peer includes' failed before.

--- a/src/state/batch/operator_state.ts
+++ b/src/state/batch/operator_state.ts
@@ -37,15 +37,16 @@
   }
 
   /**
-   * Applies the changes that follow the current state, in order.
+   * Applies changes in order, unless the state includes all of them, as it may after a
+   * snapshot of a peer.
    * @param changes - Changes read from the log.
    * @param end - Position of the log after them.
    */
   applyChanges(changes: readonly OperatorChange[], end: number): void {
-    for (const change of changes) {
-      this.#apply(change);
+    if (end > this.#offset) {
+      changes.forEach((change) => this.#apply(change));
+      this.#offset = end;
     }
-    this.#offset = Math.max(this.#offset, end);
   }
 
   /**
@@ -55,7 +56,8 @@
   applyNewestRecords(changes: readonly OperatorChange[], end: number): void {
     if (end >= this.#offset) {
       this.#zonesOut = new Set();
-      this.applyChanges(changes, end);
+      changes.forEach((change) => this.#apply(change));
+      this.#offset = end;
     }
   }
 
--- a/tests/state/batch/operator_state_test.ts
+++ b/tests/state/batch/operator_state_test.ts
@@ -62,6 +62,16 @@
     expect(state.mergeSnapshot(ahead.formatSnapshot(), 3)).to.equal(false);
   });
 
+  it("ignores changes that the state of a peer includes", () => {
+    // Guards against a zone that returns to service by a record from before it was taken out.
+    const ahead = new OperatorState();
+    ahead.applyChanges([{ kind: "zone_out", zone: "a" }], 15);
+    const state = new OperatorState();
+    state.mergeSnapshot(ahead.formatSnapshot(), ahead.offset);
+    state.applyChanges([{ kind: "zone_in", zone: "a" }], 13);
+    expect(state.isZoneOut("a")).to.equal(true);
+  });
+
   it("finds the route with the longest prefix", () => {
     const state = new OperatorState();
     const routes = [
