Select homes again when one is lost to an entry while another one is regained

The need for a further home was noticed by the number of agents that all entries reach, which stays equal if one is lost and one regained in the same check. The new test of JobClaims failed before.

--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -354,10 +354,11 @@
     if (this.#claims.size === 0) {
       return;
     }
-    const formerlyReachedByAll = this.#countReachedByAll();
+    const isNeedHigher = this.#reachable.some(({ home, isReachedByAll }) =>
+      isReachedByAll && !this.#isReachedByAll(home)
+    );
     const haveHomesChanged = this.#updateReachable();
     this.#isSelectionDue ||= haveHomesChanged;
-    const isNeedHigher = this.#countReachedByAll() < formerlyReachedByAll;
     this.#checks++;
     const selectsAgain = this.#isSelectionDue &&
       this.#checks % CHECKS_BETWEEN_SELECTIONS === 0;
@@ -401,11 +402,6 @@
       );
   }
 
-  #countReachedByAll(): number {
-    return this.#reachable.filter(({ isReachedByAll }) => isReachedByAll)
-      .length;
-  }
-
   /** Returns whether an agent hears as many entries as any other one. */
   #isReachedByAll({ entryCount }: ClaimHome): boolean {
     return entryCount >= this.#entryCount;
--- a/tests/coordination/batch/entry/job_claims_test.ts
+++ b/tests/coordination/batch/entry/job_claims_test.ts
@@ -212,6 +212,19 @@
     expect(claims.canPlace(JOB_ID)).to.equal(true);
   });
 
+  it("claims a job at another home when a home is lost to an entry that another one regains", async () => {
+    // Guards against a change of the entries' views that leaves the number of such agents equal.
+    const [first] = getAsked() as [FakeHome];
+    getAsked().forEach((home) => reply(home, "granted"));
+    const other = homes.find((home) => home.claims.length === 0) as FakeHome;
+    other.entryCount = 1;
+    await wait(LOST_HOME_CHECK_MS);
+    first.entryCount = 1;
+    other.entryCount = 2;
+    await waitUntil(() => getAsked().length >= 3, "the third home");
+    expect(claims.canPlace(JOB_ID)).to.equal(false);
+  });
+
   it("waits for two of the three first homes while other entries may reach them", async () => {
     // Guards against two entries that claim the job at different homes.
     const missing = getAsked();
