Tell entries at once that an agent hears fewer of them

Entries rely on these counts to have a home in common, but a change of the count alone was told only with the next change at the worker, never by an agent without one; and an entry that never acknowledged a frame was counted for good.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -92,6 +92,7 @@
   #sessionCheckTimer: NodeJS.Timeout | undefined;
   #statusTimer: NodeJS.Timeout | undefined;
   #statusSentAt = 0;
+  #heardEntryCount = 0;
 
   constructor(options: BatchAgentOptions) {
     this.#options = options;
@@ -146,6 +147,7 @@
       }
       this.#sendOpenJobs();
       this.#grantNotifier.runPeriodicChecks();
+      this.#reportEntryCount();
       const entryCount = this.#countEntries();
       if (this.#announcements.isDue(performance.now(), entryCount)) {
         void this.#announce();
@@ -315,6 +317,28 @@
     return new Set(heard.map(({ name }) => name)).size;
   }
 
+  /**
+   * Tells the entries when this agent hears more or fewer of them. Fewer are told at
+   * once: an entry that isn't heard counts on the others to know that.
+   */
+  #reportEntryCount(): void {
+    const former = this.#heardEntryCount;
+    this.#heardEntryCount = this.#countHeardEntries();
+    if (this.#heardEntryCount > former) {
+      this.#scheduleStatus();
+    } else if (this.#heardEntryCount < former) {
+      this.#sendStatus();
+    }
+  }
+
+  #sendStatus(): void {
+    this.#statusSentAt = performance.now();
+    const status = this.runner.getStatus();
+    for (const session of this.#sessions) {
+      session.sendStatus(status);
+    }
+  }
+
   #scheduleStatus(): void {
     const entryCount = this.#countEntries();
     if (this.#statusTimer !== undefined || entryCount === 0) {
@@ -324,11 +348,7 @@
     const delayMs = this.#statusSentAt + intervalMs - performance.now();
     this.#statusTimer = setTimeout(() => {
       this.#statusTimer = undefined;
-      this.#statusSentAt = performance.now();
-      const status = this.runner.getStatus();
-      for (const session of this.#sessions) {
-        session.sendStatus(status);
-      }
+      this.#sendStatus();
     }, Math.max(0, delayMs));
   }
 }
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -76,6 +76,7 @@
   readonly #stream: BatchStream;
   /** The entry's hello; undefined until it has arrived. */
   #hello: BatchHello | undefined;
+  readonly #openedAt: number;
   #isClosed = false;
   #frameCount = 0;
   /** An entry is not responsive until it has acknowledged a frame. */
@@ -94,6 +95,7 @@
   constructor(options: BatchEntrySessionOptions) {
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
+    this.#openedAt = this.#getTime();
     this.#stream = new BatchStream(options.stream, { getTime: this.#getTime });
     this.#operatorState = new OperatorStateExchange({
       operatorFollower: options.operatorFollower,
@@ -127,7 +129,8 @@
   /** Gets whether the entry responds, or has just connected. */
   get isHeard(): boolean {
     return !this.#isClosed &&
-      (this.isResponsive() || this.#stream.acknowledgedSentAt === -Infinity);
+      (this.isResponsive() ||
+        this.#getTime() - this.#openedAt < BATCH_LIMITS.entryTimeoutMs);
   }
 
   /** Returns whether an entry opened this stream before that of the other. */
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -499,6 +499,29 @@
     expect(new Set(counts)).to.deep.equal(new Set([1]));
   });
 
+  it("tells entries how many it hears, also without a worker", async () => {
+    // Guards against an entry that takes a silent one for connected to this agent.
+    const idle = createAgent(new FakeWorker(), "j");
+    idle.start();
+    const stream = openStream("entry-1", { server: idle });
+    const silent = new MemoryStream();
+    void idle.serve(silent);
+    const value = { name: "entry-2", incarnation: "i", stream: 1, uptimeMs: 0 };
+    const kind = { case: "hello", value } as const;
+    silent.received.add({ sentAtMs: 1, echoAtMs: 0, kind });
+    const getCounts = () =>
+      stream.sent.map(({ kind }) => kind)
+        .filter((kind) => kind.case === "workerStatus")
+        .map(({ value }) => value.entries);
+    const pings = setInterval(() => {
+      sendBody(stream, { case: "ping", value: { operatorOffset: 0 } });
+    }, 100);
+    await waitUntil(() => getCounts().includes(2), "the count of both");
+    await waitUntil(() => getCounts().at(-1) === 1, "the count of one");
+    clearInterval(pings);
+    await idle.stop();
+  });
+
   it("announces itself again when an entry asks for it", async () => {
     // Guards against an agent that entries can't find after their next start.
     const appended: string[] = [];
