Let lost runs end at their expiry, whatever the agent reports

The agent enforces the expiry with the lease, so the entry need not wait for its report in addition.

--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -288,15 +288,6 @@
       this.#getTime() < this.#openJobsExpireAt;
   }
 
-  /**
-   * Returns whether the agent has reported on the current stream that runs may be
-   * executing which were ordered on the given one or before it.
-   */
-  hasEarlierRuns({ address, number }: AgentStream): boolean {
-    return this.#status?.isSettled === false && this.address === address &&
-      this.streamNumber > number;
-  }
-
   /** Asks the agent to announce itself again. */
   requestAnnouncement(): void {
     this.#stream?.send({ case: "announce", value: {} });
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -235,8 +235,6 @@
       getOffers: () => this.#getOffers(route),
       isConfined: () => this.#getConfinement(route) !== undefined,
       declinePolicy: this.#getDeclinePolicy(route.service),
-      hasEarlierRuns: (stream) =>
-        this.#links.get(stream.agentId)?.hasEarlierRuns(stream) === true,
       hasClaim: () => this.#claims.canPlace(job.id),
       requestGrants: () => this.#claims.requestReplies(job.id),
       claimFor: (agentIds) => this.#claimFor(job.id, agentIds),
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -76,11 +76,6 @@
   isConfined: () => boolean;
   /** Decides which orders agents may decline. */
   declinePolicy: DeclinePolicy;
-  /**
-   * Returns whether the agent of a stream has reported on a later one that runs of
-   * earlier streams may be executing.
-   */
-  hasEarlierRuns: (stream: AgentStream) => boolean;
   /** Returns whether this entry may start runs of the job now. */
   hasClaim: () => boolean;
   /** Asks for the grants of the job that have not arrived yet. */
@@ -364,15 +359,14 @@
       "sent",
       ({ number }) => number === stream.number,
     );
-    for (const task of tasks) {
-      task.state = "lost";
-      task.avoidedAgents.add(agentId);
-    }
-    this.#startExpiry(stream);
     if (tasks.length === 0) {
       return;
     }
     this.#canHaveStarted = true;
+    for (const task of tasks) {
+      task.state = "lost";
+      task.avoidedAgents.add(agentId);
+    }
     const expiryMs = getRunExpiryMs();
     const longestMs = Math.max(...tasks.map((task) => task.step.expectedMs));
     const timeLeftMs = this.#deadlineAt - this.#getTime();
@@ -384,38 +378,19 @@
       timeLeftMs: Math.round(timeLeftMs),
       isAnswered: this.#isAnswered || undefined,
     });
+    // Runs after the answer, too: it ends the wait for the job's former runs.
+    setTimeout(() => {
+      const expired = this.#findTasks(
+        "lost",
+        ({ number }) => number === stream.number,
+      );
+      this.#endLostRuns(expired, "expiry");
+    }, expiryMs);
     if (expiryMs + longestMs > timeLeftMs) {
       this.#settleWithError("agent_lost");
     }
   }
 
-  /**
-   * Ends the lost runs of a stream at its expiry, and those of earlier streams which the
-   * agent has not reported as ended on this one. If the agent reports on a later stream
-   * that runs are left, its next report counts, or the expiry of that stream.
-   */
-  #startExpiry(stream: AgentStream): void {
-    const tasks = this.#findTasks(
-      "lost",
-      ({ agentId, address, number }) =>
-        agentId === stream.agentId && address === stream.address &&
-        number <= stream.number,
-    );
-    tasks.forEach((task) => task.lastLostStream = stream.number);
-    if (tasks.length === 0) {
-      return;
-    }
-    // Runs after the answer, too: it ends the wait for the job's former runs.
-    setTimeout(() => {
-      if (!this.#options.hasEarlierRuns(stream)) {
-        const expired = tasks.filter(({ state, lastLostStream }) =>
-          state === "lost" && lastLostStream === stream.number
-        );
-        this.#endLostRuns(expired, "expiry");
-      }
-    }, getRunExpiryMs());
-  }
-
   /**
    * Handles the report of an agent that no run can be executing that was ordered
    * before the given stream. It says nothing of runs at another address, where
@@ -802,7 +777,6 @@
       run: 0,
       state: "waiting",
       stream: undefined,
-      lastLostStream: 0,
       lastEnd: undefined,
       failures: 0,
       declines: 0,
--- a/src/coordination/batch/entry/batch_task.ts
+++ b/src/coordination/batch/entry/batch_task.ts
@@ -14,11 +14,6 @@
   state: "waiting" | "sent" | "lost" | "done";
   /** Stream on which the latest run was ordered. */
   stream: AgentStream | undefined;
-  /**
-   * Number of the latest stream of the agent that was lost since the run was; 0 before
-   * that. The run counts as expired some time after that loss.
-   */
-  lastLostStream: number;
   /**
    * How the latest ended run ended: its outcome, or for a lost one what excludes
    * that it is still executing; undefined before the first end.
