--- a/tests/coordination/batch/directory/operator_state_reader_test.ts
+++ b/tests/coordination/batch/directory/operator_state_reader_test.ts
@@ -53,7 +53,7 @@
     });
   });
 
-  function tellOffsets(): void {
+  function sendOffsets(): void {
     peers.forEach((peer) => reader.handleOffset(peer, OFFSET));
   }
 
@@ -67,7 +67,7 @@
 
   it("reads from one of the peers that are ahead, part by part", () => {
     for (let round = 0; round < 10; round++) {
-      tellOffsets();
+      sendOffsets();
     }
     expect(countRequests()).to.equal(1);
     const value = { offset: OFFSET, length: 4 };
@@ -84,12 +84,12 @@
   it("leaves the store time to answer", () => {
     // Guards against states of peers that slow down the answer of the store.
     isStoreReachable = true;
-    tellOffsets();
+    sendOffsets();
     now += STORE_PRIORITY_MS - 1;
-    tellOffsets();
+    sendOffsets();
     expect(countRequests()).to.equal(0);
     now += 1;
-    tellOffsets();
+    sendOffsets();
     expect(countRequests()).to.equal(1);
   });
 
@@ -98,7 +98,7 @@
     // store takes longer for it.
     isStoreReachable = true;
     for (let n = 0; n < 12; n++) {
-      tellOffsets();
+      sendOffsets();
       now += 200;
       storeBytes += 20_000;
     }
@@ -112,7 +112,7 @@
       const before = countRequests();
       ownOffset--;
       for (let n = 0; n < 6; n++) {
-        tellOffsets();
+        sendOffsets();
         now += 200;
         storeBytes += bytesInPeriod;
       }
@@ -121,7 +121,7 @@
   });
 
   it("does not read on once the store has answered", () => {
-    tellOffsets();
+    sendOffsets();
     ownOffset = OFFSET;
     const value = { offset: OFFSET, position: 0, length: 4, text: "ab" };
     reader.handlePart(getFirst(), value);
@@ -129,7 +129,7 @@
   });
 
   it("reads from another peer when no part comes, or the stream ends", () => {
-    tellOffsets();
+    sendOffsets();
     now += PART_TIMEOUT_MS;
     reader.handleOffset(peers[1] as RecordedSource, OFFSET);
     expect(peers[1]?.requests).to.have.length(1);
@@ -142,7 +142,7 @@
   });
 
   it("starts over when the peer has a newer state", () => {
-    tellOffsets();
+    sendOffsets();
     const value = { position: 0, length: 2 };
     reader.handlePart(getFirst(), { ...value, offset: OFFSET, text: "a" });
     reader.handlePart(getFirst(), { ...value, offset: OFFSET + 1, text: "b" });
