--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -318,15 +318,13 @@
   }
 
   /**
-   * Tells the entries when this agent hears more or fewer of them. Fewer are told at
-   * once: an entry that isn't heard counts on the others to know that.
+   * Tells the entries at once when this agent hears fewer of them: one that isn't heard
+   * counts on the others to know that. More are told with the next status.
    */
   #reportEntryCount(): void {
     const former = this.#heardEntryCount;
     this.#heardEntryCount = this.#countHeardEntries();
-    if (this.#heardEntryCount > former) {
-      this.#scheduleStatus();
-    } else if (this.#heardEntryCount < former) {
+    if (this.#heardEntryCount < former) {
       this.#sendStatus();
     }
   }
