--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -184,7 +184,7 @@
       log: this.#options.log,
       name: this.#options.name,
       incarnation: this.#options.incarnation,
-      countEntries: () => this.#countHeardEntries(),
+      countHeardEntries: () => this.#countHeardEntries(),
       getCrashes: () =>
         this.#crashes.map(({ id, at, runs }) => ({
           id,
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -39,7 +39,7 @@
   /** Identifies one start of the agent process. */
   incarnation: string;
   /** Returns the number of connected entries that are heard. */
-  countEntries: () => number;
+  countHeardEntries: () => number;
   /** Gets the crashes that a newly connected entry is told. */
   getCrashes: () => WorkerCrashReport[];
   /**
@@ -282,7 +282,7 @@
       ...status,
       isSettled: !runner.canHaveRunsOfEarlierSessions(this),
       receivedBatch: this.#receivedBatch,
-      entries: this.#options.countEntries(),
+      entries: this.#options.countHeardEntries(),
     };
     this.#stream.send({ case: "workerStatus", value });
   }
