--- a/src/coordination/batch/directory/member_record.ts
+++ b/src/coordination/batch/directory/member_record.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Address } from "../../../state/address/mod.ts";
 
 /** The record with which an agent announces itself in the store. */
--- a/src/ctl/apply_settings.ts
+++ b/src/ctl/apply_settings.ts
@@ -1,5 +1,5 @@
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import { createError } from "../state/errors/mod.ts";
 import { createErrorResult } from "./create_error_result.ts";
 import type { CommandResult } from "./command_result.ts";
--- a/src/ctl/ctl_settings.ts
+++ b/src/ctl/ctl_settings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of the settings file of the command-line tool. */
 export const CtlSettings = z.strictObject({
--- a/src/ctl/overlaps/run_line.ts
+++ b/src/ctl/overlaps/run_line.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of the log lines of an agent about one run. */
 export const RunLine = z.object({
--- a/src/ctl/process_view.ts
+++ b/src/ctl/process_view.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Response to `GET /v1/view?brief=true`: state of a process's log view. */
 export const ProcessView = z.object({
--- a/src/ctl/read_timeline.ts
+++ b/src/ctl/read_timeline.ts
@@ -1,5 +1,5 @@
 import PQueue from "p-queue";
-import { z } from "zod";
+import * as z from "zod";
 import type { CommandResult } from "./command_result.ts";
 import type { CtlContext } from "./ctl_context.ts";
 import { formatTable } from "./format_table.ts";
--- a/src/ctl/read_view_from_process.ts
+++ b/src/ctl/read_view_from_process.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { createError, type DispatchError } from "../state/errors/mod.ts";
 import type { CtlContext } from "./ctl_context.ts";
 import { sendRequest } from "./send_request.ts";
--- a/src/ctl/run_command.ts
+++ b/src/ctl/run_command.ts
@@ -1,4 +1,5 @@
 import { createError } from "../state/errors/mod.ts";
+import { hasher } from "../state/hashing/mod.ts";
 import { createCtlContext } from "./create_ctl_context.ts";
 import { createErrorResult } from "./create_error_result.ts";
 import type { CommandResult } from "./command_result.ts";
@@ -18,6 +19,7 @@
   flags: CtlFlags,
   command: (context: CtlContext) => Promise<CommandResult> | CommandResult,
 ): Promise<void> {
+  await hasher.compiled;
   const result = await executeCommand(flags, command);
   writeCommandResult(result, flags);
   // Keep-alive connections to the log would keep the process running until they
--- a/src/load/parse_answer.ts
+++ b/src/load/parse_answer.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { JobResult } from "./job_result.ts";
 import type { PlannedJob } from "./planned_job.ts";
 
--- a/src/processes/records_body.ts
+++ b/src/processes/records_body.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** The body of `POST /v1/records`: log records in the order of offsets. */
 export const RecordsBody = z.strictObject({
--- a/src/processes/run_process.ts
+++ b/src/processes/run_process.ts
@@ -1,3 +1,4 @@
+import { hasher } from "../state/hashing/mod.ts";
 import { createProcessContext } from "./create_process_context.ts";
 import type { ProcessContext } from "./process_context.ts";
 import { readProcessSettings } from "./read_process_settings.ts";
@@ -31,6 +32,7 @@
     );
     process.exit(EXIT_INVALID_SETTINGS);
   }
+  await hasher.compiled;
   const context = createProcessContext(settings.value, options.role);
   const runnable = options.createProcess(context);
   let isStopping = false;
--- a/src/processes/upstream_announcement.ts
+++ b/src/processes/upstream_announcement.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * The body of `PUT /v1/upstream`, by which an upstream announces itself to its
--- a/src/protocol/http/job_body.ts
+++ b/src/protocol/http/job_body.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const Encoding = z.enum(["utf8", "base64"]);
 
--- a/src/stand_in/log_faults.ts
+++ b/src/stand_in/log_faults.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * The faults that the log stand-in can simulate. Each stays in effect until the
--- a/src/stand_in/upstream_behavior.ts
+++ b/src/stand_in/upstream_behavior.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** How the upstream stand-in behaves. */
 export const UpstreamBehavior = z.strictObject({
--- a/src/stand_in/upstream_stand_in.ts
+++ b/src/stand_in/upstream_stand_in.ts
@@ -1,7 +1,7 @@
 import { appendFileSync } from "node:fs";
 import * as http from "node:http";
 import type { AddressInfo } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import type { TaskStart } from "./task_start.ts";
 import { UpstreamBehavior } from "./upstream_behavior.ts";
 
--- a/src/state/address/address.ts
+++ b/src/state/address/address.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_PORT = 65_535;
 
--- a/src/state/errors/create_schema_error.ts
+++ b/src/state/errors/create_schema_error.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { createError } from "./create_error.ts";
 import type { DispatchError } from "./dispatch_error.ts";
 import type { ErrorKind } from "./error_kind.ts";
--- a/src/state/errors/parse_json.ts
+++ b/src/state/errors/parse_json.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import type { z } from "zod";
+import type * as z from "zod";
 import { isNestedWithin } from "../json/mod.ts";
 import { createError } from "./create_error.ts";
 import { createSchemaError } from "./create_schema_error.ts";
--- a/src/state/process_settings/process_settings.ts
+++ b/src/state/process_settings/process_settings.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const Port = z.int().min(0).max(65_535);
 const Address = z.string().regex(
--- a/src/state/settings/create_settings_error.ts
+++ b/src/state/settings/create_settings_error.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { createError, type DispatchError } from "../errors/mod.ts";
 import { findNearestName } from "./find_nearest_name.ts";
 
--- a/src/state/settings/rules.ts
+++ b/src/state/settings/rules.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * The rules that tasks run under. Each node of the settings tree may state any
--- a/src/state/settings/settings_tree.ts
+++ b/src/state/settings/settings_tree.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Rules } from "./rules.ts";
 
 const Name = z.string().regex(
--- a/src/state/view/log_record.ts
+++ b/src/state/view/log_record.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Member } from "./member.ts";
 
 const Edit = z.strictObject({
--- a/src/state/view/member.ts
+++ b/src/state/view/member.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * One incarnation of an entry or an agent. A restarted process is a new member:
--- a/src/state/view/members_snapshot.ts
+++ b/src/state/view/members_snapshot.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { Member } from "./member.ts";
 
 /** The part of a snapshot that holds the members. */
--- a/src/state/view/settings_snapshot.ts
+++ b/src/state/view/settings_snapshot.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { SettingsTree } from "../settings/mod.ts";
 
 /**
--- a/src/state/view/view_snapshot.ts
+++ b/src/state/view/view_snapshot.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { MembersSnapshot } from "./members_snapshot.ts";
 import { SettingsSnapshot } from "./settings_snapshot.ts";
 
--- a/src/transport/log/http_log_service.ts
+++ b/src/transport/log/http_log_service.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import * as http from "node:http";
-import { z } from "zod";
+import * as z from "zod";
 import type { LogPage, LogService } from "../../coordination/ports/mod.ts";
 import { VIEW_LIMITS } from "../../coordination/follower/mod.ts";
 import { createError, type DispatchError } from "../../state/errors/mod.ts";
--- a/tests/lib/caller_answer.ts
+++ b/tests/lib/caller_answer.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const Outcome = z.enum(["run", "not run", "unknown"]);
 
