Close two gaps in which homes that restarted let a job run at two entries

Cause: after a second loss of all agents, an entry took other homes 900 ms after the loss, while runs of the first entry go on under their lease of up to 1,020 ms at workers whose agents are away. And an entry that had reached no agent placed old jobs with the grant of the first agent that it reached again, before the streams to the others were open. Change: an agent that was lost stays in doubt for getClaimExpiryMs("closed"), and jobs of the second kind wait until the other streams have had time to open (StreamRecovery).

--- a/src/coordination/batch/batch_limits.ts
+++ b/src/coordination/batch/batch_limits.ts
@@ -19,6 +19,8 @@
    * answer to one ping is acknowledged by the next one, and 500 ms of delay.
    */
   entryTimeoutMs: 900,
+  /** Longest delay between two attempts of an entry to open a stream to an agent. */
+  maxReopenDelayMs: 1_000,
   /** Longest lease of runs at a worker; the platform allows no longer one. */
   leaseMs: 1_000,
   /** Factor by which the clock that measures leases may be slow. */
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -21,6 +21,7 @@
 } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchStream } from "../batch_stream.ts";
+import { getClaimExpiryMs } from "../get_claim_expiry_ms.ts";
 import { getRunExpiryMs } from "../get_run_expiry_ms.ts";
 import {
   type MemberRecord,
@@ -44,14 +45,19 @@
  * milliseconds. The agent counts an entry as connected for `entryTimeoutMs` after its
  * last frame; before the first stream, that may be one of the former process. Such a
  * frame may have come right before the start of this one, hence the additional time.
+ * After a loss the time also covers the lease of runs of other entries, since a home
+ * that restarts has forgotten their claims.
  */
 const DOUBT_MS = {
-  lost: BATCH_LIMITS.entryTimeoutMs,
+  lost: getClaimExpiryMs("closed"),
   neverReached: BATCH_LIMITS.entryTimeoutMs + BATCH_LIMITS.agentTimeoutMs,
 } as const;
 
 /** Delays between attempts to open the stream, in milliseconds. */
-const REOPEN_DELAY_MS = { first: 50, max: 1_000 } as const;
+const REOPEN_DELAY_MS = {
+  first: 50,
+  max: BATCH_LIMITS.maxReopenDelayMs,
+} as const;
 
 export interface BatchAgentLinkOptions {
   member: MemberRecord;
--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -7,6 +7,7 @@
 import { getClaimMemoryMs } from "../get_claim_memory_ms.ts";
 import { NO_CLAIM } from "../no_claim.ts";
 import { selectHomes } from "./select_homes.ts";
+import { StreamRecovery } from "./stream_recovery.ts";
 
 /**
  * Number of homes of a job that know of all earlier claims. Two entries of which each
@@ -124,6 +125,7 @@
   #lastNumber = 0;
   /** Whether agents were lost or found since the homes of all jobs were selected. */
   #isSelectionDue = false;
+  readonly #streamRecovery = new StreamRecovery();
   #checks = 0;
 
   constructor(options: JobClaimsOptions) {
@@ -174,7 +176,8 @@
     if (this.#isOld(claim) && claim.scope !== "all") {
       this.#claimEverywhere(claim);
     }
-    return hasAllGrants(claim) && this.#hasProof(claim);
+    return hasAllGrants(claim) && this.#hasProof(claim) &&
+      !(claim.scope === "all" && this.#streamRecovery.isRecovering);
   }
 
   /**
@@ -390,7 +393,9 @@
   /** Returns whether other agents, or others of their streams, are usable now. */
   #updateReachable(): boolean {
     const former = this.#reachable;
-    const homes = this.#options.getHomes().filter((home) => home.canKeepClaims);
+    const known = this.#options.getHomes();
+    const homes = known.filter((home) => home.canKeepClaims);
+    this.#streamRecovery.update(homes.length, known.length);
     this.#reachable = homes.map((home) => ({
       home,
       stream: home.streamNumber,
--- a/tests/coordination/batch/disrupted_homes_model_test.ts
+++ b/tests/coordination/batch/disrupted_homes_model_test.ts
@@ -330,6 +330,26 @@
   }
 });
 
+describe("runs of a job at two entries after a second loss of all agents", function () {
+  this.timeout(TIMEOUT_MS);
+
+  const halves = { homes: [HOMES, OTHERS], "other agents": [OTHERS, HOMES] };
+  for (const [name, [late, early]] of Object.entries(halves)) {
+    for (const cutMs of [1_800, 9_000]) {
+      it(`never overlap when the ${name} come back last and the first entry's streams open ${cutMs} ms late`, async () => {
+        // Guards against homes that are replaced before the leases of lost runs have ended.
+        await checkOverlaps([
+          { atMs: 0, order: submit(0) },
+          ...each(late as number[], 850, (agent) => restartAgent(agent, 1_500)),
+          ...each(early as number[], 850, (agent) => restartAgent(agent, 50)),
+          ...each(AGENTS, 850, (agent) => cut(0, agent, cutMs)),
+          { atMs: 1_300, order: submit(1) },
+        ]);
+      });
+    }
+  }
+});
+
 /** Restarts the homes at about the time at which the copies are read. */
 async function findRestartProblems(
   otherOrders: readonly TimedOrder[],
