Let tests wait for the hash module before they are loaded

Cause: one test file computes hashes while it is loaded, and the hash module is compiled in the background since, so the file failed to load. Change: mocha waits for the module first, and the files whose commands run without its configuration import that wait.

--- a/tests/cluster/loss_of_all_processes_test.ts
+++ b/tests/cluster/loss_of_all_processes_test.ts
@@ -3,6 +3,7 @@
  * with real processes. Streams to agents open at different times, and the bytes of
  * some requests wait in the network. The size can be set for runs by hand.
  */
+import "../lib/compiled_hasher.ts";
 import { mkdtempSync, rmSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
--- a/tests/coordination/batch/disrupted_homes_model_test.ts
+++ b/tests/coordination/batch/disrupted_homes_model_test.ts
@@ -4,6 +4,7 @@
  * ten seeds. In most of them an entry reads the first request late, at about the
  * time at which a copy comes to the other entry.
  */
+import "../../lib/compiled_hasher.ts";
 import { expect } from "chai";
 import type { ClaimHome } from "../../../src/coordination/batch/entry/claim_home.ts";
 import { selectHomes } from "../../../src/coordination/batch/entry/select_homes.ts";
--- a/tests/coordination/batch/entry/job_claims_test.ts
+++ b/tests/coordination/batch/entry/job_claims_test.ts
@@ -1,3 +1,4 @@
+import "../../../lib/compiled_hasher.ts";
 import { setTimeout as wait } from "node:timers/promises";
 import { expect } from "chai";
 import type { ClaimHome } from "../../../../src/coordination/batch/entry/claim_home.ts";
--- a/tests/lib/compiled_hasher.ts
+++ b/tests/lib/compiled_hasher.ts
@@ -1,6 +1,7 @@
-/** Hooks that mocha loads before the tests, which use hashes without a process. */
+/**
+ * Waits until hashes can be computed. Mocha loads this file first; a test file that
+ * needs a hash while it is loaded, or is run without the configuration, imports it.
+ */
 import { hasher } from "../../src/state/hashing/mod.ts";
 
-export const mochaHooks = {
-  beforeAll: () => hasher.compiled,
-};
+await hasher.compiled;
