Check a configuration before it is sent

Cause: operators wished for a check of errors, of entries that can never match, of limits that contradict each other, and of what differs from the version in force. Processes name the first error only, and accept the rest.

--- a/src/bin/ctl.ts
+++ b/src/bin/ctl.ts
@@ -2,11 +2,13 @@
 import sade from "sade";
 import { explainJob } from "../ctl/explain_job.ts";
 import { applySettings } from "../ctl/apply_settings.ts";
+import { checkEdits } from "../ctl/check_edits.ts";
 import { createErrorResult } from "../ctl/create_error_result.ts";
 import type { CtlFlags } from "../ctl/ctl_flags.ts";
 import { explainOverlaps } from "../ctl/overlaps/mod.ts";
 import type { PublishFlags } from "../ctl/publish_flags.ts";
 import { getSettings } from "../ctl/get_settings.ts";
+import { readEditsFile } from "../ctl/read_edits_file.ts";
 import { readLogTexts } from "../ctl/read_log_texts.ts";
 import { readStatus } from "../ctl/read_status.ts";
 import { readTimeline } from "../ctl/read_timeline.ts";
@@ -53,6 +55,19 @@
   runCommand(flags, (context) => applySettings(context, file, flags))
 );
 
+addStrictOption(
+  program.command(
+    "settings check <file>",
+    "Checks the edits of a file without applying them",
+  ),
+).action((file: string, flags: CtlFlags & { strict: boolean }) =>
+  runCommand(flags, (context) =>
+    readEditsFile(file).match(
+      (edits) => checkEdits(context, edits, flags),
+      (error) => createErrorResult(error),
+    ))
+);
+
 addPublishOptions(
   program.command("settings remove <path>", "Removes a value"),
 ).action((path: string, flags: PublishFlags) =>
@@ -143,6 +158,14 @@
     .option("--change-id", "Id of a change whose outcome is unknown", "");
 }
 
+function addStrictOption(command: sade.Sade): sade.Sade {
+  return command.option(
+    "--strict",
+    "Exits with 1 if there are warnings",
+    false,
+  );
+}
+
 function addProcessOption(command: sade.Sade): sade.Sade {
   const text = "host:port of a process to ask for members instead of the log";
   return command.option("--process", text, "");
--- a/src/state/settings/create_settings_error.ts
+++ b/src/state/settings/create_settings_errors.ts
@@ -9,29 +9,29 @@
 ];
 
 /**
- * Creates the error for a settings tree that doesn't match its schema. It names
- * the path, and suggests what the operator probably meant.
+ * Creates the errors for a settings tree that doesn't match its schema. They name the
+ * paths, and suggest what the operator probably meant.
  * @param error - Error of the schema library.
  * @param schema - The schema.
  * @param options - The checked value.
  */
-export function createSettingsError(
+export function createSettingsErrors(
   error: z.ZodError,
   schema: z.ZodType,
   options: { value: unknown },
-): DispatchError {
-  const issue = error.issues[0];
-  if (issue === undefined) {
-    return createError("invalid_settings", "the settings are invalid");
-  }
-  if (issue.code === "unrecognized_keys") {
-    return createUnknownKeyError(schema, issue.path, issue.keys[0] ?? "");
-  }
-  const path = issue.path.map(String).join(".");
-  const message = `"${path}": ${issue.message}${
-    formatUnitHint(issue.path, options.value)
-  }`;
-  return createError("invalid_settings", message, { path });
+): DispatchError[] {
+  return error.issues.flatMap((issue) => {
+    if (issue.code === "unrecognized_keys") {
+      return issue.keys.map((key) =>
+        createUnknownKeyError(schema, issue.path, key)
+      );
+    }
+    const path = issue.path.map(String).join(".");
+    const message = `"${path}": ${issue.message}${
+      formatUnitHint(issue.path, options.value)
+    }`;
+    return [createError("invalid_settings", message, { path })];
+  });
 }
 
 function createUnknownKeyError(
--- a/src/state/settings/find_contradiction.ts
+++ b/src/state/settings/find_contradictions.ts
@@ -5,22 +5,23 @@
 const QUOTA_NAMES = ["maxRunning", "maxQueued"] as const;
 
 /**
- * Finds a rule of a well-formed tree that can never be met, such as a timeout
+ * Finds the rules of a well-formed tree that can never be met, such as a timeout
  * above the deadline that is in force at the same node after inheritance.
  */
-export function findContradiction(
-  tree: SettingsTree,
-): DispatchError | undefined {
-  let error = findRuleContradiction(tree, "rules");
+export function findContradictions(tree: SettingsTree): DispatchError[] {
+  const errors = [findRuleContradiction(tree, "rules")];
   for (const [service, node] of Object.entries(tree.services ?? {})) {
     const path = `services.${service}`;
-    error ??= findRuleContradiction(tree, `${path}.rules`, { service });
+    errors.push(findRuleContradiction(tree, `${path}.rules`, { service }));
     for (const job of Object.keys(node.jobs ?? {})) {
       const jobPath = `${path}.jobs.${job}.rules`;
-      error ??= findRuleContradiction(tree, jobPath, { service, job });
+      errors.push(findRuleContradiction(tree, jobPath, { service, job }));
     }
   }
-  return error ?? findQuotaContradiction(tree);
+  return [
+    ...errors.filter((error) => error !== undefined),
+    ...findQuotaContradictions(tree),
+  ];
 }
 
 function findRuleContradiction(
@@ -53,9 +54,8 @@
   return undefined;
 }
 
-function findQuotaContradiction(
-  tree: SettingsTree,
-): DispatchError | undefined {
+function findQuotaContradictions(tree: SettingsTree): DispatchError[] {
+  const errors: DispatchError[] = [];
   for (const [customer, node] of Object.entries(tree.customers ?? {})) {
     for (const [team, quotas] of Object.entries(node.teams ?? {})) {
       for (const name of QUOTA_NAMES) {
@@ -63,14 +63,12 @@
         const value = quotas[name];
         if (limit !== undefined && value !== undefined && value > limit) {
           const path = `customers.${customer}.teams.${team}.${name}`;
-          return createError(
-            "invalid_settings",
-            `"${path}": ${value} is above the customer's ${name} of ${limit}`,
-            { path },
-          );
+          const message =
+            `"${path}": ${value} is above the customer's ${name} of ${limit}`;
+          errors.push(createError("invalid_settings", message, { path }));
         }
       }
     }
   }
-  return undefined;
+  return errors;
 }
--- a/src/state/settings/mod.ts
+++ b/src/state/settings/mod.ts
@@ -1,4 +1,5 @@
 export { checkSettings } from "./check_settings.ts";
+export { checkWholeSettings } from "./check_whole_settings.ts";
 export { DEFAULT_RULES } from "./default_rules.ts";
 export { findNearestName } from "./find_nearest_name.ts";
 export type { Quotas } from "./quotas.ts";
--- a/tests/cluster/operators_test.ts
+++ b/tests/cluster/operators_test.ts
@@ -143,6 +143,19 @@
     ]);
     expect(runs.map(({ code }) => code)).to.deep.equal([2, 6, 6, 6, 2]);
   });
+
+  it("checks the edits of a file without publishing them", async () => {
+    // Guards against a check that changes the settings, or disagrees with "apply".
+    const file = "docs/examples/edits.json";
+    const before = await runCtl(cluster, "settings", "get");
+    const check = await runCtl(cluster, "settings", "check", file);
+    const after = await runCtl(cluster, "settings", "get");
+    expect(check.code).to.equal(0);
+    expect(check.value["differences"]).to.have.length.above(0);
+    expect(after.value["revision"]).to.equal(before.value["revision"]);
+    const missing = await runCtl(cluster, "settings", "check", "/no/such/file");
+    expect(missing.code).to.equal(2);
+  });
 });
 
 describe("retention and outages of the log", function () {
