Write an event as JSON without copies of its fields

The logging library copied each event to mask values and added meta data that the writer removed again. The line is now one JSON.stringify of the same fields in the same order.

--- a/src/processes/event_writer.ts
+++ b/src/processes/event_writer.ts
@@ -1,6 +1,5 @@
 import { write } from "node:fs";
 import { setTimeout as wait } from "node:timers/promises";
-import { Logger } from "tslog";
 import type { EventLog } from "../coordination/ports/mod.ts";
 import type { Metrics } from "../state/metrics/mod.ts";
 
@@ -52,7 +51,7 @@
   readonly #write: (text: string, callback: () => void) => void;
   readonly #getWallClock: () => number;
   readonly #flushDelayMs: number;
-  readonly #logger: Logger<Record<string, unknown>>;
+  readonly #name: string;
   #bufferedLines: string[] = [];
   #bufferedBytes = 0;
   #isWriting = false;
@@ -65,18 +64,15 @@
     this.#write = options.write ?? writeToStandardOutput;
     this.#getWallClock = options.getWallClock ?? Date.now;
     this.#flushDelayMs = options.flushDelayMs ?? DEFAULT_FLUSH_DELAY_MS;
-    this.#logger = new Logger({
-      type: "hidden",
-      hideLogPositionForProduction: true,
-    });
-    this.#logger.attachTransport((line) => {
-      const { _meta, ...fields } = line;
-      this.#addLine({ process: options.name, ...fields });
-    });
+    this.#name = options.name;
   }
 
   record(event: string, fields: Record<string, unknown> = {}): void {
-    this.#logger.info({ event, ...fields });
+    const time = this.#getWallClock();
+    this.#addLine(
+      JSON.stringify({ time, process: this.#name, event, ...fields }) + "\n",
+      { time, isRequestLine: fields["job"] !== undefined },
+    );
   }
 
   /** Waits until the buffered lines have been written. */
@@ -86,19 +82,19 @@
     }
   }
 
-  #addLine(fields: Record<string, unknown>): void {
-    const now = this.#getWallClock();
-    const line = JSON.stringify({ time: now, ...fields }) + "\n";
-    const isRequestLine = fields["job"] !== undefined;
-    if (!this.#hasCapacity(line.length, isRequestLine, now)) {
+  #addLine(
+    line: string,
+    { time, isRequestLine }: { time: number; isRequestLine: boolean },
+  ): void {
+    if (!this.#hasCapacity(line.length, isRequestLine, time)) {
       this.#droppedCount++;
       this.#metrics.incrementCounter("log_lines_dropped");
       return;
     }
     if (this.#droppedCount > 0) {
       const droppedEvent = {
-        time: now,
-        process: fields["process"],
+        time,
+        process: this.#name,
         event: "lines_dropped",
         count: this.#droppedCount,
       };
