--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -1,6 +1,8 @@
 /**
  * Decodes the frames that `formatBatchFrame` encodes. Frames come from the
- * project's own processes, so only their outer form is checked.
+ * project's own processes, so only their outer form is checked. Fields of frequent
+ * frames are read by index: destructuring an array runs its iterator, which costs
+ * several times as much until the compiler has optimised the function.
  */
 import type { CrashedRun } from "../../state/batch/mod.ts";
 import type {
@@ -10,10 +12,25 @@
   JobClaimReply,
   RunEnd,
   RunOrder,
+  StartRuns,
   WorkerProfile,
   WorkerStatus,
 } from "../../coordination/messages/mod.ts";
 
+type StartRunsRow = [
+  batch: number,
+  jobId: string,
+  spec: string,
+  priority: number,
+  timeLeftMs: number,
+  targetLeftMs: number,
+  runs: RunOrderRow[],
+  route: string,
+  ageMs: number,
+  claimNumber: number,
+  awaitedHomes: number,
+];
+
 type RunOrderRow = [
   task: string,
   run: number,
@@ -34,7 +51,13 @@
   earlierCrashes: number,
 ];
 
-type RunEndRow = [string, number, string, number, string];
+type RunEndRow = [
+  task: string,
+  run: number,
+  outcome: string,
+  runMs: number,
+  detail: string,
+];
 
 type ProfileRow = [string, number, number, number, string[], string, string];
 
@@ -63,14 +86,10 @@
   if (!Array.isArray(row) || typeof row[2] !== "string") {
     throw new Error("received data that is not a frame");
   }
-  const [sentAtMs, echoAtMs, kindCase, ...fields] = row as [
-    number,
-    number,
-    string,
-    ...unknown[],
-  ];
-  const kind = parseBody(kindCase as BatchBody["case"], fields);
-  return kind === undefined ? undefined : { sentAtMs, echoAtMs, kind };
+  const kind = parseBody(row[2] as BatchBody["case"], row.slice(3));
+  return kind === undefined
+    ? undefined
+    : { sentAtMs: row[0] as number, echoAtMs: row[1] as number, kind };
 }
 
 function parseBody(
@@ -94,49 +113,8 @@
       const [operatorOffset] = fields as [number];
       return { case: kindCase, value: { operatorOffset } };
     }
-    case "startRuns": {
-      const [
-        batch,
-        jobId,
-        spec,
-        priority,
-        timeLeftMs,
-        targetLeftMs,
-        rows,
-        route,
-        ageMs,
-        claimNumber,
-        awaitedHomes,
-      ] = fields as [
-        number,
-        string,
-        string,
-        number,
-        number,
-        number,
-        RunOrderRow[],
-        string,
-        number,
-        number,
-        number,
-      ];
-      return {
-        case: kindCase,
-        value: {
-          batch,
-          jobId,
-          ageMs,
-          claimNumber,
-          awaitedHomes,
-          route,
-          spec,
-          priority,
-          timeLeftMs,
-          targetLeftMs,
-          runs: rows.map(parseRunOrder),
-        },
-      };
-    }
+    case "startRuns":
+      return { case: kindCase, value: parseStartRuns(fields as StartRunsRow) };
     case "stopRuns":
       return { case: kindCase, value: { tasks: fields as string[] } };
     case "runEnds": {
@@ -236,12 +214,33 @@
   }
 }
 
+function parseStartRuns(row: StartRunsRow): StartRuns {
+  return {
+    batch: row[0],
+    jobId: row[1],
+    spec: row[2],
+    priority: row[3],
+    timeLeftMs: row[4],
+    targetLeftMs: row[5],
+    runs: row[6].map(parseRunOrder),
+    route: row[7],
+    ageMs: row[8],
+    claimNumber: row[9],
+    awaitedHomes: row[10],
+  };
+}
+
 function parseRunOrder(row: RunOrderRow): RunOrder {
-  const [task, run, cpuMillis, memoryMb, gpus, expectedMs] = row;
-  const [, , , , , , crashes, crashedAfterMs, canBeDeclined] = row;
   return {
-    ...{ task, run, cpuMillis, memoryMb, gpus, expectedMs },
-    ...{ crashes, crashedAfterMs, canBeDeclined },
+    task: row[0],
+    run: row[1],
+    cpuMillis: row[2],
+    memoryMb: row[3],
+    gpus: row[4],
+    expectedMs: row[5],
+    crashes: row[6],
+    crashedAfterMs: row[7],
+    canBeDeclined: row[8],
   };
 }
 
@@ -250,8 +249,14 @@
   return { task, route, ranMs, hasStarted, earlierCrashes };
 }
 
-function parseRunEnd([task, run, outcome, runMs, detail]: RunEndRow): RunEnd {
-  return { task, run, outcome, runMs, detail };
+function parseRunEnd(row: RunEndRow): RunEnd {
+  return {
+    task: row[0],
+    run: row[1],
+    outcome: row[2],
+    runMs: row[3],
+    detail: row[4],
+  };
 }
 
 function parseProfile(row: ProfileRow): WorkerProfile {
@@ -260,34 +265,19 @@
 }
 
 function parseStatus(row: StatusRow): WorkerStatus {
-  const [
-    acceptsWork,
-    isSettled,
-    freeCpuMillis,
-    freeMemoryMb,
-    freeGpus,
-    entries,
-    slowdown,
-    runningLeftMs,
-    queuedRuns,
-    queuedMs,
-    receivedBatch,
-    failureShare,
-    suspectRuns,
-  ] = row;
   return {
-    acceptsWork,
-    isSettled,
-    freeCpuMillis,
-    freeMemoryMb,
-    freeGpus,
-    entries,
-    slowdown,
-    runningLeftMs,
-    queuedRuns,
-    queuedMs,
-    receivedBatch,
-    failureShare,
-    suspectRuns,
+    acceptsWork: row[0],
+    isSettled: row[1],
+    freeCpuMillis: row[2],
+    freeMemoryMb: row[3],
+    freeGpus: row[4],
+    entries: row[5],
+    slowdown: row[6],
+    runningLeftMs: row[7],
+    queuedRuns: row[8],
+    queuedMs: row[9],
+    receivedBatch: row[10],
+    failureShare: row[11],
+    suspectRuns: row[12],
   };
 }
