Receive frames without async generators

Each frame passed two async generators, each with several promises. The queue's iterator is now written out, and a stream calls its handler. The processor time of a frame from the queue to its handler fell from 1.2 to 0.4 us, and for two frames of one read from 0.8 to 0.2 us (50,000 frames, two runs each on one core). The test of the stream reads by the new call and checks the same.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -210,12 +210,12 @@
     this.#options.getCrashes().forEach((report) => this.sendCrash(report));
     let reason: string | undefined;
     try {
-      for await (const body of this.#stream.receive()) {
+      await this.#stream.receive((body) => {
         this.#frameCount++;
         this.#recordClockOffset();
         this.#checkResponsiveness();
         this.#handleFrame(body);
-      }
+      });
     } catch (error) {
       reason = (error as Error).message;
     } finally {
--- a/src/coordination/batch/batch_stream.ts
+++ b/src/coordination/batch/batch_stream.ts
@@ -55,15 +55,18 @@
     });
   }
 
-  /** Receives the frames of the other side until the stream ends. */
-  async *receive(): AsyncGenerator<BatchBody> {
+  /**
+   * Receives the frames of the other side, and calls `handle` for each, until the
+   * stream ends.
+   */
+  async receive(handle: (body: BatchBody) => void): Promise<void> {
     for await (const { sentAtMs, echoAtMs, kind } of this.#stream.received) {
       this.#receivedSentAt = Math.max(this.#receivedSentAt, sentAtMs);
       if (echoAtMs > 0) {
         this.#acknowledgedSentAt = Math.max(this.#acknowledgedSentAt, echoAtMs);
       }
       this.#frameSentAt = sentAtMs;
-      yield kind;
+      handle(kind);
     }
   }
 
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -338,10 +338,10 @@
     this.#sendPing();
     let reason = "silent";
     try {
-      for await (const body of stream.receive()) {
+      await stream.receive((body) => {
         this.#silenceMs = 0;
         this.#handleFrame(body);
-      }
+      });
       reason = "closed";
     } catch (error) {
       reason = this.#silenceMs > BATCH_LIMITS.agentTimeoutMs
--- a/src/transport/message_queue.ts
+++ b/src/transport/message_queue.ts
@@ -30,24 +30,27 @@
     }
   }
 
-  async *[Symbol.asyncIterator](): AsyncIterator<T> {
-    for (;;) {
-      const items = this.#items;
-      this.#items = [];
-      for (const item of items) {
-        yield item;
+  // Written out, since each item of an async generator costs several promises.
+  [Symbol.asyncIterator](): AsyncIterator<T, undefined> {
+    let items: T[] = [];
+    let index = 0;
+    const next = async (): Promise<IteratorResult<T, undefined>> => {
+      while (index === items.length) {
+        if (this.#items.length > 0) {
+          items = this.#items;
+          index = 0;
+          this.#items = [];
+        } else if (this.#error !== undefined) {
+          throw this.#error;
+        } else if (this.#isClosed) {
+          return { value: undefined, done: true };
+        } else {
+          await new Promise<void>((resolve) => this.#wakeReader = resolve);
+          this.#wakeReader = undefined;
+        }
       }
-      if (this.#items.length > 0) {
-        continue;
-      }
-      if (this.#error !== undefined) {
-        throw this.#error;
-      }
-      if (this.#isClosed) {
-        return;
-      }
-      await new Promise<void>((resolve) => this.#wakeReader = resolve);
-      this.#wakeReader = undefined;
-    }
+      return { value: items[index++] as T, done: false };
+    };
+    return { next };
   }
 }
--- a/tests/coordination/batch/batch_stream_test.ts
+++ b/tests/coordination/batch/batch_stream_test.ts
@@ -8,11 +8,7 @@
     let time = 100;
     const peerStream = new MemoryStream();
     const stream = new BatchStream(peerStream, { getTime: () => time });
-    const reader = (async () => {
-      for await (const _body of stream.receive()) {
-        // Only the acknowledged send time is checked.
-      }
-    })();
+    const reader = stream.receive(() => {});
     stream.send({ case: "ping", value: { operatorOffset: 0 } });
     time = 5_000;
     const kind = { case: "ping", value: { operatorOffset: 0 } } as const;
