--- a/scripts/bench_entry.ts
+++ b/scripts/bench_entry.ts
@@ -1,9 +1,9 @@
 /**
  * Measures the processor time that a job costs an entry and the agents of the
- * platform. Starts one entry and several agents as processes, with stand-ins
+ * platform, and the entry's reads and writes of sockets and files with their bytes. Starts one entry and several agents as processes, with stand-ins
  * for the store and the workers, and submits jobs at a fixed rate.
  */
-import { mkdtempSync } from "node:fs";
+import { mkdtempSync, readFileSync } from "node:fs";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as wait } from "node:timers/promises";
@@ -43,10 +43,14 @@
 /** Time for the entry to find the agents, in milliseconds. */
 const WARM_UP_MS = 1_500;
 
+/** Counters of `/proc/PID/io`: bytes and system calls that read and wrote. */
+const CALL_COUNTERS = ["rchar", "wchar", "syscr", "syscw"] as const;
+
 interface BenchOptions {
   agents: string;
   rate: string;
   seconds: string;
+  dist?: string;
 }
 
 sade("bench_entry", true)
@@ -54,6 +58,7 @@
   .option("--agents", "Number of agents", "17")
   .option("--rate", "Jobs per second", "40")
   .option("--seconds", "Time for which jobs are submitted", "15")
+  .option("--dist", "Folder of the compiled files of another build")
   .action((options: BenchOptions) => runBench(options))
   .parse(process.argv);
 
@@ -69,14 +74,16 @@
     findTask: (name) => tasks.get(name.slice(0, name.indexOf("."))),
     onEvent: () => {},
   });
-  await cluster.start();
+  await cluster.start(options.dist);
   const config = formatOperatorConfig({ version: 1, routes: [ROUTE] });
   cluster.store.publish(config.key, config.value);
   await cluster.waitUntilReady();
   await wait(WARM_UP_MS);
   const before = await readProcessorSeconds(cluster);
+  const callsBefore = readEntryCalls(cluster);
   const counts = await submitJobs(cluster, tasks, options);
   const after = await readProcessorSeconds(cluster);
+  const callsAfter = readEntryCalls(cluster);
   const jobCount = Number(options.rate) * Number(options.seconds);
   const getCostMs = (role: "entry" | "agents") =>
     Number((1_000 * (after[role] - before[role]) / jobCount).toFixed(3));
@@ -85,6 +92,13 @@
     outcomes: Object.fromEntries(counts),
     entryMsPerJob: getCostMs("entry"),
     agentsMsPerJob: getCostMs("agents"),
+    entryCallsPerJob: Object.fromEntries(
+      CALL_COUNTERS.map((name, index) => [
+        name,
+        Number((((callsAfter[index] ?? NaN) - (callsBefore[index] ?? NaN)) /
+          jobCount).toFixed(1)),
+      ]),
+    ),
     folder,
   }));
   await cluster.stop();
@@ -154,3 +168,12 @@
     agents: await readAll(cluster.agents.map(({ metricsPort }) => metricsPort)),
   };
 }
+
+/** Reads the counters of the entry's reads and writes, in the order of their names. */
+function readEntryCalls(cluster: SoakCluster): number[] {
+  const pid = cluster.entries[0]?.process.pid;
+  const text = readFileSync(`/proc/${pid}/io`, "utf8");
+  return CALL_COUNTERS.map((name) =>
+    Number(new RegExp(`${name}: (\\d+)`).exec(text)?.[1] ?? NaN)
+  );
+}
--- a/scripts/soak/soak_process.ts
+++ b/scripts/soak/soak_process.ts
@@ -65,6 +65,11 @@
     this.#child = child;
   }
 
+  /** Gets the id of the running process. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   /** Sends a signal; SIGSTOP pauses the process, SIGCONT resumes it. */
   sendSignal(signal: NodeJS.Signals): void {
     this.#child?.kill(signal);
