Send entries no status that they know already

Workers describe themselves five times a second, and each description sent an unchanged status to all entries; the end of a run was followed by two statuses to its entry within a millisecond. An unchanged status of an idle worker is now left out while other frames are sent, at least as often as the answers to pings, and one that differs only in remaining times is left out for 20 ms.

--- a/src/coordination/batch/agent/batch_agent.ts
+++ b/src/coordination/batch/agent/batch_agent.ts
@@ -333,7 +333,7 @@
     this.#statusSentAt = performance.now();
     const status = this.runner.getStatus();
     for (const session of this.#sessions) {
-      session.sendStatus(status);
+      session.sendStatus(status, { canSkip: true });
     }
   }
 
--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -10,6 +10,7 @@
   RunEnd,
   StartRuns,
   WorkerCrashReport,
+  WorkerStatus,
 } from "../../messages/mod.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import { BatchStream } from "../batch_stream.ts";
@@ -21,6 +22,7 @@
 import type { ClaimOwner } from "./claim_owner.ts";
 import type { ClockOffsets } from "./clock_offsets.ts";
 import type { JobClaimTable } from "./job_claim_table.ts";
+import { isStatusKnown } from "./is_status_known.ts";
 import { OpenJobsNotice } from "./open_jobs_notice.ts";
 import type { RunOwner } from "./run_owner.ts";
 import type { WorkerDescription } from "./worker_description.ts";
@@ -87,6 +89,8 @@
   /** Profile of the worker that the entry was last told, as JSON. */
   #sentProfile = "";
   #profiledWorker: WorkerDescription | undefined;
+  /** The status that the entry was last told, and when. */
+  #sentStatus: { value: WorkerStatus; at: number } | undefined;
   readonly #operatorState: OperatorStateExchange;
   readonly #openJobsNotice = new OpenJobsNotice();
   /** Grants that the entry is told with the next frame. */
@@ -270,35 +274,61 @@
   /**
    * Sends the state and load of the worker to the entry. Before its hello, it is
    * not known which runs are those of the entry.
+   * @param options.canSkip - Whether to send nothing that the entry knows already.
    */
-  sendStatus(status = this.#options.runner.getStatus()): void {
+  sendStatus(
+    status = this.#options.runner.getStatus(),
+    { canSkip } = { canSkip: false },
+  ): void {
     const { runner } = this.#options;
     if (this.#hello === undefined) {
       return;
     }
-    this.#sendPendingGrants();
-    this.#sendChangedProfile();
     const value = {
       ...status,
       isSettled: !runner.canHaveRunsOfEarlierSessions(this),
       receivedBatch: this.#receivedBatch,
       entries: this.#options.countHeardEntries(),
     };
+    const hasSentProfile = this.#sendChangedProfile();
+    if (canSkip && !hasSentProfile && this.#isKnown(value)) {
+      return;
+    }
+    this.#sendPendingGrants();
+    this.#sentStatus = { value, at: this.#getTime() };
     this.#stream.send({ case: "workerStatus", value });
   }
 
-  #sendChangedProfile(): void {
+  /**
+   * Returns whether the entry knows a status already. Grants that wait for a frame are
+   * sent with it.
+   */
+  #isKnown(status: WorkerStatus): boolean {
+    const now = this.#getTime();
+    return this.#sentStatus !== undefined &&
+      this.#pendingGrants.length === 0 &&
+      isStatusKnown(status, {
+        value: this.#sentStatus.value,
+        ageMs: now - this.#sentStatus.at,
+        silenceMs: now - this.#stream.sentAt,
+      });
+  }
+
+  /** Returns whether the profile had changed and was sent; a status must follow. */
+  #sendChangedProfile(): boolean {
     const { runner } = this.#options;
     if (this.#sentProfile !== "" && runner.worker === this.#profiledWorker) {
-      return;
+      return false;
     }
     this.#profiledWorker = runner.worker;
     const value = runner.getProfile();
     const profile = JSON.stringify(value);
-    if (profile !== this.#sentProfile) {
-      this.#sentProfile = profile;
-      this.#stream.send({ case: "workerProfile", value });
+    if (profile === this.#sentProfile) {
+      return false;
     }
+    this.#sentProfile = profile;
+    this.#stream.send({ case: "workerProfile", value });
+    return true;
   }
 
   #handleFrame(body: BatchBody): void {
