--- a/scripts/soak/soak_agent.ts
+++ b/scripts/soak/soak_agent.ts
@@ -7,6 +7,8 @@
   readonly process: SoakProcess;
   readonly zone: string;
   readonly worker: WorkerStandIn;
+  /** Address of the agent to which its worker reports. */
+  readonly reportAddress: string;
   /** Relay between the entries and the agent. */
   readonly peerRelay: Relay;
   /** Relay between the agent and its worker. */
--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -43,6 +43,8 @@
   waitToConnect?: (agent: string, firstBytes: Buffer) => Promise<void>;
   /** Whether there is a relay on each link to an agent or worker; by default there is. */
   hasRelays?: boolean;
+  /** Settings that are added to those of each entry and agent. */
+  processSettings?: Record<string, unknown>;
   findTask: (task: string) => StandInTask | undefined;
   onEvent: (event: WorkerEvent, location: WorkerLocation) => void;
 }
@@ -130,6 +132,7 @@
       jobAddress: address,
       readyAddress,
       farFactor: FAR_FACTOR,
+      ...this.#options.processSettings,
     };
     const { folder, restartDelayMs } = this.#options;
     const process = new SoakProcess({
@@ -154,6 +157,7 @@
       restartDelayMs,
       waitToConnect,
       hasRelays = true,
+      processSettings,
       findTask,
       onEvent,
     } = this.#options;
@@ -205,6 +209,7 @@
       service,
       maxLeaseMs: 1_000,
       reportAddress,
+      ...processSettings,
     };
     if (hasRelays) {
       this.#peerAddresses.set(name, await peerRelay.start());
@@ -217,6 +222,7 @@
       process,
       zone,
       worker,
+      reportAddress,
       peerRelay,
       workerRelay,
       storeRelay,
--- a/scripts/soak/soak_process.ts
+++ b/scripts/soak/soak_process.ts
@@ -42,6 +42,11 @@
     return join(this.#options.folder, `${this.#options.name}.json`);
   }
 
+  /** Gets the id of the running process; undefined before the start. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   start(): void {
     const { role, folder } = this.#options;
     const program = join(this.distFolder, `platform/${role}.js`);
