Let a server refuse a request by its head, and name the client's address

A handler can refuse a request only after its whole body was read, and can't tell callers apart. HttpServer takes checkHead, called before the body is read; HttpRequest has remoteAddress.

--- a/src/transport/http/http_request.ts
+++ b/src/transport/http/http_request.ts
@@ -1,14 +1,10 @@
-import type { IncomingHttpHeaders } from "node:http";
+import type { HttpRequestHead } from "./http_request_head.ts";
 
 /** A received HTTP request with its complete body. */
-export interface HttpRequest {
-  readonly method: string;
-  /** The path as it was sent, without its query. */
-  readonly rawPath: string;
+export interface HttpRequest extends HttpRequestHead {
   /** Segments of the path, decoded. */
   readonly pathSegments: readonly string[];
   readonly query: URLSearchParams;
-  readonly headers: IncomingHttpHeaders;
   readonly body: Buffer;
   /** Aborts if the client closes its connection before the response is sent. */
   readonly signal: AbortSignal;
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -4,6 +4,7 @@
 import { createErrorResponse } from "./create_error_response.ts";
 import type { HttpResponse } from "./http_response.ts";
 import type { HttpRequest } from "./http_request.ts";
+import type { HttpRequestHead } from "./http_request_head.ts";
 
 /**
  * Default limit for the body of a request, in bytes. It fits a job of 150 tasks
@@ -23,6 +24,11 @@
   port: number;
   handleRequest: (request: HttpRequest) => Promise<HttpResponse> | HttpResponse;
   maxBodyBytes?: number;
+  /**
+   * Called before the body of a request is read. A response that it returns refuses the
+   * request.
+   */
+  checkHead?: (head: HttpRequestHead) => HttpResponse | undefined;
 }
 
 /** An HTTP server that buffers complete request and response bodies. */
@@ -85,19 +91,42 @@
       : await this.#options.handleRequest(parsed);
   }
 
+  /** Returns a response that refuses the request before its body is read. */
+  #checkHead(request: http.IncomingMessage): HttpResponse | undefined {
+    const { checkHead } = this.#options;
+    const refusal = checkHead?.({
+      method: request.method ?? "GET",
+      rawPath: getRawPath(request.url ?? "/"),
+      headers: request.headers,
+      remoteAddress: request.socket.remoteAddress ?? "",
+    });
+    if (refusal !== undefined) {
+      discardBody(request);
+    }
+    return refusal;
+  }
+
+  async #readAndHandle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<HttpResponse> {
+    const body = await readBody(
+      request,
+      this.#options.maxBodyBytes ?? MAX_BODY_BYTES,
+    );
+    return body === undefined
+      ? refuseBody(request)
+      : await this.#handle(request, response, body);
+  }
+
   async #serve(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
     let handlerResponse: HttpResponse;
     try {
-      const body = await readBody(
-        request,
-        this.#options.maxBodyBytes ?? MAX_BODY_BYTES,
-      );
-      handlerResponse = body === undefined
-        ? refuseBody(request)
-        : await this.#handle(request, response, body);
+      handlerResponse = this.#checkHead(request) ??
+        await this.#readAndHandle(request, response);
     } catch (error) {
       handlerResponse = createErrorResponse(
         createError("internal", (error as Error).message),
@@ -139,11 +168,18 @@
   return Buffer.concat(chunks);
 }
 
+function refuseBody(request: http.IncomingMessage): HttpResponse {
+  discardBody(request);
+  return createErrorResponse(
+    createError("body_too_large", "the request body is too large"),
+  );
+}
+
 /**
- * Refuses a body that is too large. The rest of it is read and discarded for a
- * limited time, so that the client can read the refusal.
+ * Reads and discards the rest of a body for a limited time, so that the client can read
+ * the refusal.
  */
-function refuseBody(request: http.IncomingMessage): HttpResponse {
+function discardBody(request: http.IncomingMessage): void {
   request.resume();
   const timer = setTimeout(() => {
     if (!request.complete) {
@@ -151,9 +187,6 @@
     }
   }, REFUSED_BODY_TIMEOUT_MS);
   timer.unref();
-  return createErrorResponse(
-    createError("body_too_large", "the request body is too large"),
-  );
 }
 
 /**
@@ -175,6 +208,7 @@
     method: request.method ?? "GET",
     ...target,
     headers: request.headers,
+    remoteAddress: request.socket.remoteAddress ?? "",
     body,
     signal: abort.signal,
   };
@@ -199,6 +233,12 @@
   response.once("finish", () => socket.off("close", handleClose));
 }
 
+/** Gets the path of a request's target, without its query. */
+function getRawPath(target: string): string {
+  const queryStart = target.indexOf("?");
+  return queryStart < 0 ? target : target.slice(0, queryStart);
+}
+
 function parseTarget(
   target: string,
 ): Pick<HttpRequest, "rawPath" | "pathSegments" | "query"> | undefined {
@@ -206,7 +246,7 @@
     const url = new URL(target, "http://localhost");
     const segments = url.pathname.split("/").filter((part) => part !== "");
     return {
-      rawPath: target.split("?", 1)[0] as string,
+      rawPath: getRawPath(target),
       pathSegments: segments.map(decodeURIComponent),
       query: url.searchParams,
     };
--- a/tests/platform/handle_worker_request_test.ts
+++ b/tests/platform/handle_worker_request_test.ts
@@ -34,6 +34,7 @@
     pathSegments: path.split("/").filter((part) => part !== ""),
     query: new URLSearchParams(),
     headers: {},
+    remoteAddress: "127.0.0.1",
     body: Buffer.from(typeof body === "string" ? body : JSON.stringify(body)),
     signal: new AbortController().signal,
   };
--- a/tests/transport/http/http_server_test.ts
+++ b/tests/transport/http/http_server_test.ts
@@ -4,6 +4,7 @@
 import {
   createJsonResponse,
   type HttpRequest,
+  type HttpRequestHead,
   HttpServer,
 } from "../../../src/transport/http/mod.ts";
 import { waitUntil } from "../../lib/wait_until.ts";
@@ -34,9 +35,12 @@
   function sendUnfinishedRequest(
     headers: http.OutgoingHttpHeaders,
     bytes: number,
+    serverPort = port,
   ): Promise<{ status?: number | undefined; text: string }> {
     return new Promise((resolve, reject) => {
-      const request = http.request({ port, method: "POST", headers });
+      const request = http.request({
+        ...{ port: serverPort, method: "POST", headers },
+      });
       request.on("error", reject);
       request.on("response", async (response) => {
         let text = "";
@@ -77,6 +81,30 @@
     expect(await fits.json()).to.deep.equal({ size: MAX_BODY_BYTES });
   });
 
+  it("refuses a request by its head before the body arrives", async () => {
+    // Guards against work for the body of a request that can't be served anyway.
+    const heads: HttpRequestHead[] = [];
+    const refusing = new HttpServer({
+      host: "127.0.0.1",
+      port: 0,
+      checkHead: (head) => {
+        heads.push(head);
+        return createJsonResponse(503, {});
+      },
+      handleRequest: () => createJsonResponse(200, {}),
+    });
+    const port = await refusing.start();
+    const headers = { "content-length": 1_000, "x-kind": "a" };
+    const { status } = await sendUnfinishedRequest(headers, 10, port);
+    expect(status).to.equal(503);
+    const [head] = heads;
+    expect(head).to.include({
+      ...{ method: "POST", rawPath: "/", remoteAddress: "127.0.0.1" },
+    });
+    expect(head?.headers["x-kind"]).to.equal("a");
+    await refusing.stop();
+  });
+
   it("refuses a path that isn't validly encoded", async () => {
     // Guards against the error "internal", whose outcome is "unknown", for a
     // request that never ran.
