Limit what clients may make a process hold

A server held each body up to 33.5 MB, whatever the configuration says, any number of them, and answers that nobody reads; the limit of the configuration was applied to complete bodies. Clients that send too much ended the process. HttpServer now has limits on the body, from its announced length or as it is read, on the memory of all requests together (the holder of most bytes is refused first), on connections (those without any complete request are closed first), headers, requests sent ahead, and the times of headers, bodies and unread answers. Times are counted in checks, so that a pause of the process doesn't use them up. The job server takes maxBodyBytes, maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration; the other limits come from the settings, and their defaults from the machine.

--- a/src/state/batch/mod.ts
+++ b/src/state/batch/mod.ts
@@ -19,6 +19,7 @@
 export type { IntakeDecision } from "./intake_decision.ts";
 export type { OperatorChange } from "./operator_change.ts";
 export type { OperatorConfig } from "./operator_config.ts";
+export type { RequestLimits } from "./request_limits.ts";
 export { OperatorState } from "./operator_state.ts";
 export { placeTasks } from "./place_tasks.ts";
 export type { PlacedTask } from "./placed_task.ts";
--- a/src/state/batch/operator_config.ts
+++ b/src/state/batch/operator_config.ts
@@ -1,3 +1,4 @@
+import type { RequestLimits } from "./request_limits.ts";
 import type { Route } from "./route.ts";
 
 /** One published version of the configuration, in full. */
@@ -6,4 +7,5 @@
   readonly routes: readonly Route[];
   /** Largest request body, in bytes. */
   readonly maxBodyBytes: number;
+  readonly requestLimits?: RequestLimits;
 }
--- /dev/null
+++ b/src/transport/http/body_discarder.ts
@@ -0,0 +1,40 @@
+import type { IncomingMessage } from "node:http";
+
+/** Time that a refused client has to end its body, in milliseconds. */
+const TIMEOUT_MS = 2_000;
+
+/** Largest part of a refused body that is read, in bytes. */
+const MAX_BYTES = 2_097_152;
+
+/** Largest number of refused bodies that are read at the same time. */
+const MAX_COUNT = 32;
+
+/**
+ * Reads and discards the rest of refused bodies, within limits: a client could not read the
+ * refusal if its connection were closed while it sends.
+ */
+export class BodyDiscarder {
+  #count = 0;
+
+  /** Discards a body if that is possible; returns whether it is. */
+  tryDiscard(message: IncomingMessage): boolean {
+    if (this.#count >= MAX_COUNT) {
+      return false;
+    }
+    this.#count++;
+    const { socket } = message;
+    let discardedBytes = 0;
+    const timer = setTimeout(() => socket.destroy(), TIMEOUT_MS).unref();
+    message.on("data", (chunk: Buffer) => {
+      discardedBytes += chunk.length;
+      if (discardedBytes > MAX_BYTES) {
+        socket.destroy();
+      }
+    });
+    message.once("close", () => {
+      this.#count--;
+      clearTimeout(timer);
+    });
+    return true;
+  }
+}
--- /dev/null
+++ b/src/transport/http/http_exchange.ts
@@ -0,0 +1,180 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { createError } from "../../state/errors/mod.ts";
+import type { AnsweredCause } from "./answered_cause.ts";
+import { BodyReader } from "./body_reader.ts";
+import { createErrorResponse } from "./create_error_response.ts";
+import { createRefusal } from "./create_refusal.ts";
+import type { ExchangeContext } from "./exchange_context.ts";
+import type { HttpResponse } from "./http_response.ts";
+import { ReceivedRequest } from "./received_request.ts";
+import type { ServerConnection } from "./server_connection.ts";
+
+export interface HttpExchangeOptions {
+  context: ExchangeContext;
+  connection: ServerConnection;
+  message: IncomingMessage;
+  response: ServerResponse;
+  /** Whether the client sends the body only when it is asked to. */
+  waitsForContinue: boolean;
+}
+
+/** A request on a connection and its response. */
+export class HttpExchange {
+  readonly #context: ExchangeContext;
+  readonly #connection: ServerConnection;
+  readonly #message: IncomingMessage;
+  readonly #response: ServerResponse;
+  readonly #request: ReceivedRequest;
+  readonly #waitsForContinue: boolean;
+
+  constructor(options: HttpExchangeOptions) {
+    this.#context = options.context;
+    this.#connection = options.connection;
+    this.#message = options.message;
+    this.#response = options.response;
+    this.#waitsForContinue = options.waitsForContinue;
+    this.#request = new ReceivedRequest(options.message);
+  }
+
+  /** Checks the head, reads the body, and has the request handled. */
+  run(): void {
+    const context = this.#context;
+    this.#connection.pendingCount++;
+    const limits = context.getLimits();
+    const maxBodyBytes = Math.min(
+      limits?.maxBodyBytes ?? context.limits.maxBodyBytes,
+      context.budget.maxHolderBytes,
+    );
+    const cause = this.#checkLimits(maxBodyBytes, limits?.maxHeaderBytes);
+    if (cause !== undefined) {
+      this.#refuse(cause);
+      return;
+    }
+    const refusal = context.checkHead(this.#request);
+    if (refusal !== undefined) {
+      this.#sendRefusal(refusal);
+    } else if (this.#hasBody()) {
+      this.#readBody(maxBodyBytes);
+    } else {
+      void this.#handle();
+    }
+  }
+
+  /** Finds a limit that the request exceeds, as far as its head tells. */
+  #checkLimits(
+    maxBodyBytes: number,
+    maxHeaderBytes = Infinity,
+  ): AnsweredCause | undefined {
+    const { limits, budget } = this.#context;
+    if (this.#connection.pendingCount > limits.maxRequestsAhead) {
+      return "requests_ahead";
+    }
+    if (Number(this.#request.headers["content-length"] ?? 0) > maxBodyBytes) {
+      return "body_size";
+    }
+    if (budget.isExceeded) {
+      return "memory";
+    }
+    // The parser applies the limit of the process.
+    return maxHeaderBytes < limits.maxHeaderBytes &&
+        countHeaderBytes(this.#message) > maxHeaderBytes
+      ? "header_size"
+      : undefined;
+  }
+
+  #hasBody(): boolean {
+    const { headers } = this.#request;
+    return headers["transfer-encoding"] !== undefined ||
+      (headers["content-length"] ?? "0") !== "0";
+  }
+
+  #readBody(maxBytes: number): void {
+    if (this.#waitsForContinue) {
+      this.#response.writeContinue();
+    }
+    const connection = this.#connection;
+    connection.body = new BodyReader({
+      request: this.#message,
+      budget: this.#context.budget,
+      maxBytes,
+      onComplete: (body) => {
+        connection.endBody();
+        this.#request.body = body;
+        void this.#handle();
+      },
+      onRefuse: (cause) => {
+        connection.endBody();
+        this.#refuse(cause);
+      },
+    });
+  }
+
+  #refuse(cause: AnsweredCause): void {
+    this.#context.reportRefusal(cause, this.#connection);
+    if (cause === "requests_ahead") {
+      this.#connection.isClosing = true;
+    }
+    this.#sendRefusal(createRefusal(cause));
+  }
+
+  /** Sends a refusal of a request whose body isn't read, or not completely. */
+  #sendRefusal(refusal: HttpResponse): void {
+    const connection = this.#connection;
+    if (
+      !connection.isClosing && this.#hasBody() && !this.#message.complete
+    ) {
+      connection.isClosing = !this.#context.discarder.tryDiscard(this.#message);
+      this.#message.once("end", () => connection.markRequestRead());
+    }
+    this.#send(refusal);
+  }
+
+  async #handle(): Promise<void> {
+    const request = this.#request;
+    this.#connection.startHandling(request);
+    let response: HttpResponse;
+    try {
+      response = request.hasValidPath()
+        ? await this.#context.handleRequest(request)
+        : createErrorResponse(createError(
+          "invalid_request",
+          "the path is not validly encoded",
+          { path: "path" },
+        ));
+    } catch (error) {
+      response = createErrorResponse(
+        createError("internal", (error as Error).message),
+      );
+    }
+    this.#connection.endHandling(request);
+    this.#send(response);
+  }
+
+  #send({ status, contentType, body, headers }: HttpResponse): void {
+    const connection = this.#connection;
+    connection.addUnsentBytes(body.length);
+    this.#response.once("finish", () => {
+      connection.pendingCount--;
+      connection.releaseUnsentBytes(body.length);
+    });
+    this.#response.writeHead(status, {
+      "content-type": contentType,
+      "content-length": body.length,
+      ...headers,
+      // A stopping server closes keep-alive connections after their next
+      // response.
+      ...(connection.isClosing || this.#context.isStopping()
+        ? { connection: "close" }
+        : {}),
+    });
+    this.#response.end(body);
+  }
+}
+
+function countHeaderBytes({ rawHeaders, url }: IncomingMessage): number {
+  return rawHeaders.reduce(
+    // Each name and value is followed by two separating bytes.
+    (sum, text) => sum + text.length + 2,
+    url?.length ?? 0,
+  );
+}
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -1,50 +1,99 @@
 import * as http from "node:http";
-import type { AddressInfo } from "node:net";
-import { createError } from "../../state/errors/mod.ts";
-import { createErrorResponse } from "./create_error_response.ts";
-import type { HttpResponse } from "./http_response.ts";
+import type { AddressInfo, Socket } from "node:net";
+import { BodyDiscarder } from "./body_discarder.ts";
+import type { ChangeableHttpLimits } from "./changeable_http_limits.ts";
+import { ConnectionTable } from "./connection_table.ts";
+import { DEFAULT_HTTP_LIMITS } from "./default_http_limits.ts";
+import type { ExchangeContext } from "./exchange_context.ts";
+import { HttpExchange } from "./http_exchange.ts";
+import type { HttpLimits } from "./http_limits.ts";
 import type { HttpRequest } from "./http_request.ts";
 import type { HttpRequestHead } from "./http_request_head.ts";
+import type { HttpResponse } from "./http_response.ts";
+import type { RefusalCause } from "./refusal_cause.ts";
+import { limitParsing } from "./limit_parsing.ts";
+import { RequestMemoryBudget } from "./request_memory_budget.ts";
+import { ServerConnection } from "./server_connection.ts";
 
-/**
- * Default limit for the body of a request, in bytes. It fits a job of 150 tasks
- * of the largest size that is allowed by default.
- */
-const MAX_BODY_BYTES = 33_554_432;
+/** Interval at which connections are checked for limits on time, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
 
-/**
- * Time that a client with a too large body has to read the refusal before its
- * connection is destroyed, in milliseconds.
- */
-const REFUSED_BODY_TIMEOUT_MS = 2_000;
+const BAD_REQUEST = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n";
+const HEADERS_TOO_LARGE =
+  "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n\r\n";
+
+const OVERDUE_CAUSES = {
+  header: "header_time",
+  body: "body_time",
+  unread: "unread_response",
+} as const;
 
 export interface HttpServerOptions {
   host: string;
   /** Port to listen on; 0 selects a free port. */
   port: number;
   handleRequest: (request: HttpRequest) => Promise<HttpResponse> | HttpResponse;
-  maxBodyBytes?: number;
   /**
    * Called before the body of a request is read. A response that it returns refuses the
    * request.
    */
   checkHead?: (head: HttpRequestHead) => HttpResponse | undefined;
+  limits?: Partial<HttpLimits>;
+  /** Gets limits that take precedence and may change, such as those of a configuration. */
+  getLimits?: () => ChangeableHttpLimits | undefined;
+  /** Called for each request that a limit refuses and each connection that it closes. */
+  onRefusal?: (cause: RefusalCause, remoteAddress: string) => void;
 }
 
-/** An HTTP server that buffers complete request and response bodies. */
+/**
+ * An HTTP server that buffers complete request and response bodies, within limits on what
+ * its clients make the process hold.
+ */
 export class HttpServer {
   readonly #options: HttpServerOptions;
+  readonly #limits: HttpLimits;
   readonly #server: http.Server;
+  readonly #budget: RequestMemoryBudget;
+  readonly #table = new ConnectionTable<ServerConnection>();
+  readonly #connections = new WeakMap<Socket, ServerConnection>();
+  readonly #context: ExchangeContext;
+  #checkTimer: NodeJS.Timeout | undefined;
   #isKeepAliveDisabled = false;
 
   constructor(options: HttpServerOptions) {
     this.#options = options;
-    this.#server = http.createServer((request, response) => {
-      void this.#serve(request, response);
+    this.#limits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
+    this.#budget = new RequestMemoryBudget(this.#limits.memoryBytes);
+    this.#context = this.#createContext();
+    this.#server = http.createServer({
+      maxHeaderSize: this.#limits.maxHeaderBytes,
+      // The connection table applies the limits on time, so that a pause of the process
+      // doesn't use them up.
+      headersTimeout: 0,
+      requestTimeout: 0,
     });
     // This must exceed the idle timeout of a load balancer that keeps
     // connections: a connection that the server closes first can lose requests.
     this.#server.keepAliveTimeout = 75_000;
+    this.#server.on("connection", (socket) => this.#accept(socket));
+    this.#server.on("request", (message, response) => {
+      this.#receiveRequest(message, response, false);
+    });
+    this.#server.on("checkContinue", (message, response) => {
+      this.#receiveRequest(message, response, true);
+    });
+    this.#server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
+      this.#handleClientError(error, socket as Socket);
+    });
+  }
+
+  /** Gets the memory that clients make the process hold, in bytes. */
+  get heldBytes(): number {
+    return this.#budget.heldBytes;
+  }
+
+  get connectionCount(): number {
+    return this.#table.size;
   }
 
   /** Starts listening, and returns the port. */
@@ -54,6 +103,10 @@
       this.#server.once("error", reject);
       this.#server.listen(port, host, resolve);
     });
+    this.#checkTimer = setInterval(
+      () => this.#checkConnections(),
+      CHECK_INTERVAL_MS,
+    ).unref();
     return (this.#server.address() as AddressInfo).port;
   }
 
@@ -64,7 +117,7 @@
 
   /** Stops listening; open requests are still served. */
   stopListening(): void {
-    this.#server.close();
+    this.#server.close(() => clearInterval(this.#checkTimer));
     this.#server.closeIdleConnections();
   }
 
@@ -74,183 +127,119 @@
       this.#server.close(() => resolve());
       this.#server.closeIdleConnections();
     });
+    clearInterval(this.#checkTimer);
   }
 
-  async #handle(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    body: Buffer,
-  ): Promise<HttpResponse> {
-    const parsed = createRequest(request, response, body);
-    return parsed === undefined
-      ? createErrorResponse(
-        createError("invalid_request", "the path is not validly encoded", {
-          path: "path",
-        }),
-      )
-      : await this.#options.handleRequest(parsed);
+  #createContext(): ExchangeContext {
+    const { handleRequest, checkHead, getLimits } = this.#options;
+    return {
+      limits: this.#limits,
+      budget: this.#budget,
+      discarder: new BodyDiscarder(),
+      handleRequest,
+      checkHead: (head) => checkHead?.(head),
+      getLimits: () => getLimits?.(),
+      reportRefusal: (cause, { socket }) => this.#reportRefusal(cause, socket),
+      isStopping: () => this.#isKeepAliveDisabled || !this.#server.listening,
+    };
   }
 
-  /** Returns a response that refuses the request before its body is read. */
-  #checkHead(request: http.IncomingMessage): HttpResponse | undefined {
-    const { checkHead } = this.#options;
-    const refusal = checkHead?.({
-      method: request.method ?? "GET",
-      rawPath: getRawPath(request.url ?? "/"),
-      headers: request.headers,
-      remoteAddress: request.socket.remoteAddress ?? "",
-    });
-    if (refusal !== undefined) {
-      discardBody(request);
+  #accept(socket: Socket): void {
+    if (this.#table.size >= this.#limits.maxConnections) {
+      const closable = this.#table.selectClosable();
+      this.#closeConnection(closable?.socket ?? socket, "connections");
+      if (closable === undefined) {
+        return;
+      }
     }
-    return refusal;
+    const connection = new ServerConnection({
+      socket,
+      budget: this.#budget,
+      onUnread: () => this.#closeConnection(socket, "unread_response"),
+    });
+    this.#connections.set(socket, connection);
+    this.#table.add(connection);
+    socket.once("close", () => this.#removeConnection(connection));
+    limitParsing(socket, () => !connection.isClosing);
   }
 
-  async #readAndHandle(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<HttpResponse> {
-    const body = await readBody(
-      request,
-      this.#options.maxBodyBytes ?? MAX_BODY_BYTES,
-    );
-    return body === undefined
-      ? refuseBody(request)
-      : await this.#handle(request, response, body);
+  #removeConnection(connection: ServerConnection): void {
+    this.#table.remove(connection);
+    connection.close();
   }
 
-  async #serve(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-  ): Promise<void> {
-    let handlerResponse: HttpResponse;
-    try {
-      handlerResponse = this.#checkHead(request) ??
-        await this.#readAndHandle(request, response);
-    } catch (error) {
-      handlerResponse = createErrorResponse(
-        createError("internal", (error as Error).message),
-      );
+  /** Closes a connection that a limit doesn't allow. */
+  #closeConnection(socket: Socket, cause: RefusalCause): void {
+    this.#reportRefusal(cause, socket);
+    const connection = this.#connections.get(socket);
+    if (connection !== undefined) {
+      this.#removeConnection(connection);
     }
-    response.writeHead(handlerResponse.status, {
-      "content-type": handlerResponse.contentType,
-      "content-length": handlerResponse.body.length,
-      ...handlerResponse.headers,
-      // A stopping server closes keep-alive connections after their next
-      // response.
-      ...(this.#isKeepAliveDisabled || !this.#server.listening
-        ? { connection: "close" }
-        : {}),
-    });
-    response.end(handlerResponse.body);
+    socket.destroy();
   }
-}
 
-/** Reads the body. Returns undefined as soon as it is found to be too large. */
-async function readBody(
-  request: http.IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | undefined> {
-  if (Number(request.headers["content-length"] ?? 0) > maxBytes) {
-    return undefined;
+  #reportRefusal(cause: RefusalCause, socket: Socket): void {
+    this.#options.onRefusal?.(cause, socket.remoteAddress ?? "");
   }
-  const chunks: Buffer[] = [];
-  let size = 0;
-  // Destroying the request would close the connection before the client has
-  // read the refusal.
-  for await (const chunk of request.iterator({ destroyOnReturn: false })) {
-    size += chunk.length;
-    if (size > maxBytes) {
-      return undefined;
+
+  #checkConnections(): void {
+    const limits = { ...this.#limits, ...this.#options.getLimits?.() };
+    const overdue = this.#table.findOverdue({
+      header: countChecks(limits.headerTimeoutMs),
+      bodyIdle: countChecks(limits.bodyIdleTimeoutMs),
+      body: countChecks(limits.bodyTimeoutMs),
+      unread: countChecks(limits.unreadTimeoutMs),
+    });
+    for (const { connection, activity } of overdue) {
+      this.#closeConnection(connection.socket, OVERDUE_CAUSES[activity]);
+    }
+    for (const connection of this.#table.findUnread()) {
+      connection.allowEviction();
     }
-    chunks.push(chunk);
   }
-  return Buffer.concat(chunks);
-}
-
-function refuseBody(request: http.IncomingMessage): HttpResponse {
-  discardBody(request);
-  return createErrorResponse(
-    createError("body_too_large", "the request body is too large"),
-  );
-}
 
-/**
- * Reads and discards the rest of a body for a limited time, so that the client can read
- * the refusal.
- */
-function discardBody(request: http.IncomingMessage): void {
-  request.resume();
-  const timer = setTimeout(() => {
-    if (!request.complete) {
-      request.socket.destroy();
+  #handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+    const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
+    if (isTooLarge) {
+      this.#reportRefusal("header_size", socket);
     }
-  }, REFUSED_BODY_TIMEOUT_MS);
-  timer.unref();
-}
-
-/**
- * Creates the request for the handler. Returns undefined if the path isn't
- * validly encoded.
- */
-function createRequest(
-  request: http.IncomingMessage,
-  response: http.ServerResponse,
-  body: Buffer,
-): HttpRequest | undefined {
-  const target = parseTarget(request.url ?? "/");
-  if (target === undefined) {
-    return undefined;
+    // An answer here may not come between those to earlier requests.
+    const connection = this.#connections.get(socket);
+    if (socket.writable && connection?.pendingCount === 0) {
+      socket.write(isTooLarge ? HEADERS_TOO_LARGE : BAD_REQUEST);
+    }
+    socket.destroy();
   }
-  const abort = new AbortController();
-  abortOnDisconnect(abort, request, response);
-  return {
-    method: request.method ?? "GET",
-    ...target,
-    headers: request.headers,
-    remoteAddress: request.socket.remoteAddress ?? "",
-    body,
-    signal: abort.signal,
-  };
-}
 
-/**
- * Aborts when the connection ends before the response is complete. A response
- * emits no event for that while it waits for one to an earlier request on the
- * same connection, so the connection itself is observed.
- */
-function abortOnDisconnect(
-  abort: AbortController,
-  { socket }: http.IncomingMessage,
-  response: http.ServerResponse,
-): void {
-  if (socket.destroyed) {
-    abort.abort();
-    return;
+  #receiveRequest(
+    message: http.IncomingMessage,
+    response: http.ServerResponse,
+    waitsForContinue: boolean,
+  ): void {
+    const connection = this.#connections.get(message.socket);
+    if (connection === undefined || message.socket.destroyed) {
+      return;
+    }
+    connection.requestCount++;
+    connection.markRequestRead();
+    if (connection.isClosing) {
+      // A client that sends on is not waited for.
+      if (++connection.droppedCount > this.#limits.maxRequestsAhead) {
+        message.socket.destroy();
+      }
+      return;
+    }
+    new HttpExchange({
+      context: this.#context,
+      connection,
+      message,
+      response,
+      waitsForContinue,
+    }).run();
   }
-  const handleClose = () => abort.abort();
-  socket.once("close", handleClose);
-  response.once("finish", () => socket.off("close", handleClose));
-}
-
-/** Gets the path of a request's target, without its query. */
-function getRawPath(target: string): string {
-  const queryStart = target.indexOf("?");
-  return queryStart < 0 ? target : target.slice(0, queryStart);
 }
 
-function parseTarget(
-  target: string,
-): Pick<HttpRequest, "rawPath" | "pathSegments" | "query"> | undefined {
-  try {
-    const url = new URL(target, "http://localhost");
-    const segments = url.pathname.split("/").filter((part) => part !== "");
-    return {
-      rawPath: getRawPath(target),
-      pathSegments: segments.map(decodeURIComponent),
-      query: url.searchParams,
-    };
-  } catch {
-    return undefined;
-  }
+/** Gets the number of checks in which a time has passed. */
+function countChecks(timeMs: number): number {
+  return Math.max(1, Math.ceil(timeMs / CHECK_INTERVAL_MS));
 }
--- /dev/null
+++ b/src/transport/http/limit_parsing.ts
@@ -0,0 +1,39 @@
+import type { Socket } from "node:net";
+
+/** Bytes that are parsed at once; an ordinary request is shorter. */
+const SLICE_BYTES = 8_192;
+
+type DataListener = (this: Socket, bytes: Buffer) => void;
+
+/**
+ * Lets the HTTP server of a socket parse received bytes in small parts, and no more of them
+ * once `canParse` returns false. The server would parse up to 64 KiB at once, and a client
+ * that sends thousands of requests ahead makes it create the objects of all of them.
+ */
+export function limitParsing(socket: Socket, canParse: () => boolean): void {
+  const listeners = socket.listeners("data") as DataListener[];
+  const [parse] = listeners;
+  if (parse === undefined || listeners.length > 1) {
+    // Another version of the runtime reads in another way.
+    return;
+  }
+  let rest: Buffer | undefined;
+  const parseRest = () => {
+    // The server pauses the socket while the client doesn't read its responses.
+    while (rest !== undefined && !socket.isPaused()) {
+      if (socket.destroyed || !canParse()) {
+        rest = undefined;
+        return;
+      }
+      const slice = rest.subarray(0, SLICE_BYTES);
+      rest = rest.length > SLICE_BYTES ? rest.subarray(SLICE_BYTES) : undefined;
+      parse.call(socket, slice);
+    }
+  };
+  socket.removeListener("data", parse);
+  socket.on("data", (bytes: Buffer) => {
+    rest = rest === undefined ? bytes : Buffer.concat([rest, bytes]);
+    parseRest();
+  });
+  socket.on("resume", parseRest);
+}
--- a/src/transport/http/mod.ts
+++ b/src/transport/http/mod.ts
@@ -6,3 +6,6 @@
 export { HttpServer } from "./http_server.ts";
 export { HttpClient } from "./http_client.ts";
 export type { HttpClientResponse } from "./http_client_response.ts";
+export type { HttpLimits } from "./http_limits.ts";
+export type { ChangeableHttpLimits } from "./changeable_http_limits.ts";
+export type { RefusalCause } from "./refusal_cause.ts";
--- /dev/null
+++ b/src/transport/http/server_connection.ts
@@ -0,0 +1,138 @@
+import type { Socket } from "node:net";
+import type { BodyReader } from "./body_reader.ts";
+import type { ConnectionActivity } from "./connection_activity.ts";
+import type { ConnectionState } from "./connection_state.ts";
+import type { MemoryHolder } from "./memory_holder.ts";
+import type { ReceivedRequest } from "./received_request.ts";
+import type { RequestMemoryBudget } from "./request_memory_budget.ts";
+
+/**
+ * A connection of a client, with its requests that are not answered yet. As a memory
+ * holder it stands for responses that the client doesn't read.
+ */
+export class ServerConnection implements ConnectionState, MemoryHolder {
+  readonly socket: Socket;
+  heldBytes = 0;
+  requestCount = 0;
+  servedCount = 0;
+  /** Requests whose responses have not been handed to the network. */
+  pendingCount = 0;
+  /** Requests that were not served because the connection is to be closed. */
+  droppedCount = 0;
+  /** Whether the connection closes after a response that was sent. */
+  isClosing = false;
+  /** The body that is being read. */
+  body: BodyReader | undefined;
+  readonly #budget: RequestMemoryBudget;
+  readonly #onUnread: (connection: ServerConnection) => void;
+  readonly #handledRequests = new Set<ReceivedRequest>();
+  #readBytesAtRequest = 0;
+  #unsentBytes = 0;
+  #isClosed = false;
+
+  constructor(options: {
+    socket: Socket;
+    budget: RequestMemoryBudget;
+    /** Called when the connection is to be closed for its unread responses. */
+    onUnread: (connection: ServerConnection) => void;
+  }) {
+    this.socket = options.socket;
+    this.#budget = options.budget;
+    this.#onUnread = options.onUnread;
+  }
+
+  getActivity(): ConnectionActivity {
+    if (this.body !== undefined) {
+      return "body";
+    }
+    if (this.pendingCount > 0) {
+      return this.#handledRequests.size > 0 ? "handling" : "unread";
+    }
+    return this.socket.bytesRead > this.#readBytesAtRequest ? "header" : "idle";
+  }
+
+  getProgress(): number {
+    return this.body?.receivedBytes ??
+      (this.pendingCount > 0 ? this.socket.writableLength : this.requestCount);
+  }
+
+  /** Notes that all bytes received so far belong to known requests. */
+  markRequestRead(): void {
+    this.#readBytesAtRequest = this.socket.bytesRead;
+  }
+
+  /** Notes that the body that was being read is complete or refused. */
+  endBody(): void {
+    this.body = undefined;
+    this.markRequestRead();
+  }
+
+  startHandling(request: ReceivedRequest): void {
+    this.#handledRequests.add(request);
+    this.#budget.addFixed(request.body.length);
+  }
+
+  endHandling(request: ReceivedRequest): void {
+    if (this.#handledRequests.delete(request)) {
+      this.servedCount++;
+      this.#budget.releaseFixed(request.body.length);
+    }
+  }
+
+  /** Adds a response that waits until the client reads. */
+  addUnsentBytes(bytes: number): void {
+    if (this.#isClosed) {
+      return;
+    }
+    this.#keepUnsent();
+    this.#unsentBytes += bytes;
+    this.#budget.addFixed(bytes);
+  }
+
+  releaseUnsentBytes(bytes: number): void {
+    if (this.#isClosed) {
+      return;
+    }
+    this.#keepUnsent();
+    this.#unsentBytes -= bytes;
+    this.#budget.releaseFixed(bytes);
+  }
+
+  /** Lets the budget close this connection for its unread responses. */
+  allowEviction(): void {
+    if (this.#unsentBytes > 0 && this.heldBytes === 0) {
+      this.#budget.releaseFixed(this.#unsentBytes);
+      this.#budget.addEvictable(this, this.#unsentBytes);
+    }
+  }
+
+  evict(): void {
+    this.#unsentBytes = 0;
+    this.#onUnread(this);
+  }
+
+  /** Releases everything after the connection has closed. */
+  close(): void {
+    if (this.#isClosed) {
+      return;
+    }
+    this.#isClosed = true;
+    this.body?.close();
+    this.#keepUnsent();
+    this.#budget.releaseFixed(this.#unsentBytes);
+    this.#unsentBytes = 0;
+    for (const request of this.#handledRequests) {
+      this.#budget.releaseFixed(request.body.length);
+      request.abort();
+    }
+    this.#handledRequests.clear();
+  }
+
+  /** Takes the unread responses out of what the budget may evict. */
+  #keepUnsent(): void {
+    if (this.heldBytes > 0) {
+      this.#budget.releaseHolder(this);
+      this.#budget.addFixed(this.#unsentBytes);
+    }
+  }
+}
--- a/tests/platform/parse_operator_record_test.ts
+++ b/tests/platform/parse_operator_record_test.ts
@@ -21,7 +21,7 @@
         stretch: 1.6,
         targetLatencyMs: 60,
       }],
-      limits: { maxBodyBytes: 10 },
+      limits: { maxBodyBytes: 10, headerTimeoutMs: 20, idleTimeoutMs: "odd" },
     });
     const change = parseOperatorRecord("config", value)._unsafeUnwrap();
     expect(change).to.deep.equal({
@@ -29,6 +29,7 @@
       config: {
         version: 7,
         maxBodyBytes: 10,
+        requestLimits: { headerTimeoutMs: 20 },
         routes: [{
           name: "r",
           host: "nony.example",
@@ -114,7 +115,10 @@
     const record = fc.record({
       version: count,
       routes: orOdd(fc.array(orOdd(route), { maxLength: 2 })),
-      limits: orOdd(fc.record({ maxBodyBytes: count })),
+      limits: orOdd(fc.record({
+        maxBodyBytes: count,
+        headerTimeoutMs: orOdd(fc.integer()),
+      })),
     });
     let validCount = 0;
     fc.assert(
--- a/tests/transport/http/http_server_test.ts
+++ b/tests/transport/http/http_server_test.ts
@@ -16,7 +16,7 @@
   const server = new HttpServer({
     host: "127.0.0.1",
     port: 0,
-    maxBodyBytes: MAX_BODY_BYTES,
+    limits: { maxBodyBytes: MAX_BODY_BYTES },
     handleRequest: (request) => {
       received.push(request);
       return createJsonResponse(200, { size: request.body.length });
