--- a/src/processes/agent_process.ts
+++ b/src/processes/agent_process.ts
@@ -9,6 +9,7 @@
   HttpServer,
 } from "../transport/http/mod.ts";
 import { AgentIncarnation } from "./agent_incarnation.ts";
+import { createClientLimits } from "./create_client_limits.ts";
 import { handleStatusRequest } from "./handle_status_request.ts";
 import type { ProcessContext } from "./process_context.ts";
 import { UpstreamAnnouncement } from "./upstream_announcement.ts";
@@ -40,6 +41,7 @@
     this.#httpServer = new HttpServer({
       host: context.settings.host,
       port: context.settings.httpPort,
+      ...createClientLimits(context),
       handleRequest: (request) => this.#handle(request),
     });
     context.metrics.setGauge("start_records", () => this.#startRecords.size);
--- a/src/processes/entry_process.ts
+++ b/src/processes/entry_process.ts
@@ -14,6 +14,7 @@
   type HttpResponse,
   HttpServer,
 } from "../transport/http/mod.ts";
+import { createClientLimits } from "./create_client_limits.ts";
 import { EntryIncarnation } from "./entry_incarnation.ts";
 import { handleStatusRequest } from "./handle_status_request.ts";
 import type { ProcessContext } from "./process_context.ts";
@@ -50,6 +51,7 @@
     this.#httpServer = new HttpServer({
       host: context.settings.host,
       port: context.settings.httpPort,
+      ...createClientLimits(context),
       handleRequest: (request) => this.#handle(request),
     });
   }
--- a/src/state/process_settings/process_settings.ts
+++ b/src/state/process_settings/process_settings.ts
@@ -35,6 +35,10 @@
   upstreamAddress: Address.optional(),
   /** Agents only: largest number of open connections to the upstream. */
   maxConnections: z.int().min(1).max(1024).default(64),
+  /** Memory for requests and unsent responses of all clients, in bytes. */
+  requestMemoryBytes: z.int().min(65_536).default(268_435_456),
+  /** Largest number of open connections of clients. */
+  maxClientConnections: z.int().min(1).default(8_192),
   logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
   /**
    * Entries only: a snapshot of the view is appended to the log at least this
--- a/src/transport/http/body_reader.ts
+++ b/src/transport/http/body_reader.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage } from "node:http";
-import type { MemoryHolder } from "./memory_holder.ts";
-import type { RequestMemoryBudget } from "./request_memory_budget.ts";
+import type { MemoryHolder } from "../memory_holder.ts";
+import type { MemoryBudget } from "../memory_budget.ts";
 
 const EMPTY_BODY = Buffer.alloc(0);
 
 export interface BodyReaderOptions {
   request: IncomingMessage;
-  budget: RequestMemoryBudget;
+  budget: MemoryBudget;
   maxBytes: number;
   /** Called with the complete body, which the budget then no longer knows. */
   onComplete: (body: Buffer) => void;
--- a/src/transport/http/exchange_context.ts
+++ b/src/transport/http/exchange_context.ts
@@ -5,13 +5,13 @@
 import type { HttpRequest } from "./http_request.ts";
 import type { HttpRequestHead } from "./http_request_head.ts";
 import type { HttpResponse } from "./http_response.ts";
-import type { RequestMemoryBudget } from "./request_memory_budget.ts";
+import type { MemoryBudget } from "../memory_budget.ts";
 import type { ServerConnection } from "./server_connection.ts";
 
 /** What the exchanges of a server have in common. */
 export interface ExchangeContext {
   readonly limits: HttpLimits;
-  readonly budget: RequestMemoryBudget;
+  readonly budget: MemoryBudget;
   readonly discarder: BodyDiscarder;
   handleRequest(request: HttpRequest): Promise<HttpResponse> | HttpResponse;
   checkHead(head: HttpRequestHead): HttpResponse | undefined;
--- a/src/transport/http/http_client.ts
+++ b/src/transport/http/http_client.ts
@@ -29,6 +29,8 @@
    * one that is being opened, instead of at once. False by default.
    */
   waitsForConnection?: boolean;
+  /** Largest body of the response, in bytes; without it any size is read. */
+  maxResponseBytes?: number;
 }
 
 /**
@@ -60,6 +62,7 @@
   ): Promise<Result<HttpClientResponse, DispatchError>> {
     const [host, port] = address.split(":");
     const { method, path, body, timeoutMs, progressTimeoutMs } = options;
+    const { maxResponseBytes = Infinity } = options;
     return new Promise((resolve) => {
       let timeout: string | undefined;
       let receivedBytes = 0;
@@ -80,8 +83,14 @@
       }, (response) => {
         const chunks: Buffer[] = [];
         response.on("data", (chunk: Buffer) => {
-          chunks.push(chunk);
           receivedBytes += chunk.length;
+          if (receivedBytes > maxResponseBytes) {
+            request.destroy(
+              new Error(`the answer has more than ${maxResponseBytes} bytes`),
+            );
+            return;
+          }
+          chunks.push(chunk);
           options.onProgress?.(chunk.length);
           if (progressTimeoutMs !== undefined) {
             clearTimeout(timer);
--- a/src/transport/http/http_exchange.ts
+++ b/src/transport/http/http_exchange.ts
@@ -26,6 +26,8 @@
   readonly #response: ServerResponse;
   readonly #request: ReceivedRequest;
   readonly #waitsForContinue: boolean;
+  /** Whether the connection closes after this response; earlier ones are sent before. */
+  #isLast = false;
 
   constructor(options: HttpExchangeOptions) {
     this.#context = options.context;
@@ -112,7 +114,7 @@
   #refuse(cause: AnsweredCause): void {
     this.#context.reportRefusal(cause, this.#connection);
     if (cause === "requests_ahead") {
-      this.#connection.isClosing = true;
+      this.#closeAfterwards();
     }
     this.#sendRefusal(createRefusal(cause));
   }
@@ -123,12 +125,19 @@
     if (
       !connection.isClosing && this.#hasBody() && !this.#message.complete
     ) {
-      connection.isClosing = !this.#context.discarder.tryDiscard(this.#message);
+      if (!this.#context.discarder.tryDiscard(this.#message)) {
+        this.#closeAfterwards();
+      }
       this.#message.once("end", () => connection.markRequestRead());
     }
     this.#send(refusal);
   }
 
+  #closeAfterwards(): void {
+    this.#isLast = true;
+    this.#connection.isClosing = true;
+  }
+
   async #handle(): Promise<void> {
     const request = this.#request;
     this.#connection.startHandling(request);
@@ -163,7 +172,7 @@
       ...headers,
       // A stopping server closes keep-alive connections after their next
       // response.
-      ...(connection.isClosing || this.#context.isStopping()
+      ...(this.#isLast || this.#context.isStopping()
         ? { connection: "close" }
         : {}),
     });
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -12,7 +12,7 @@
 import type { HttpResponse } from "./http_response.ts";
 import type { RefusalCause } from "./refusal_cause.ts";
 import { limitParsing } from "./limit_parsing.ts";
-import { RequestMemoryBudget } from "./request_memory_budget.ts";
+import { MemoryBudget } from "../memory_budget.ts";
 import { ServerConnection } from "./server_connection.ts";
 
 /** Interval at which connections are checked for limits on time, in milliseconds. */
@@ -53,7 +53,7 @@
   readonly #options: HttpServerOptions;
   readonly #limits: HttpLimits;
   readonly #server: http.Server;
-  readonly #budget: RequestMemoryBudget;
+  readonly #budget: MemoryBudget;
   readonly #table = new ConnectionTable<ServerConnection>();
   readonly #connections = new WeakMap<Socket, ServerConnection>();
   readonly #context: ExchangeContext;
@@ -63,7 +63,7 @@
   constructor(options: HttpServerOptions) {
     this.#options = options;
     this.#limits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
-    this.#budget = new RequestMemoryBudget(this.#limits.memoryBytes);
+    this.#budget = new MemoryBudget(this.#limits.memoryBytes);
     this.#context = this.#createContext();
     this.#server = http.createServer({
       maxHeaderSize: this.#limits.maxHeaderBytes,
--- a/src/transport/http/server_connection.ts
+++ b/src/transport/http/server_connection.ts
@@ -2,9 +2,9 @@
 import type { BodyReader } from "./body_reader.ts";
 import type { ConnectionActivity } from "./connection_activity.ts";
 import type { ConnectionState } from "./connection_state.ts";
-import type { MemoryHolder } from "./memory_holder.ts";
+import type { MemoryHolder } from "../memory_holder.ts";
 import type { ReceivedRequest } from "./received_request.ts";
-import type { RequestMemoryBudget } from "./request_memory_budget.ts";
+import type { MemoryBudget } from "../memory_budget.ts";
 
 /**
  * A connection of a client, with its requests that are not answered yet. As a memory
@@ -23,7 +23,7 @@
   isClosing = false;
   /** The body that is being read. */
   body: BodyReader | undefined;
-  readonly #budget: RequestMemoryBudget;
+  readonly #budget: MemoryBudget;
   readonly #onUnread: (connection: ServerConnection) => void;
   readonly #handledRequests = new Set<ReceivedRequest>();
   #readBytesAtRequest = 0;
@@ -32,7 +32,7 @@
 
   constructor(options: {
     socket: Socket;
-    budget: RequestMemoryBudget;
+    budget: MemoryBudget;
     /** Called when the connection is to be closed for its unread responses. */
     onUnread: (connection: ServerConnection) => void;
   }) {
--- a/src/transport/http/request_memory_budget.ts
+++ b/src/transport/memory_budget.ts
@@ -1,6 +1,6 @@
 /**
- * Limits the memory for request bodies and unsent responses over all connections of a
- * server. The load: clients that send large bodies and never end them, tens with bodies far
+ * Limits the memory for what arrives and isn't complete, and for what waits to be sent, over
+ * all connections of a server. The load: clients that send large bodies and never end them, tens with bodies far
  * over the limit or thousands with bodies of an allowed size.
  *
  * When the budget is exceeded, the holder of most bytes is evicted until it is kept: those
@@ -16,7 +16,7 @@
 /** Reserved part of the budget. */
 const RESERVED_SHARE = 0.25;
 
-export class RequestMemoryBudget {
+export class MemoryBudget {
   readonly #limitBytes: number;
   readonly #evictable = new Set<MemoryHolder>();
   #heldBytes = 0;
--- a/src/transport/stream/frame_socket.ts
+++ b/src/transport/stream/frame_socket.ts
@@ -5,6 +5,8 @@
 import type { PeerStream } from "../../coordination/ports/mod.ts";
 import type { BatchFrame } from "../../coordination/messages/mod.ts";
 import { formatBatchFrame, parseBatchFrame } from "../../protocol/batch/mod.ts";
+import type { MemoryBudget } from "../memory_budget.ts";
+import type { MemoryHolder } from "../memory_holder.ts";
 import { MessageQueue } from "../message_queue.ts";
 
 const LINE_FEED = 0x0a;
@@ -31,6 +33,9 @@
  */
 const KEEP_ALIVE_DELAY_MS = 1_000;
 
+/** Size from which an incomplete frame counts for the budget, in bytes. */
+const MIN_COUNTED_BYTES = 65_536;
+
 /**
  * A stream of frames on a TCP connection. Frames that are sent in the same turn
  * of the event loop are combined in one write.
@@ -42,15 +47,26 @@
   #partialLine: Buffer = Buffer.alloc(0);
   #isClosed = false;
   #error: Error | undefined;
+  readonly #budget: MemoryBudget | undefined;
+  readonly #incompleteFrame: MemoryHolder = {
+    heldBytes: 0,
+    evict: () =>
+      this.#socket.destroy(
+        new Error("incomplete frames of all streams hold too much memory"),
+      ),
+  };
 
-  constructor(socket: Socket) {
+  /** @param budget - Limits the incomplete frames of several streams together. */
+  constructor(socket: Socket, budget?: MemoryBudget) {
     this.#socket = socket;
+    this.#budget = budget;
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
     socket.on("data", (bytes: Buffer) => this.#handleBytes(bytes));
     socket.on("error", (error) => this.#error ??= error);
     socket.on("close", () => {
       this.#isClosed = true;
+      this.#budget?.releaseHolder(this.#incompleteFrame);
       this.received.close(this.#error);
     });
   }
@@ -114,6 +130,19 @@
         new Error(`received more than ${MAX_FRAME_BYTES} bytes of one frame`),
       );
     }
+    this.#countIncompleteFrame();
+  }
+
+  #countIncompleteFrame(): void {
+    const { length } = this.#partialLine;
+    const holder = this.#incompleteFrame;
+    if (length < MIN_COUNTED_BYTES && holder.heldBytes === 0) {
+      return;
+    }
+    this.#budget?.releaseHolder(holder);
+    if (length >= MIN_COUNTED_BYTES && !this.#socket.destroyed) {
+      this.#budget?.addEvictable(holder, length);
+    }
   }
 
   #handleLine(line: string): void {
--- a/src/transport/stream/stream_server.ts
+++ b/src/transport/stream/stream_server.ts
@@ -1,7 +1,12 @@
 import { type AddressInfo, createServer, type Server } from "node:net";
 import type { BatchFrame } from "../../coordination/messages/mod.ts";
 import type { PeerStream } from "../../coordination/ports/mod.ts";
+import { MemoryBudget } from "../memory_budget.ts";
 import { FrameSocket } from "./frame_socket.ts";
+import { INCOMPLETE_FRAME_BYTES } from "./incomplete_frame_bytes.ts";
+
+/** Default of `maxStreams`; a process has one stream to each peer. */
+const MAX_STREAMS = 4_096;
 
 export interface StreamServerOptions {
   host: string;
@@ -9,6 +14,12 @@
   port: number;
   /** Serves a stream until it ends. */
   serveStream: (stream: PeerStream<BatchFrame>) => Promise<void>;
+  /** Largest number of open streams; further connections are closed at once. */
+  maxStreams?: number;
+  /** Memory for incomplete frames of all streams, in bytes. */
+  incompleteFrameBytes?: number;
+  /** Called for each connection that is closed because of `maxStreams`. */
+  onRefusal?: (remoteAddress: string) => void;
 }
 
 /** Accepts TCP connections that carry streams of frames. */
@@ -19,8 +30,18 @@
 
   constructor(options: StreamServerOptions) {
     this.#options = options;
+    const {
+      maxStreams = MAX_STREAMS,
+      incompleteFrameBytes = INCOMPLETE_FRAME_BYTES,
+    } = options;
+    const budget = new MemoryBudget(incompleteFrameBytes);
     this.#server = createServer((socket) => {
-      const stream = new FrameSocket(socket);
+      if (this.#streams.size >= maxStreams) {
+        options.onRefusal?.(socket.remoteAddress ?? "");
+        socket.destroy();
+        return;
+      }
+      const stream = new FrameSocket(socket, budget);
       this.#streams.add(stream);
       void options.serveStream(stream).finally(() => {
         this.#streams.delete(stream);
--- a/tests/platform/store_client_test.ts
+++ b/tests/platform/store_client_test.ts
@@ -127,6 +127,13 @@
     expect(counts.reduce((sum, count) => sum + count)).to.be.above(250_000);
   });
 
+  it("gives up an answer that is far larger than a page of records", async () => {
+    // Guards against a process that runs out of memory because of one answer.
+    store.answers.push({ status: 200, bytes: Buffer.alloc(20_000_000) });
+    const page = await client.readNewest("operator");
+    expect(page._unsafeUnwrapErr().message).to.contain("more than 16777216");
+  });
+
   it("times out an answer that stops in its middle", async () => {
     store.answers.push({
       ...createSlowAnswer("v"),
--- a/tests/transport/http/request_memory_budget_test.ts
+++ b/tests/transport/memory_budget_test.ts
@@ -1,16 +1,16 @@
 import { expect } from "chai";
-import type { MemoryHolder } from "../../../src/transport/http/memory_holder.ts";
-import { RequestMemoryBudget } from "../../../src/transport/http/request_memory_budget.ts";
+import type { MemoryHolder } from "../../src/transport/memory_holder.ts";
+import { MemoryBudget } from "../../src/transport/memory_budget.ts";
 
 const LIMIT_BYTES = 1_000_000;
 
 /** The load: clients that add parts of bodies that they never end. */
-describe("RequestMemoryBudget", () => {
-  let budget: RequestMemoryBudget;
+describe("MemoryBudget", () => {
+  let budget: MemoryBudget;
   let evicted: string[];
 
   beforeEach(() => {
-    budget = new RequestMemoryBudget(LIMIT_BYTES);
+    budget = new MemoryBudget(LIMIT_BYTES);
     evicted = [];
   });
 
--- a/tests/transport/stream/stream_test.ts
+++ b/tests/transport/stream/stream_test.ts
@@ -92,6 +92,47 @@
     expect(receivedNumbers).to.deep.equal([]);
   });
 
+  it("closes the stream with the largest incomplete frame when all of them hold too much", async () => {
+    // Guards against a process that runs out of memory because of frames that never end.
+    const limited = new StreamServer({
+      ...{ host: "127.0.0.1", port: 0, incompleteFrameBytes: 400_000 },
+      serveStream: (stream) => readStreamError(stream).then(() => {}),
+    });
+    const port = await limited.start();
+    const closed: string[] = [];
+    const sockets = [["large", 200_000], ["small", 90_000], ["last", 90_000]]
+      .map(([name, bytes]) => {
+        const socket = connect(port, "127.0.0.1");
+        socket.on("error", () => {});
+        socket.on("close", () => closed.push(String(name)));
+        socket.write(" ".repeat(Number(bytes)));
+        return socket;
+      });
+    await waitUntil(() => closed.length > 0, "a closed stream");
+    expect(closed).to.deep.equal(["large"]);
+    limited.stop();
+    sockets.forEach((socket) => socket.destroy());
+  });
+
+  it("closes connections beyond the largest number of streams", async () => {
+    // Guards against connections that use up the descriptors of a process.
+    let refusals = 0;
+    const limited = new StreamServer({
+      ...{ host: "127.0.0.1", port: 0, maxStreams: 1 },
+      serveStream: (stream) => readStreamError(stream).then(() => {}),
+      onRefusal: () => refusals++,
+    });
+    const port = await limited.start();
+    const first = connect(port, "127.0.0.1");
+    await new Promise((resolve) => first.once("connect", resolve));
+    const second = connect(port, "127.0.0.1");
+    await new Promise((resolve) => second.once("close", resolve));
+    expect(refusals).to.equal(1);
+    expect(first.destroyed).to.equal(false);
+    limited.stop();
+    first.destroy();
+  });
+
   it("ends with an error when nothing listens", async () => {
     server.stop();
     const stream = new StreamClient().open(address);
