--- a/src/transport/http/answered_cause.ts
+++ b/src/transport/http/answered_cause.ts
@@ -1,7 +1,4 @@
 import type { RefusalCause } from "./refusal_cause.ts";
 
-/** Causes of which the client is told. */
-export type AnsweredCause = Extract<
-  RefusalCause,
-  "body_size" | "header_size" | "memory" | "requests_ahead"
->;
+/** Causes of which the client is told, since they hold for the request wherever it goes. */
+export type AnsweredCause = Extract<RefusalCause, "body_size" | "header_size">;
--- a/src/transport/http/exchange_context.ts
+++ b/src/transport/http/exchange_context.ts
@@ -1,10 +1,10 @@
-import type { AnsweredCause } from "./answered_cause.ts";
 import type { BodyDiscarder } from "./body_discarder.ts";
 import type { ChangeableHttpLimits } from "./changeable_http_limits.ts";
 import type { HttpLimits } from "./http_limits.ts";
 import type { HttpRequest } from "./http_request.ts";
 import type { HttpRequestHead } from "./http_request_head.ts";
 import type { HttpResponse } from "./http_response.ts";
+import type { RefusalCause } from "./refusal_cause.ts";
 import type { MemoryBudget } from "../memory_budget.ts";
 import type { ServerConnection } from "./server_connection.ts";
 
@@ -16,7 +16,7 @@
   handleRequest(request: HttpRequest): Promise<HttpResponse> | HttpResponse;
   checkHead(head: HttpRequestHead): HttpResponse | undefined;
   getLimits(): ChangeableHttpLimits | undefined;
-  reportRefusal(cause: AnsweredCause, connection: ServerConnection): void;
+  reportRefusal(cause: RefusalCause, connection: ServerConnection): void;
   /** Returns whether connections close after their next response. */
   isStopping(): boolean;
 }
--- a/src/transport/http/http_exchange.ts
+++ b/src/transport/http/http_exchange.ts
@@ -1,12 +1,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createError } from "../../state/errors/mod.ts";
-import type { AnsweredCause } from "./answered_cause.ts";
 import { BodyReader } from "./body_reader.ts";
 import { createErrorResponse } from "./create_error_response.ts";
 import { createRefusal } from "./create_refusal.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import type { HttpResponse } from "./http_response.ts";
 import { ReceivedRequest } from "./received_request.ts";
+import type { RefusalCause } from "./refusal_cause.ts";
 import type { ServerConnection } from "./server_connection.ts";
 
 export interface HttpExchangeOptions {
@@ -66,7 +66,7 @@
   #checkLimits(
     maxBodyBytes: number,
     maxHeaderBytes = Infinity,
-  ): AnsweredCause | undefined {
+  ): RefusalCause | undefined {
     const { limits, budget } = this.#context;
     if (this.#connection.pendingCount > limits.maxRequestsAhead) {
       return "requests_ahead";
@@ -111,12 +111,14 @@
     });
   }
 
-  #refuse(cause: AnsweredCause): void {
+  #refuse(cause: RefusalCause): void {
     this.#context.reportRefusal(cause, this.#connection);
-    if (cause === "requests_ahead") {
-      this.#closeAfterwards();
+    if (cause === "body_size" || cause === "header_size") {
+      this.#sendRefusal(createRefusal(cause));
+    } else {
+      this.#connection.endRequest();
+      this.#connection.closeAfterAnswers();
     }
-    this.#sendRefusal(createRefusal(cause));
   }
 
   /** Sends a refusal of a request whose body isn't read, or not completely. */
@@ -126,18 +128,14 @@
       !connection.isClosing && this.#hasBody() && !this.#message.complete
     ) {
       if (!this.#context.discarder.tryDiscard(this.#message)) {
-        this.#closeAfterwards();
+        this.#isLast = true;
+        connection.isClosing = true;
       }
       this.#message.once("end", () => connection.markRequestRead());
     }
     this.#send(refusal);
   }
 
-  #closeAfterwards(): void {
-    this.#isLast = true;
-    this.#connection.isClosing = true;
-  }
-
   async #handle(): Promise<void> {
     const request = this.#request;
     this.#connection.startHandling(request);
@@ -163,8 +161,8 @@
     const connection = this.#connection;
     connection.addUnsentBytes(body.length);
     this.#response.once("finish", () => {
-      connection.pendingCount--;
       connection.releaseUnsentBytes(body.length);
+      connection.endRequest();
     });
     this.#response.writeHead(status, {
       "content-type": contentType,
--- a/src/transport/http/server_connection.ts
+++ b/src/transport/http/server_connection.ts
@@ -19,7 +19,7 @@
   pendingCount = 0;
   /** Requests that were not served because the connection is to be closed. */
   droppedCount = 0;
-  /** Whether the connection closes after a response that was sent. */
+  /** Whether the connection closes after the answers to its requests so far. */
   isClosing = false;
   /** The body that is being read. */
   body: BodyReader | undefined;
@@ -61,6 +61,22 @@
     this.#readBytesAtRequest = this.socket.bytesRead;
   }
 
+  /** Notes that a request is answered, or will not be. */
+  endRequest(): void {
+    this.pendingCount--;
+    if (this.isClosing && this.pendingCount === 0) {
+      this.socket.destroySoon();
+    }
+  }
+
+  /** Serves no further request, and closes after the answers to earlier ones. */
+  closeAfterAnswers(): void {
+    this.isClosing = true;
+    if (this.pendingCount === 0) {
+      this.socket.destroySoon();
+    }
+  }
+
   /** Notes that the body that was being read is complete or refused. */
   endBody(): void {
     this.body = undefined;
