--- a/scripts/soak/soak_process.ts
+++ b/scripts/soak/soak_process.ts
@@ -42,6 +42,11 @@
     return join(this.#options.folder, `${this.#options.name}.json`);
   }
 
+  /** Gets the id of the running process; undefined before the start. */
+  get pid(): number | undefined {
+    return this.#child?.pid;
+  }
+
   start(): void {
     const { role, folder } = this.#options;
     const program = join(this.distFolder, `platform/${role}.js`);
@@ -65,11 +70,6 @@
     this.#child = child;
   }
 
-  /** Gets the id of the running process. */
-  get pid(): number | undefined {
-    return this.#child?.pid;
-  }
-
   /** Sends a signal; SIGSTOP pauses the process, SIGCONT resumes it. */
   sendSignal(signal: NodeJS.Signals): void {
     this.#child?.kill(signal);
