--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -1,9 +1,5 @@
 import { setTimeout as wait } from "node:timers/promises";
-import {
-  addTaskToLoad,
-  type WorkerLoad,
-  type WorkerOffer,
-} from "../../../state/batch/mod.ts";
+import type { WorkerLoad, WorkerOffer } from "../../../state/batch/mod.ts";
 import type { EventLog, PeerConnector } from "../../ports/mod.ts";
 import type {
   BatchBody,
@@ -29,6 +25,8 @@
 } from "../directory/mod.ts";
 import type { AgentStream } from "./agent_stream.ts";
 import type { ClaimHome } from "./claim_home.ts";
+import { mergeOffers } from "./merge_offers.ts";
+import { ReportedLoad } from "./reported_load.ts";
 
 /** Interval of the checks of a link, in milliseconds. */
 const CHECK_INTERVAL_MS = BATCH_LIMITS.linkCheckIntervalMs;
@@ -100,16 +98,11 @@
   #stream: BatchStream | undefined;
   /** Identifies the current stream, or the last one. */
   #streamId: AgentStream;
-  #profile: WorkerProfile | undefined;
   #status: WorkerStatus | undefined;
   #lastService = "";
   #offer: WorkerOffer | undefined;
-  /** Load of the worker as of the last report; undefined until it is asked for. */
-  #load: WorkerLoad | undefined;
-  /** When the status arrived; undefined while it is not one of this profile. */
-  #reportedAt: number | undefined;
   #lastBatch = 0;
-  #unacknowledgedStarts: StartRuns[] = [];
+  readonly #load: ReportedLoad;
   /**
    * Time since the last frame from the agent, in milliseconds, without the time
    * in which this process was paused.
@@ -144,6 +137,7 @@
     this.#getTime = options.getTime ?? (() => performance.now());
     const { name, address } = options.member;
     this.#streamId = { agentId: name, address, number: 0 };
+    this.#load = new ReportedLoad(name);
   }
 
   /** Gets the name of the agent. */
@@ -217,30 +211,11 @@
    * undefined when it doesn't accept work of the service.
    */
   getLoad(service: string): WorkerLoad | undefined {
-    return this.isUsable && this.#profile?.service === service
-      ? this.#load ??= this.#createLoad()
+    return this.isUsable && this.#load.profile?.service === service
+      ? this.#load.get()
       : undefined;
   }
 
-  /**
-   * Creates the load from the last report. Reports that a later one replaces before
-   * a job arrives thus cost no more than their parsing.
-   */
-  #createLoad(): WorkerLoad | undefined {
-    const profile = this.#profile;
-    const status = this.#status;
-    const reportedAt = this.#reportedAt;
-    if (
-      profile === undefined || status === undefined || reportedAt === undefined
-    ) {
-      return undefined;
-    }
-    return this.#unacknowledgedStarts.reduce(
-      addRunsToLoad,
-      createLoad(this.agentId, profile, { status, reportedAt }),
-    );
-  }
-
   /**
    * Orders the agent to start tasks of one job.
    * @returns The stream of the order; undefined if there is none.
@@ -251,8 +226,7 @@
     }
     this.#lastBatch++;
     const value = { ...message, batch: this.#lastBatch };
-    this.#unacknowledgedStarts.push(value);
-    this.#load &&= addRunsToLoad(this.#load, value);
+    this.#load.addStart(value);
     this.#sendReleasedJobs();
     this.#stream.send({ case: "startRuns", value });
     return this.#streamId;
@@ -374,11 +348,8 @@
     this.#operatorState.close();
     const hadStatus = this.#status !== undefined;
     this.#stream = undefined;
-    this.#profile = undefined;
     this.#status = undefined;
-    this.#reportedAt = undefined;
-    this.#load = undefined;
-    this.#unacknowledgedStarts = [];
+    this.#load.clear();
     this.#releasedJobs = [];
     this.#connectingMs = Infinity;
     this.#openJobsExpireAt = this.#getTime() + getRunExpiryMs();
@@ -490,15 +461,13 @@
 
   /** Handles a change of the worker; its status follows. */
   #handleProfile(profile: WorkerProfile): void {
-    if (this.#profile?.workerId !== profile.workerId) {
+    if (this.#load.profile?.workerId !== profile.workerId) {
       this.#options.log.record("worker_profile", {
         agent: this.agentId,
         ...profile,
       });
     }
-    this.#profile = profile;
-    this.#reportedAt = undefined;
-    this.#load = undefined;
+    this.#load.setProfile(profile);
     if (profile.service !== "") {
       const hasChanged = profile.service !== this.#lastService;
       this.#lastService = profile.service;
@@ -507,26 +476,21 @@
   }
 
   #handleStatus(status: WorkerStatus): void {
-    if (this.#profile === undefined) {
+    const { profile } = this.#load;
+    if (profile === undefined) {
       return;
     }
     const previous = this.#status;
     this.#status = status;
     this.#hasBeenReached = true;
     this.#connectingMs = Infinity;
-    if (this.#unacknowledgedStarts.length > 0) {
-      this.#unacknowledgedStarts = this.#unacknowledgedStarts.filter(
-        ({ batch }) => batch > status.receivedBatch,
-      );
-    }
-    this.#reportedAt = this.#getTime();
-    this.#load = undefined;
+    this.#load.setStatus(status, this.#getTime());
     if (previous?.acceptsWork !== status.acceptsWork) {
       this.#options.log.record("worker_status", {
         agent: this.agentId,
-        workerId: this.#profile.workerId,
+        workerId: profile.workerId,
         acceptsWork: status.acceptsWork,
-        zone: this.#profile.zone,
+        zone: profile.zone,
       });
     }
     if (status.isSettled && !this.#hasReportedRunsEnded) {
@@ -535,59 +499,3 @@
     }
   }
 }
-
-/** Adds the runs of an order to the load of the worker that gets it. */
-function addRunsToLoad(load: WorkerLoad, message: StartRuns): WorkerLoad {
-  let changed = load;
-  for (const order of message.runs) {
-    const { expectedMs } = order;
-    const { priority } = message;
-    const isSuspect = order.crashes > 0;
-    const task = { resources: order, expectedMs, priority, isSuspect };
-    changed = addTaskToLoad(changed, task);
-  }
-  return changed;
-}
-
-/** Merges what a worker offers with the largest capacity seen before. */
-function mergeOffers(
-  known: WorkerOffer | undefined,
-  { labels, cpuMillis, memoryMb, gpus }: WorkerProfile,
-): WorkerOffer {
-  const largest = known?.capacity;
-  return {
-    labels,
-    capacity: {
-      cpuMillis: Math.max(cpuMillis, largest?.cpuMillis ?? 0),
-      memoryMb: Math.max(memoryMb, largest?.memoryMb ?? 0),
-      gpus: Math.max(gpus, largest?.gpus ?? 0),
-    },
-  };
-}
-
-function createLoad(
-  agentId: string,
-  profile: WorkerProfile,
-  { status, reportedAt }: { status: WorkerStatus; reportedAt: number },
-): WorkerLoad {
-  return {
-    agentId,
-    zone: profile.zone,
-    labels: profile.labels,
-    capacity: profile,
-    free: {
-      cpuMillis: status.freeCpuMillis,
-      memoryMb: status.freeMemoryMb,
-      gpus: status.freeGpus,
-    },
-    ownSlotShare: 1 / Math.max(1, status.entries),
-    slotRoundingOffset: Math.random(),
-    slowdown: status.slowdown,
-    runningLeftMs: status.runningLeftMs,
-    queuedRuns: status.queuedRuns,
-    queuedMs: status.queuedMs,
-    failureShare: status.failureShare,
-    suspectRuns: status.suspectRuns,
-    reportedAt,
-  };
-}
