--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -4,6 +4,7 @@
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import type { ClaimHome } from "./claim_home.ts";
 import type { ClaimNeed } from "./claim_need.ts";
+import type { JobArrival } from "./job_arrival.ts";
 import { getClaimMemoryMs } from "../get_claim_memory_ms.ts";
 import { NO_CLAIM } from "../no_claim.ts";
 import { selectHomes } from "./select_homes.ts";
@@ -131,16 +132,21 @@
     this.#getTime = options.getTime ?? (() => performance.now());
   }
 
-  /** Adds a job that this entry has just got from a client. */
-  add(jobId: string, spec: string): void {
+  /**
+   * Adds a job that this entry has got from a client.
+   * @param arrival - When it came, if it has waited since it was read.
+   */
+  add(jobId: string, spec: string, arrival?: JobArrival): void {
     const former = this.#claims.get(jobId);
     const now = this.#getTime();
+    const { readAt, arrivedAt } = arrival ??
+      { readAt: now, arrivedAt: now - this.#options.getLongestWaitMs() };
     this.#claims.set(jobId, {
       jobId,
       spec,
       number: ++this.#lastNumber,
-      openedAt: now,
-      arrivedAt: now - this.#options.getLongestWaitMs(),
+      openedAt: readAt,
+      arrivedAt,
       homes: new Map(),
       // The former claim stands while runs of it may be executing.
       askedHomes: new Set(former?.askedHomes),
