--- a/src/state/batch/decide_intake.ts
+++ b/src/state/batch/decide_intake.ts
@@ -4,6 +4,7 @@
  * while the workers may have room. Without this, each request waits longer than
  * the one before, until all of them miss their deadlines.
  */
+import { getRetryAfterMs } from "./get_retry_after_ms.ts";
 import type { IntakeDecision } from "./intake_decision.ts";
 
 /**
@@ -22,9 +23,6 @@
  */
 const TURNS_PER_JOB = 2;
 
-/** Shortest and longest time after which a retry is advised, in milliseconds. */
-const RETRY_AFTER_MS = { min: 1_000, max: 3_000 } as const;
-
 export interface DecideIntakeOptions {
   /** Delay of this entry's event loop, in milliseconds. */
   delayMs: number;
@@ -39,22 +37,19 @@
 
 /**
  * Refuses a job that would miss its latency target because of the entry's own
- * delay, and every job while the delay is too long. The retries of the refused
- * clients are spread, so that they do not return together.
+ * delay, and every job while the delay is too long.
  */
 export function decideIntake(
   options: DecideIntakeOptions,
 ): IntakeDecision {
-  const { delayMs, slackMs } = options;
+  const { delayMs, slackMs, getRandom } = options;
   const isTooSlow = delayMs > MAX_DELAY_MS ||
     (delayMs > OVERLOAD_DELAY_MS && TURNS_PER_JOB * delayMs > slackMs);
-  if (!isTooSlow) {
-    return { kind: "accepted" };
-  }
-  const random = (options.getRandom ?? Math.random)();
-  const { min, max } = RETRY_AFTER_MS;
-  return {
-    kind: "refused",
-    retryAfterMs: min + random * (max - min),
-  };
+  return isTooSlow
+    ? {
+      kind: "refused",
+      cause: "loop_delay",
+      retryAfterMs: getRetryAfterMs(0, getRandom),
+    }
+    : { kind: "accepted" };
 }
