Handle requests that an entry can't handle at once by urgency and caller

Requests are handled in the order in which an entry reads them, also while it is behind. Those that come in one turn of the event loop now wait in JobIntake until all of them are read, unparsed, and are handled a few milliseconds a turn, so that ends of runs and answers come between. An entry that keeps up handles a request in the turn in which it was read. What can't be of use any more is refused, before its body is read if the entry knows it by then; a job that waits is joined, read, cancelled and counted as open like a running one, and its age counts the wait.

`ctl explain` names the intake where it refused or delayed a job.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -1,46 +1,41 @@
 import {
   type BatchJob,
-  CrashHistory,
   decideIntake,
   DeclinePolicy,
-  getPriorityLabel,
   getResponseTimes,
   type IntakeDecision,
   type Route,
-  RouteContainment,
-  type WorkerCrash,
   type WorkerLoad,
   type WorkerOffer,
 } from "../../../state/batch/mod.ts";
-import { parseJson } from "../../../state/errors/mod.ts";
+import { err, ok, type Result } from "neverthrow";
+import type { DispatchError } from "../../../state/errors/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
-import type {
-  BatchFrame,
-  CancelReason,
-  WorkerCrashReport,
-} from "../../messages/mod.ts";
-import type {
-  EventLog,
-  KeyedPage,
-  KeyedStore,
-  PeerConnector,
-} from "../../ports/mod.ts";
+import type { BatchFrame, CancelReason } from "../../messages/mod.ts";
+import type { EventLog, KeyedStore, PeerConnector } from "../../ports/mod.ts";
 import {
-  MemberRecord,
+  type MemberRecord,
   OperatorFollower,
   type OperatorRecordParser,
   TopicFollower,
 } from "../directory/mod.ts";
+import { AgentRecords } from "./agent_records.ts";
 import type { AgentStream } from "./agent_stream.ts";
 import { BatchAgentLink } from "./batch_agent_link.ts";
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
 import type { ClaimNeed } from "./claim_need.ts";
+import type { JobArrival } from "./job_arrival.ts";
 import { JobClaims } from "./job_claims.ts";
 import { JobHold } from "./job_hold.ts";
+import { JobIntake } from "./job_intake.ts";
 import { LoopDelayMonitor } from "./loop_delay_monitor.ts";
+import { recordAnswer } from "./record_answer.ts";
+import { recordIntakeRefusal } from "./record_intake_refusal.ts";
+import type { SubmissionHead } from "./submission_head.ts";
 import { WarmUpGate } from "./warm_up_gate.ts";
+import { WorkerCrashes } from "./worker_crashes.ts";
 
 export interface BatchEntryOptions {
   name: string;
@@ -54,6 +49,18 @@
   parseOperatorRecord: OperatorRecordParser;
   /** Factor by which tasks run longer away from the rack of their data. */
   farFactor: number;
+  /**
+   * Whether requests that this entry can't handle at once are handled by urgency
+   * and caller; otherwise in the order in which they are read. True by default.
+   */
+  ordersIntake?: boolean;
+}
+
+export interface SubmitJobOptions extends SubmissionHead {
+  /** Aborts when the client no longer waits. */
+  signal: AbortSignal;
+  /** Parses the request. Called when its turn has come. */
+  parseJob: () => Result<BatchJob, DispatchError>;
 }
 
 export interface RunJobOptions {
@@ -63,8 +70,16 @@
   timeLeftMs: number;
   /** Aborts when the client no longer waits. */
   signal: AbortSignal;
+  /** When the job came, if it has waited since it was read. */
+  arrival?: JobArrival;
 }
 
+/**
+ * Delay of the event loop above which requests are read together before the first
+ * of them is handled, in milliseconds.
+ */
+const BEHIND_DELAY_MS = 10;
+
 /**
  * The entry: discovers the agents, follows the operator's state, and
  * coordinates the jobs that clients send to it.
@@ -72,24 +87,21 @@
 export class BatchEntry {
   readonly operatorFollower: OperatorFollower;
   readonly #options: BatchEntryOptions;
-  readonly #members: TopicFollower;
+  readonly #members: AgentRecords;
+  readonly #memberFollower: TopicFollower;
   readonly #claims: JobClaims;
   readonly #links = new Map<string, BatchAgentLink>();
   readonly #jobs = new Map<string, BatchJobRun>();
   /** Answered jobs of which a run may still be executing. */
   readonly #endingJobs = new Map<string, BatchJobRun>();
-  /** Records of connected agents that state another address, or none. */
-  readonly #pendingMembers = new Map<string, MemberRecord | undefined>();
   #lastStreamNumber = 0;
   #checkTimer: NodeJS.Timeout | undefined;
-  readonly #crashHistory = new CrashHistory();
-  readonly #containment = new RouteContainment({
-    onRelease: (route) => this.#options.log.record("route_released", { route }),
-  });
+  readonly #crashes: WorkerCrashes;
   /** Decides which orders may be declined, by service. */
   readonly #declinePolicies = new Map<string, DeclinePolicy>();
   readonly #loopDelay = new LoopDelayMonitor();
   readonly #jobHold: JobHold;
+  readonly #intake: JobIntake;
 
   constructor(options: BatchEntryOptions) {
     this.#options = options;
@@ -101,11 +113,21 @@
       parseOperatorRecord,
       onChange: () => {},
     });
-    this.#members = new TopicFollower({
+    this.#members = new AgentRecords({
+      log,
+      getLink: (name) => this.#links.get(name),
+      replaceLink: (name, member) => {
+        this.#removeLink(name);
+        if (member !== undefined) {
+          this.#addLink(member);
+        }
+      },
+    });
+    this.#memberFollower = new TopicFollower({
       topic: "members",
       store,
       log,
-      apply: (page) => this.#applyMembers(page),
+      apply: (page) => this.#members.apply(page),
     });
     this.#claims = new JobClaims({
       log,
@@ -124,6 +146,18 @@
           [...this.#links.values()].filter(({ isUsable }) => isUsable).length,
       }),
     });
+    this.#crashes = new WorkerCrashes({
+      log,
+      metrics: options.metrics,
+      getLinks: () => this.#links,
+      getRoutes: () => this.operatorFollower.state.config?.routes ?? [],
+    });
+    this.#intake = new JobIntake({
+      log,
+      metrics: options.metrics,
+      isEnabled: options.ordersIntake ?? true,
+      isBehind: () => this.#loopDelay.latestDelayMs > BEHIND_DELAY_MS,
+    });
     options.metrics.setGauge("jobs_open", () => this.#jobs.size);
     options.metrics.setGauge("jobs_ending", () => this.#endingJobs.size);
     options.metrics.setGauge("agents_open", () => this.#countOpenLinks());
@@ -141,7 +175,7 @@
 
   /** Gets the number of jobs that are not answered yet. */
   get openJobCount(): number {
-    return this.#jobs.size;
+    return this.#jobs.size + this.#intake.size;
   }
 
   start(): void {
@@ -152,22 +186,88 @@
       this.#claims.runPeriodicChecks();
     }, BATCH_LIMITS.linkCheckIntervalMs);
     void this.operatorFollower.run();
-    void this.#members.run();
+    void this.#memberFollower.run();
   }
 
   stop(): void {
     this.#loopDelay.stop();
     clearInterval(this.#checkTimer);
     this.operatorFollower.stop();
-    this.#members.stop();
+    this.#memberFollower.stop();
     for (const link of this.#links.values()) {
       link.stop();
     }
   }
 
-  /** Runs a job; awaits its answer when it is already running. */
+  /**
+   * Refuses a submission before its body is read, if its answer would be of no use
+   * when its turn comes. Undefined if it is to be read.
+   */
+  refuseUnread(head: SubmissionHead): BatchAnswer | undefined {
+    return this.#jobs.has(head.jobId)
+      ? undefined
+      : this.#intake.refuseUseless(head);
+  }
+
+  /** Gets whether submissions wait for this entry's processor time. */
+  get hasWaitingJobs(): boolean {
+    return this.#intake.size > 0;
+  }
+
+  /**
+   * Parses and runs a job when its turn has come; joins it when it is already open.
+   * @returns The answer, or why the request can't be parsed.
+   */
+  async submitJob(
+    options: SubmitJobOptions,
+  ): Promise<Result<BatchAnswer, DispatchError>> {
+    const { jobId, route, caller, timeLeftMs, signal } = options;
+    const openRun = this.#jobs.get(jobId);
+    if (openRun !== undefined) {
+      openRun.addCaller(signal);
+      return ok(await openRun.answer);
+    }
+    const readAt = performance.now();
+    const arrival = {
+      readAt,
+      arrivedAt: readAt - this.#loopDelay.longestWaitMs,
+    };
+    if (
+      !this.#intake.has(jobId) && this.#intake.tryHandleNow(route, caller)
+    ) {
+      return await this.#parseAndRun(options, arrival, 0);
+    }
+    return await new Promise((resolve) =>
+      this.#intake.add({
+        ...{ jobId, route, caller, timeLeftMs, arrival, signal },
+        handle: (queuedMs) =>
+          resolve(this.#parseAndRun(options, arrival, queuedMs)),
+        reject: (answer) => resolve(ok(answer)),
+      })
+    );
+  }
+
+  async #parseAndRun(
+    { route, timeLeftMs, signal, parseJob }: SubmitJobOptions,
+    arrival: JobArrival,
+    queuedMs: number,
+  ): Promise<Result<BatchAnswer, DispatchError>> {
+    const job = parseJob();
+    if (job.isErr()) {
+      return err(job.error);
+    }
+    this.#intake.recordJob(job.value, route);
+    const answer = await this.runJob({
+      job: job.value,
+      ...{ route, signal, arrival },
+      timeLeftMs: timeLeftMs - queuedMs,
+    });
+    return ok(answer);
+  }
+
+  /** Runs a job at once; awaits its answer when it is already running. */
   async runJob(options: RunJobOptions): Promise<BatchAnswer> {
-    const { job, route, signal } = options;
+    const { job, route, signal, arrival } = options;
     const openRun = this.#jobs.get(job.id);
     if (openRun !== undefined) {
       openRun.addCaller(signal);
@@ -178,19 +278,19 @@
       const { retryAfterMs } = intake;
       return { kind: "error", error: "overloaded", retryAfterMs };
     }
-    const { log, metrics } = this.#options;
     const startedAt = performance.now();
-    const readDelayMs = Math.round(this.#loopDelay.delayMs);
+    const queuedMs = startedAt - (arrival?.readAt ?? startedAt);
+    const readDelayMs = this.#loopDelay.delayMs;
     const run = this.#createJobRun(options);
     // From here on the job can be joined and cancelled, also while it is held.
     this.#jobs.set(job.id, run);
-    this.#claims.add(job.id, job.spec);
+    this.#claims.add(job.id, job.spec, arrival);
     run.addCaller(signal);
     let answer: BatchAnswer;
     let heldMs = 0;
     try {
       await this.#jobHold.wait(job.id, run, this.#endingJobs.get(job.id));
-      heldMs = Math.round(performance.now() - startedAt);
+      heldMs = performance.now() - startedAt;
       run.start();
       answer = await run.answer;
     } finally {
@@ -200,25 +300,9 @@
       this.#keepWhileRunsEnd(job.id, run);
       this.#releaseEndedJob(job.id);
     }
-    const tookMs = performance.now() - startedAt;
-    metrics.recordTime("job", tookMs);
-    metrics.incrementCounter("jobs", 1, {
-      labels: { outcome: getOutcomeLabel(answer) },
-    });
-    const { targetMs } = getResponseTimes(job, route);
-    const result = getResultLabel(answer, tookMs <= targetMs);
-    metrics.incrementCounter("jobs_by_priority", 1, {
-      labels: { priority: getPriorityLabel(route.priority), result },
-    });
-    log.record("job_answered", {
-      job: job.id,
-      route: route.name,
-      priority: route.priority,
-      tookMs: Math.round(tookMs),
-      targetMs: Math.round(targetMs),
-      heldMs,
-      readDelayMs,
-      ...answer,
+    recordAnswer(this.#options, {
+      ...{ job, route, answer, queuedMs, heldMs, readDelayMs },
+      tookMs: performance.now() - startedAt + queuedMs,
     });
     return answer;
   }
@@ -230,10 +314,10 @@
       timeLeftMs,
       log: this.#options.log,
       farFactor: this.#options.farFactor,
-      crashHistory: this.#crashHistory,
+      crashHistory: this.#crashes.history,
       getLoads: () => this.#getLoads(route),
       getOffers: () => this.#getOffers(route),
-      isConfined: () => this.#getConfinement(route) !== undefined,
+      isConfined: () => this.#crashes.isConfined(route.name),
       declinePolicy: this.#getDeclinePolicy(route.service),
       hasClaim: () => this.#claims.canPlace(job.id),
       requestGrants: () => this.#claims.requestReplies(job.id),
@@ -281,21 +365,22 @@
 
   /** Returns whether this entry is running the job. */
   hasJob(jobId: string): boolean {
-    return this.#jobs.has(jobId);
+    return this.#jobs.has(jobId) || this.#intake.has(jobId);
   }
 
   /**
    * Cancels a job at all agents, whichever entry coordinates it.
-   * @returns Whether this entry was running it.
+   * @returns Whether this entry was running it, or would have.
    */
   cancelJob(jobId: string): boolean {
     this.#options.log.record("job_cancelled", { job: jobId });
     const run = this.#jobs.get(jobId);
     run?.cancel();
+    const wasQueued = this.#intake.cancel(jobId);
     for (const link of this.#links.values()) {
       link.cancelJob(jobId, "requested");
     }
-    return run !== undefined;
+    return run !== undefined || wasQueued;
   }
 
   /** Decides whether this entry has the processor time for another job. */
@@ -305,15 +390,11 @@
     const slackMs = targetMs - criticalPathMs;
     const decision = decideIntake({ delayMs, slackMs });
     if (decision.kind === "refused") {
-      this.#options.log.record("job_intake", {
-        job: job.id,
-        route: route.name,
+      const { cause, retryAfterMs } = decision;
+      recordIntakeRefusal(this.#options, {
+        ...{ job: job.id, route, cause, retryAfterMs },
         delayMs: Math.round(delayMs),
         slackMs: Math.round(slackMs),
-        ...decision,
-      });
-      this.#options.metrics.incrementCounter("jobs", 1, {
-        labels: { outcome: "overloaded" },
       });
     }
     return decision;
@@ -332,11 +413,6 @@
       .filter((offer) => offer !== undefined);
   }
 
-  /** Gets the agents that a route is confined to; undefined if it is not. */
-  #getConfinement(route: Route): ReadonlySet<string> | undefined {
-    return this.#containment.getAgents(route.name, performance.now());
-  }
-
   #getLoads(route: Route): readonly WorkerLoad[] {
     const loads: WorkerLoad[] = [];
     for (const link of this.#links.values()) {
@@ -347,66 +423,14 @@
         loads.push(load);
       }
     }
-    return this.#containment.filterLoads(route.name, loads, performance.now());
-  }
-
-  #applyMembers(page: KeyedPage): void {
-    for (const { key, value } of page.records) {
-      if (value === undefined) {
-        this.#applyMember(key, undefined);
-        continue;
-      }
-      const member = parseJson(MemberRecord, value, "invalid_request");
-      if (member.isErr() || member.value.name !== key) {
-        const reason = member.isErr()
-          ? member.error.message
-          : "name differs from the key";
-        this.#options.log.record("record_unreadable", { key, reason });
-        this.#requestAnnouncement(key);
-        continue;
-      }
-      this.#applyMember(key, member.value);
-    }
-  }
-
-  /**
-   * Applies the record of an agent; undefined if its key was deleted. While the
-   * agent is connected, its stream tells more than a record that another writer
-   * may have left: the record applies when the stream is lost.
-   */
-  #applyMember(name: string, member: MemberRecord | undefined): void {
-    this.#pendingMembers.delete(name);
-    const link = this.#links.get(name);
-    if (link !== undefined && link.address === member?.address) {
-      return;
-    }
-    if (link?.hasStatus === true) {
-      this.#pendingMembers.set(name, member);
-      this.#requestAnnouncement(name);
-      return;
-    }
-    this.#removeLink(name);
-    if (member !== undefined) {
-      this.#addLink(member);
-    }
-  }
-
-  #requestAnnouncement(name: string): void {
-    const link = this.#links.get(name);
-    if (link?.hasStatus === true) {
-      this.#options.log.record("announcement_requested", { agent: name });
-      link.requestAnnouncement();
-    }
+    return this.#crashes.filterLoads(route.name, loads);
   }
 
   #handleStreamLost(stream: AgentStream): void {
     for (const run of this.#getAllJobRuns()) {
       run.handleStreamLost(stream);
     }
-    const name = stream.agentId;
-    if (this.#pendingMembers.has(name)) {
-      this.#applyMember(name, this.#pendingMembers.get(name));
-    }
+    this.#members.handleStreamLost(stream.agentId);
   }
 
   #addLink(member: MemberRecord): void {
@@ -427,7 +451,7 @@
         }
       },
       onWorkerCrash: (agentId, report) =>
-        this.#handleWorkerCrash(agentId, report),
+        this.#crashes.handleReport(agentId, report),
       onClaimReply: (home, reply) => this.#claims.handleReply(home, reply),
       onConfirmationRequested: (home, question) =>
         this.#claims.handleConfirmationRequest(home, question),
@@ -456,6 +480,7 @@
     switch (reason) {
       case "requested":
         run?.cancel();
+        this.#intake.cancel(jobId);
         break;
       case "superseded":
         run?.giveUp();
@@ -469,73 +494,8 @@
     }
   }
 
-  #handleWorkerCrash(agentId: string, report: WorkerCrashReport): void {
-    const at = performance.now() - report.ageMs;
-    const { id, runs } = report;
-    const crash = this.#crashHistory.record({ id, agentId, at, runs });
-    if (crash.runs.length === 0) {
-      return;
-    }
-    this.#options.log.record("worker_crashed", {
-      agent: agentId,
-      crash: id,
-      ageMs: report.ageMs,
-      runs: crash.runs.length,
-      suspects: crash.runs.filter(({ earlierCrashes }) => earlierCrashes > 0)
-        .map(({ task, route }) => `${task} of ${route}`),
-    });
-    this.#confineRoutes(crash);
-  }
-
-  #confineRoutes(crash: WorkerCrash): void {
-    const links = [...this.#links.values()];
-    const service = this.#links.get(crash.agentId)?.lastService;
-    // An agent that has not told its service yet may have the same one.
-    const agentCount =
-      links.filter(({ lastService }) =>
-        lastService === service || lastService === ""
-      ).length;
-    const routes = this.#containment.record({
-      crash,
-      history: this.#crashHistory,
-      agentCount,
-      sharesWorkers: (route) => this.#sharesWorkers(route),
-    });
-    for (const route of routes) {
-      const agents = this.#containment.getAgents(route, crash.at) ?? [];
-      this.#options.metrics.incrementCounter("routes_confined", 1);
-      this.#options.log.record("route_confined", {
-        route,
-        crash: crash.id,
-        agentCount,
-        agents: [...agents],
-      });
-    }
-  }
-
-  /** Returns whether another route has the same service. */
-  #sharesWorkers(routeName: string): boolean {
-    const routes = this.operatorFollower.state.config?.routes ?? [];
-    const service = routes.find(({ name }) => name === routeName)?.service;
-    return routes.some((route) =>
-      route.name !== routeName && route.service === service
-    );
-  }
-
   #removeLink(name: string): void {
     this.#links.get(name)?.stop();
     this.#links.delete(name);
   }
 }
-
-function getOutcomeLabel(answer: BatchAnswer): string {
-  return answer.kind === "error" ? answer.error : answer.kind;
-}
-
-/** Gets the outcome, and for a completed job whether its caller got it in time. */
-function getResultLabel(answer: BatchAnswer, isInTime: boolean): string {
-  if (answer.kind !== "completed") {
-    return getOutcomeLabel(answer);
-  }
-  return isInTime ? "in_time" : "late";
-}
--- a/src/ctl/explain_job.ts
+++ b/src/ctl/explain_job.ts
@@ -1,6 +1,7 @@
 import type { CommandResult } from "./command_result.ts";
 import { formatLogFields } from "./format_log_fields.ts";
 import { formatTable } from "./format_table.ts";
+import { findIntakeDelays } from "./find_intake_delays.ts";
 import { isLineAboutJob } from "./is_line_about_job.ts";
 import { parseLogLines } from "./parse_log_lines.ts";
 
@@ -62,9 +63,10 @@
     event,
     fields: formatLogFields(fields, jobId),
   }));
+  const findings = findIntakeDelays(jobLines);
   return {
     exitCode: 0,
-    text: formatTable(rows),
-    value: { status: "ok", jobId, events },
+    text: [formatTable(rows), ...findings].join("\n"),
+    value: { status: "ok", jobId, events, findings },
   };
 }
--- a/tests/ctl/explain_job_test.ts
+++ b/tests/ctl/explain_job_test.ts
@@ -39,6 +39,20 @@
     expect(result.text).to.contain('run_started    task="0.0.1"');
   });
 
+  it("names the intake of an entry that has refused or delayed the job", () => {
+    // Guards against a search at the workers for time that was lost at an entry.
+    const lines = [
+      createLine(1, "entry-1", "job_intake", { job: JOB, cause: "waited" }),
+      createLine(9, "entry-2", "job_answered", {
+        ...{ job: JOB, queuedMs: 40, tookMs: 90 },
+      }),
+    ].join("\n");
+    const { text } = explainJob([lines], JOB);
+    expect(text).to.contain("refused by the intake of entry-1: waited");
+    expect(text).to.contain("delayed by the intake of entry-2: 40 of 90 ms");
+    expect(explainJob([entry], JOB).value["findings"]).to.deep.equal([]);
+  });
+
   it("includes the crash of a worker that was running a task of the job", () => {
     const crash = createLine(1_350, "agent-1", "runs_interrupted", {
       reason: "refused",
