--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -75,8 +75,8 @@
 }
 
 /**
- * Delay of the event loop above which requests are read together before the first
- * of them is handled, in milliseconds.
+ * Delay of two turns of the event loop above which requests are read together before
+ * the first of them is handled, in milliseconds.
  */
 const BEHIND_DELAY_MS = 10;
 
@@ -156,7 +156,7 @@
       log,
       metrics: options.metrics,
       isEnabled: options.ordersIntake ?? true,
-      isBehind: () => this.#loopDelay.latestDelayMs > BEHIND_DELAY_MS,
+      isBehind: () => this.#loopDelay.delayMs > BEHIND_DELAY_MS,
     });
     options.metrics.setGauge("jobs_open", () => this.#jobs.size);
     options.metrics.setGauge("jobs_ending", () => this.#endingJobs.size);
--- a/src/coordination/batch/entry/job_intake.ts
+++ b/src/coordination/batch/entry/job_intake.ts
@@ -16,10 +16,10 @@
 import type { WaitingSubmission } from "./waiting_submission.ts";
 
 /**
- * Time for which requests are handled in one turn of the event loop, in
+ * Shortest time for which requests are handled in one turn of the event loop, in
  * milliseconds; at least one is. Ends of runs and answers are handled between.
  */
-const TURN_MS = 4;
+const MIN_TURN_MS = 10;
 
 /** Priorities whose waiting requests have gauges of their own. */
 const LABELLED_PRIORITIES = [0, 1, 2];
@@ -45,7 +45,7 @@
  * The requests that this entry has read and not parsed yet. A request is handled in
  * the turn of the event loop in which it was read while the entry keeps up. When
  * several come in one turn, they wait until all of them are read, and are handled
- * in the order of `IntakeQueue`, a few milliseconds of work in each turn.
+ * in the order of `IntakeQueue`, for a limited time in each turn.
  */
 export class JobIntake {
   readonly #options: JobIntakeOptions;
@@ -55,6 +55,8 @@
   /** Requests that were handled since the last turn, and when the first was. */
   #handled: Pick<QueuedRequest, "priority" | "caller">[] = [];
   #handledSince = 0;
+  /** When the last turn ended that handled requests. */
+  #turnEndedAt = 0;
   #isTurnScheduled = false;
 
   constructor(options: JobIntakeOptions) {
@@ -102,6 +104,7 @@
       return false;
     }
     this.#handledSince = this.#getTime();
+    this.#turnEndedAt = this.#handledSince;
     this.#handled.push({ priority: route.priority, caller });
     this.#scheduleTurn();
     return true;
@@ -200,13 +203,18 @@
     }
   }
 
-  /** Handles waiting requests for a limited time. */
+  /**
+   * Handles waiting requests for as long as other events have taken since the last
+   * turn, so that neither can take all of the time from the other.
+   */
   #runTurn(): void {
     this.#isTurnScheduled = false;
     const startedAt = this.#getTime();
+    let turnMs = MIN_TURN_MS;
     if (this.#handled.length > 0) {
       this.#queue.recordCost(this.#handled, startedAt - this.#handledSince);
       this.#handled = [];
+      turnMs = Math.max(turnMs, startedAt - this.#turnEndedAt);
     }
     if (this.#queue.size === 0) {
       return;
@@ -222,7 +230,7 @@
     }
     this.#handledSince = startedAt;
     let now = startedAt;
-    while (now - startedAt < TURN_MS) {
+    while (now - startedAt < turnMs) {
       const job = this.#queue.takeNext(now);
       if (job === undefined) {
         break;
@@ -231,6 +239,7 @@
       this.#handleJob(job, now);
       now = this.#getTime();
     }
+    this.#turnEndedAt = now;
     // The next turn measures what these requests have taken, answers included.
     if (this.#handled.length > 0) {
       this.#scheduleTurn();
--- a/src/coordination/batch/entry/loop_delay_monitor.ts
+++ b/src/coordination/batch/entry/loop_delay_monitor.ts
@@ -44,11 +44,6 @@
     );
   }
 
-  /** Gets the latest delay of a single turn, in milliseconds. */
-  get latestDelayMs(): number {
-    return Math.max(this.#lastDelayMs, this.#getCurrentDelayMs());
-  }
-
   /**
    * Gets the longest time for which a request that is handled now can have waited
    * for this process, in milliseconds. A single long turn counts here.
--- a/src/state/batch/intake_queue.ts
+++ b/src/state/batch/intake_queue.ts
@@ -8,8 +8,8 @@
  * The order: urgent priorities first; of one priority those that can still meet
  * their latency target; of these the caller that has got least; of its requests
  * the one that must start first. When none can meet its target, the one that has
- * missed it by least. Of each less urgent priority, one take in `URGENT_TAKES + 1`
- * goes to a request that is about to miss its target, so that more urgent ones
+ * missed it by least. After `URGENT_TAKES` others, one take goes to each less urgent
+ * priority with a request that is about to miss its target, so that more urgent ones
  * can't starve it; others wait until nothing more urgent does, or until they are
  * of no use any more.
  *
--- a/tests/coordination/batch/entry/job_intake_test.ts
+++ b/tests/coordination/batch/entry/job_intake_test.ts
@@ -9,7 +9,7 @@
 const BATCH = createRoute({ name: "batch", priority: 1 });
 
 /** Time that each request takes once it is handled, in milliseconds. */
-const COST_MS = 5;
+const COST_MS = 10;
 
 describe("JobIntake", () => {
   let now = 0;
@@ -105,6 +105,17 @@
     expect(getHandledIds()).to.deep.equal(["1", "2"]);
   });
 
+  it("handles requests for as long as other events have taken", () => {
+    // Guards against requests that wait, also long ones, while ends of runs are handled.
+    for (let number = 0; number < 9; number++) {
+      add(String(number));
+    }
+    runTurn();
+    now += 4 * COST_MS;
+    runTurn();
+    expect(handled).to.have.length(1 + 4);
+  });
+
   it("handles urgent requests first, and tells how long each has waited", () => {
     add("1", { route: BATCH });
     now += 30;
