--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -191,6 +191,7 @@
 
   stop(): void {
     this.#loopDelay.stop();
+    this.#intake.stop();
     clearInterval(this.#checkTimer);
     this.operatorFollower.stop();
     this.#memberFollower.stop();
--- a/src/coordination/batch/entry/job_intake.ts
+++ b/src/coordination/batch/entry/job_intake.ts
@@ -38,7 +38,9 @@
   isBehind: () => boolean;
   getTime?: () => number;
   /** Has a function called after the events that are pending now. */
-  schedule?: (callback: () => void) => void;
+  scheduleTurn?: (callback: () => void) => void;
+  /** Has a function called when the last request has been placed. */
+  scheduleNext?: (callback: () => void) => void;
 }
 
 /**
@@ -57,7 +59,9 @@
   #handledSince = 0;
   /** When the last turn ended that handled requests. */
   #turnEndedAt = 0;
+  /** Whether a turn is to come, or not over. */
   #isTurnScheduled = false;
+  #isStopped = false;
 
   constructor(options: JobIntakeOptions) {
     this.#options = options;
@@ -132,6 +136,11 @@
     );
   }
 
+  /** Stops handling requests. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** Cancels a job that waits. Returns whether there was one. */
   cancel(jobId: string): boolean {
     const job = this.#queue.find(jobId);
@@ -199,7 +208,7 @@
   #scheduleTurn(): void {
     if (!this.#isTurnScheduled) {
       this.#isTurnScheduled = true;
-      (this.#options.schedule ?? setImmediate)(() => this.#runTurn());
+      (this.#options.scheduleTurn ?? setImmediate)(() => this.#runTurn());
     }
   }
 
@@ -208,7 +217,9 @@
    * turn, so that neither can take all of the time from the other.
    */
   #runTurn(): void {
-    this.#isTurnScheduled = false;
+    if (this.#isStopped) {
+      return;
+    }
     const startedAt = this.#getTime();
     let turnMs = MIN_TURN_MS;
     if (this.#handled.length > 0) {
@@ -216,29 +227,26 @@
       this.#handled = [];
       turnMs = Math.max(turnMs, startedAt - this.#turnEndedAt);
     }
-    if (this.#queue.size === 0) {
-      return;
-    }
-    for (const job of this.#queue.takeExpired(startedAt)) {
-      const waitMs = this.#queue.estimateWaitMs(job);
-      for (const submission of job.submissions) {
-        const queuedMs = startedAt - submission.arrival.readAt;
-        submission.reject(
-          this.#refuse(submission, "waited", { waitMs, queuedMs }),
-        );
-      }
-    }
+    this.#refuseExpired(startedAt);
     this.#handledSince = startedAt;
-    let now = startedAt;
-    while (now - startedAt < turnMs) {
-      const job = this.#queue.takeNext(now);
-      if (job === undefined) {
-        break;
-      }
+    this.#handleNext(startedAt + turnMs);
+  }
+
+  /** Handles the next request, and further ones until the given time. */
+  #handleNext(endsAt: number): void {
+    const now = this.#getTime();
+    const job = this.#handled.length === 0 || now < endsAt
+      ? this.#queue.takeNext(now)
+      : undefined;
+    if (job !== undefined) {
       this.#handled.push(job);
       this.#handleJob(job, now);
-      now = this.#getTime();
+      (this.#options.scheduleNext ?? callAfterPromises)(() =>
+        this.#handleNext(endsAt)
+      );
+      return;
     }
+    this.#isTurnScheduled = false;
     this.#turnEndedAt = now;
     // The next turn measures what these requests have taken, answers included.
     if (this.#handled.length > 0) {
@@ -246,6 +254,18 @@
     }
   }
 
+  #refuseExpired(now: number): void {
+    for (const job of this.#queue.takeExpired(now)) {
+      const waitMs = this.#queue.estimateWaitMs(job);
+      for (const submission of job.submissions) {
+        const queuedMs = now - submission.arrival.readAt;
+        submission.reject(
+          this.#refuse(submission, "waited", { waitMs, queuedMs }),
+        );
+      }
+    }
+  }
+
   #handleJob(job: QueuedJob, now: number): void {
     const [first] = job.submissions;
     const waitedMs = now - (first?.arrival.readAt ?? now);
@@ -273,3 +293,11 @@
     return { kind: "error", error: "overloaded", retryAfterMs };
   }
 }
+
+/**
+ * Calls a function when all promises that are resolved by then have called theirs: a
+ * job is placed there.
+ */
+function callAfterPromises(callback: () => void): void {
+  queueMicrotask(() => process.nextTick(callback));
+}
--- a/tests/coordination/batch/entry/job_intake_test.ts
+++ b/tests/coordination/batch/entry/job_intake_test.ts
@@ -35,7 +35,8 @@
       ...{ log, metrics: new Metrics(), isEnabled },
       isBehind: () => isBehind,
       getTime: () => now,
-      schedule: (callback) => turns.push(callback),
+      scheduleTurn: (callback) => turns.push(callback),
+      scheduleNext: (callback) => callback(),
     });
   }
 
--- a/tests/coordination/batch/entry/queued_submission_test.ts
+++ b/tests/coordination/batch/entry/queued_submission_test.ts
@@ -25,28 +25,38 @@
 const SETTLE_MS = 900;
 
 describe("a submission that waits for the processor time of its entry", () => {
+  let store: MemoryKeyedStore;
+  let log: RecordedLog;
   let peers: FakeAgentPeers;
   let entry: BatchEntry;
   let parsed: string[];
   let lastParsedAt = 0;
 
   beforeEach(async () => {
-    const store = new MemoryKeyedStore();
-    const log = new RecordedLog();
+    store = new MemoryKeyedStore();
     peers = new FakeAgentPeers();
     parsed = [];
+    store.add("members", AGENT.name, JSON.stringify(AGENT));
+    await startEntry("i");
+  });
+
+  async function startEntry(incarnation: string): Promise<void> {
+    const streams = peers.countOpened(AGENT.address);
+    log = new RecordedLog();
     entry = new BatchEntry({
-      ...{ name: "entry-1", incarnation: "i", store, peers, log },
+      ...{ name: "entry-1", incarnation, store, peers, log },
       ...{ metrics: new Metrics(), farFactor: 1.5 },
       parseOperatorRecord: () => ok({ kind: "other" }),
     });
-    store.add("members", AGENT.name, JSON.stringify(AGENT));
     entry.start();
-    await waitUntil(() => peers.hasStream(AGENT.address), "a stream");
+    await waitUntil(
+      () => peers.countOpened(AGENT.address) > streams,
+      "a stream",
+    );
     peers.sendStatus(AGENT.address, { name: AGENT.name });
     await waitUntil(() => log.count("worker_status") === 1, "the status");
     await wait(SETTLE_MS);
-  });
+  }
 
   afterEach(() => entry.stop());
 
@@ -93,6 +103,38 @@
     expect(parsed.filter((jobId) => jobId === "aa")).to.have.length(1);
   });
 
+  it("is placed before the next one is parsed", async () => {
+    // Guards against a request whose placement waits for the parsing of others.
+    submit("aa");
+    submit("bb");
+    submit("cc");
+    let placedBefore = 0;
+    void entry.submitJob({
+      ...{ jobId: "dd", route: BATCH, caller: "a", timeLeftMs: 9_000 },
+      signal: new AbortController().signal,
+      parseJob: () => {
+        placedBefore = log.count("job_admission");
+        return ok({ id: "dd", spec: "x", steps: [createBatchStep()] });
+      },
+    });
+    await waitUntil(() => getOrderedJobs().includes("dd"), "it is placed");
+    expect(placedBefore).to.equal(3);
+  });
+
+  it("is not run by an entry that ends, and once by the next one", async () => {
+    // Guards against an order for a job whose client has sent it elsewhere.
+    submit("aa");
+    submit("bb");
+    entry.stop();
+    await wait(50);
+    expect(parsed).to.deep.equal(["aa"]);
+    await startEntry("j");
+    submit("bb");
+    await waitUntil(() => getOrderedJobs().includes("bb"), "it is placed");
+    expect(getOrderedJobs().filter((jobId) => jobId === "bb"))
+      .to.have.length(1);
+  });
+
   it("is not run when its client has gone", async () => {
     // Guards against a job that runs here and at the entry where it is sent next.
     const client = new AbortController();
