Don't count requests that are handled in order as a delay that refuses others

An entry handles requests for as long as other events take in a turn of its event loop, so its delay can be twice as long as the other work, and decideIntake refuses jobs for it. The delay that refuses is now that by other work. Callers that don't wait are forgotten when there are 256.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -387,7 +387,11 @@
   /** Decides whether this entry has the processor time for another job. */
   #decideIntake(job: BatchJob, route: Route): IntakeDecision {
     const { criticalPathMs, targetMs } = getResponseTimes(job, route);
-    const { delayMs } = this.#loopDelay;
+    // Requests that are handled in order delay none that is more urgent.
+    const delayMs = Math.max(
+      0,
+      this.#loopDelay.delayMs - this.#intake.turnMs,
+    );
     const slackMs = targetMs - criticalPathMs;
     const decision = decideIntake({ delayMs, slackMs });
     if (decision.kind === "refused") {
--- a/src/coordination/batch/entry/job_intake.ts
+++ b/src/coordination/batch/entry/job_intake.ts
@@ -57,8 +57,9 @@
   /** Requests that were handled since the last turn, and when the first was. */
   #handled: Pick<QueuedRequest, "priority" | "caller">[] = [];
   #handledSince = 0;
-  /** When the last turn ended that handled requests. */
+  /** When the last turn ended that handled requests, and how long it took. */
   #turnEndedAt = 0;
+  #turnMs = 0;
   /** Whether a turn is to come, or not over. */
   #isTurnScheduled = false;
   #isStopped = false;
@@ -85,6 +86,14 @@
     return this.#queue.size;
   }
 
+  /**
+   * Gets for how long requests that had waited were handled in the last turn of the
+   * event loop, in milliseconds. This part of the loop's delay is ordered.
+   */
+  get turnMs(): number {
+    return this.#turnMs;
+  }
+
   /** Returns whether a job waits. */
   has(jobId: string): boolean {
     return this.#queue.find(jobId) !== undefined;
@@ -248,6 +257,7 @@
     }
     this.#isTurnScheduled = false;
     this.#turnEndedAt = now;
+    this.#turnMs = now - this.#handledSince;
     // The next turn measures what these requests have taken, answers included.
     if (this.#handled.length > 0) {
       this.#scheduleTurn();
--- a/src/state/batch/caller_shares.ts
+++ b/src/state/batch/caller_shares.ts
@@ -1,3 +1,6 @@
+/** Known callers above which those that don't wait are forgotten. */
+const MAX_CALLERS = 256;
+
 /** What a caller has got of the time of an entry. */
 interface CallerShare {
   /** Time that the caller has got, counted from the fair time of its first wait. */
@@ -20,6 +23,7 @@
   add(caller: string): void {
     const share = this.#callers.get(caller);
     if (share === undefined) {
+      this.#removeIdleCallers();
       this.#callers.set(caller, { tag: this.#fairTime, queued: 1 });
       return;
     }
@@ -69,4 +73,16 @@
     this.#callers.clear();
     this.#fairTime = 0;
   }
+
+  /** Forgets callers that would start anew, when there are many. */
+  #removeIdleCallers(): void {
+    if (this.#callers.size < MAX_CALLERS) {
+      return;
+    }
+    for (const [caller, { tag, queued }] of this.#callers) {
+      if (queued === 0 && tag <= this.#fairTime) {
+        this.#callers.delete(caller);
+      }
+    }
+  }
 }
--- a/src/state/batch/decide_intake.ts
+++ b/src/state/batch/decide_intake.ts
@@ -24,7 +24,10 @@
 const TURNS_PER_JOB = 2;
 
 export interface DecideIntakeOptions {
-  /** Delay of this entry's event loop, in milliseconds. */
+  /**
+   * Delay of this entry's event loop by other work than the requests that it handles
+   * in order, in milliseconds.
+   */
   delayMs: number;
   /**
    * Time that the job may take beyond its run time and still meet its latency
--- a/tests/coordination/batch/entry/job_intake_test.ts
+++ b/tests/coordination/batch/entry/job_intake_test.ts
@@ -112,9 +112,11 @@
       add(String(number));
     }
     runTurn();
+    expect(intake.turnMs).to.equal(COST_MS);
     now += 4 * COST_MS;
     runTurn();
     expect(handled).to.have.length(1 + 4);
+    expect(intake.turnMs).to.equal(4 * COST_MS);
   });
 
   it("handles urgent requests first, and tells how long each has waited", () => {
