Send an unchanged status again after 100 ms without a frame

With 200 ms, an entry that is behind with its pings could hear an idle agent only each 400 ms, and takes it for suspect after 450 ms.

--- a/src/coordination/batch/agent/is_status_known.ts
+++ b/src/coordination/batch/agent/is_status_known.ts
@@ -5,7 +5,6 @@
  * processor time on reports that tell it nothing.
  */
 import type { WorkerStatus } from "../../messages/mod.ts";
-import { BATCH_LIMITS } from "../batch_limits.ts";
 
 /**
  * Time in which a status is left out if only the remaining times of the running tasks
@@ -16,10 +15,10 @@
 
 /**
  * Time without another frame after which a status without a change is sent, in
- * milliseconds. An entry counts an agent as lost without frames; answers to its pings
- * come as often.
+ * milliseconds. An entry that is behind sends its pings late; without the statuses that
+ * follow the descriptions of the worker it would then take the agent for suspect.
  */
-const MAX_SILENCE_MS = BATCH_LIMITS.pingIntervalMs;
+const MAX_SILENCE_MS = 100;
 
 interface SentStatus {
   readonly value: WorkerStatus;
--- a/tests/coordination/batch/agent/is_status_known_test.ts
+++ b/tests/coordination/batch/agent/is_status_known_test.ts
@@ -43,9 +43,9 @@
 
   it("leaves out the status of an idle worker only while other frames are sent", () => {
     // Guards against an agent that its entries take for lost.
-    expect(isStatusKnown(IDLE, { value: IDLE, ageMs: 900, silenceMs: 150 }))
+    expect(isStatusKnown(IDLE, { value: IDLE, ageMs: 900, silenceMs: 90 }))
       .to.equal(true);
-    expect(isStatusKnown(IDLE, { value: IDLE, ageMs: 900, silenceMs: 200 }))
+    expect(isStatusKnown(IDLE, { value: IDLE, ageMs: 900, silenceMs: 100 }))
       .to.equal(false);
   });
 });
