Let an order state when the agent checks a run that waits

A run that waits near its data can be placed elsewhere only while it still ends in time there. Orders get a field for that, appended at the end of their row and left out unless it is set, so that a peer without it reads the same frame.

--- a/src/coordination/messages/run_order.ts
+++ b/src/coordination/messages/run_order.ts
@@ -17,4 +17,9 @@
    * it in time.
    */
   canBeDeclined: boolean;
+  /**
+   * Time after which the agent checks whether the run, unless it has started, will
+   * meet its latency target, in milliseconds; undefined without such a check.
+   */
+  recheckAfterMs?: number | undefined;
 }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -96,10 +96,11 @@
 
 function createRunOrderRow(order: RunOrder): unknown[] {
   const { task, run, cpuMillis, memoryMb, gpus, expectedMs } = order;
-  const { crashes, crashedAfterMs, canBeDeclined } = order;
+  const { crashes, crashedAfterMs, canBeDeclined, recheckAfterMs } = order;
   return [
     ...[task, run, cpuMillis, memoryMb, gpus, expectedMs],
     ...[crashes, crashedAfterMs, canBeDeclined],
+    ...(recheckAfterMs === undefined ? [] : [recheckAfterMs]),
   ];
 }
 
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -24,6 +24,7 @@
   crashes: number,
   crashedAfterMs: number,
   canBeDeclined: boolean,
+  recheckAfterMs?: number,
 ];
 
 type CrashedRunRow = [
@@ -238,10 +239,12 @@
 
 function parseRunOrder(row: RunOrderRow): RunOrder {
   const [task, run, cpuMillis, memoryMb, gpus, expectedMs] = row;
-  const [, , , , , , crashes, crashedAfterMs, canBeDeclined] = row;
+  const [, , , , , , crashes, crashedAfterMs, canBeDeclined, recheckAfterMs] =
+    row;
   return {
     ...{ task, run, cpuMillis, memoryMb, gpus, expectedMs },
     ...{ crashes, crashedAfterMs, canBeDeclined },
+    ...(recheckAfterMs === undefined ? {} : { recheckAfterMs }),
   };
 }
 
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -37,6 +37,10 @@
         crashes: 1,
         crashedAfterMs: 50,
         canBeDeclined: true,
+      }, {
+        ...{ task: TASK, run: 2, cpuMillis: 2_000, memoryMb: 64, gpus: 0 },
+        ...{ expectedMs: 86, crashes: 0, crashedAfterMs: 0 },
+        ...{ canBeDeclined: true, recheckAfterMs: 30 },
       }],
     },
   },
