Hand back a waiting run that is late when it is checked

An agent decided only at the arrival of a run whether it will start in time. More urgent runs and runs that take longer than expected changed that afterwards, and the run stayed until its deadline. At the time that its order states, the agent now decides once more, and hands the run back if it will miss its latency target. What a worker has room for moves out of worker_runner.ts into a module of its own.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -490,6 +490,7 @@
         arrivedAt: now,
         deadlineAt: now + message.timeLeftMs,
         latencyTargetAt: now + message.targetLeftMs,
+        recheckAt: now + (order.recheckAfterMs ?? Infinity),
         state: "queued",
         isStopRequested: false,
         minReportFence: 0,
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -1,16 +1,11 @@
 import type { Result } from "neverthrow";
 import {
-  addResources,
   type CrashedRun,
-  decideQueueing,
-  estimateStartMs,
   getPriorityLabel,
   hasRoom,
-  type QueueingDecision,
   type RunOutcome,
   RunQueue,
   SAME_POINT_TOLERANCE_MS,
-  SlowdownEstimate,
   type TaskResources,
 } from "../../../state/batch/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
@@ -41,6 +36,7 @@
 import { WorkerClock } from "./worker_clock.ts";
 import type { WorkerDescription } from "./worker_description.ts";
 import { WorkerLease } from "./worker_lease.ts";
+import { WorkerRoom } from "./worker_room.ts";
 
 /**
  * Timeout of a start or stop order, in milliseconds: about fifty times the
@@ -73,12 +69,6 @@
 /** Weight of the latest run in the moving average of failed runs. */
 const FAILURE_WEIGHT = 0.2;
 
-/**
- * Least remaining time of a run, as a share of its expected run time. It
- * applies to runs that take longer than expected.
- */
-const MIN_REMAINING_SHARE = 0.15;
-
 /**
  * Least time between the moments at which two runs of one worker reach the
  * points at which workers have crashed under their tasks, in milliseconds.
@@ -122,7 +112,7 @@
   readonly #clock = new WorkerClock();
   readonly #queue = new RunQueue<LocalRun>();
   readonly #runs = new Map<string, LocalRun>();
-  readonly #slowdown = new SlowdownEstimate();
+  readonly #room: WorkerRoom;
   readonly #reportSequence = new ReportSequence();
   #worker: WorkerDescription | undefined;
   /**
@@ -151,12 +141,21 @@
   #suspectTimer: NodeJS.Timeout | undefined;
   /** Ends the runs that no incarnation can have any more. */
   #unsettledTimer: NodeJS.Timeout | undefined;
+  /** Processes the queue when runs that wait are to be checked. */
+  #recheckTimer: NodeJS.Timeout | undefined;
+  #nextRecheckAt = Infinity;
   #unhealthyUntil = 0;
   #failureShare = 0;
 
   constructor(options: WorkerRunnerOptions) {
     this.#options = options;
     this.#getTime = options.getTime ?? (() => performance.now());
+    this.#room = new WorkerRoom({
+      runs: this.#runs,
+      queue: this.#queue,
+      getCapacity: () => this.#worker?.capacity ?? NO_RESOURCES,
+      getTime: this.#getTime,
+    });
     this.#fence = new Fence((options.getWallClock ?? Date.now)());
   }
 
@@ -276,11 +275,12 @@
       this.#reportEnd(run, "returned", this.#getRefusalReason());
       return;
     }
-    const decision = this.#decideQueueing(run);
+    const decision = this.#room.decideQueueing(run);
     switch (decision.kind) {
       case "queued":
         this.#runs.set(run.task, run);
         this.#queue.add(run);
+        this.#startRecheckTimer(run);
         return;
       case "declined": {
         const startMs = Math.round(decision.startMs);
@@ -292,34 +292,17 @@
     }
   }
 
-  #decideQueueing(run: LocalRun): QueueingDecision {
-    if (!run.canBeDeclined) {
-      return { kind: "queued" };
+  /** Processes the queue when it is time to check a run that waits. */
+  #startRecheckTimer({ recheckAt = Infinity }: LocalRun): void {
+    if (recheckAt < this.#nextRecheckAt) {
+      clearTimeout(this.#recheckTimer);
+      this.#nextRecheckAt = recheckAt;
+      this.#recheckTimer = setTimeout(() => {
+        this.#nextRecheckAt = Infinity;
+        this.processQueue();
+        this.#queue.runs.forEach((run) => this.#startRecheckTimer(run));
+      }, Math.max(0, recheckAt - this.#getTime()));
     }
-    const slowdown = this.#slowdown.value;
-    const started = [...this.#runs.values()].filter(({ state }) =>
-      state !== "queued"
-    );
-    const startMs = estimateStartMs({
-      free: this.#getFreeResources(),
-      running: started.map((other) => ({
-        resources: other.resources,
-        forMs: this.#getRemainingMs(other),
-      })),
-      queued: this.#queue.runs
-        .filter(({ priority }) => priority <= run.priority)
-        .map(({ resources, expectedMs }) => ({
-          resources,
-          forMs: expectedMs * slowdown,
-        })),
-      resources: run.resources,
-    });
-    return decideQueueing({
-      startMs,
-      runMs: run.expectedMs * slowdown,
-      targetLeftMs: run.latencyTargetAt - this.#getTime(),
-      canBeDeclined: run.canBeDeclined,
-    });
   }
 
   /** Stops the runs that match, queued ones included. */
@@ -392,6 +375,7 @@
   stop(): void {
     clearTimeout(this.#suspectTimer);
     clearTimeout(this.#unsettledTimer);
+    clearTimeout(this.#recheckTimer);
     this.#lease?.stop();
   }
 
@@ -412,7 +396,7 @@
     const canExtendLease = this.#canExtendLease();
     const takeOptions = {
       now: this.#getTime(),
-      slowdown: this.#slowdown.value,
+      slowdown: this.#room.slowdown,
       // The runs of an entry that is behind wait: it would only send them again.
       canStart: (run: LocalRun) =>
         canExtendLease && run.owner.isResponsive() &&
@@ -422,8 +406,9 @@
     for (const run of this.#queue.takeExpired(takeOptions)) {
       this.#endRun(run, "expired", "can't end before its deadline");
     }
+    this.#declineOverdueRuns(takeOptions.now);
     for (;;) {
-      const run = this.#queue.takeNext(this.#getFreeResources(), takeOptions);
+      const run = this.#queue.takeNext(this.#room.free, takeOptions);
       if (run === undefined) {
         break;
       }
@@ -432,6 +417,17 @@
     this.#options.onChange();
   }
 
+  /** Hands the runs back that wait too long for their place. */
+  #declineOverdueRuns(now: number): void {
+    const runs = this.#queue.takeOverdue(
+      now,
+      (run) => this.#room.decideQueueing(run).kind === "declined",
+    );
+    for (const run of runs) {
+      this.#endRun(run, "declined", "another place may start it in time");
+    }
+  }
+
   /**
    * Returns whether the lease may be extended. It covers all runs at the worker, also
    * those that must end by the time at which entries count lost runs as ended
@@ -489,18 +485,18 @@
 
   /** Gets the state and load of the worker that entries are told. */
   getStatus(): Omit<WorkerStatus, "isSettled" | "receivedBatch" | "entries"> {
-    const free = this.#getFreeResources();
+    const free = this.#room.free;
     const backlog = this.#queue.getBacklog();
     return {
       acceptsWork: this.acceptsWork,
       freeCpuMillis: Math.max(0, free.cpuMillis),
       freeMemoryMb: Math.max(0, free.memoryMb),
       freeGpus: Math.max(0, free.gpus),
-      slowdown: round(this.#slowdown.value),
-      runningLeftMs: this.#getRemainingRunTimesMs(),
+      slowdown: round(this.#room.slowdown),
+      runningLeftMs: this.#room.getRemainingTimesMs(),
       queuedRuns: backlog.runs,
       queuedMs: backlog.expectedMs.map((ms) =>
-        Math.round(ms * this.#slowdown.value)
+        Math.round(ms * this.#room.slowdown)
       ),
       failureShare: round(this.#failureShare),
       suspectRuns: this.#countSuspects(),
@@ -532,33 +528,6 @@
       : "the worker does not respond";
   }
 
-  #getFreeResources(): TaskResources {
-    let free = this.#worker?.capacity ?? NO_RESOURCES;
-    for (const run of this.#runs.values()) {
-      if (run.state !== "queued") {
-        free = addResources(free, run.resources, -1);
-      }
-    }
-    return free;
-  }
-
-  /** Gets the expected remaining times of the started runs, in milliseconds. */
-  #getRemainingRunTimesMs(): number[] {
-    const remainingTimesMs: number[] = [];
-    for (const run of this.#runs.values()) {
-      if (run.state !== "queued") {
-        remainingTimesMs.push(Math.round(this.#getRemainingMs(run)));
-      }
-    }
-    return remainingTimesMs;
-  }
-
-  #getRemainingMs({ expectedMs, startedAt }: LocalRun): number {
-    const totalMs = expectedMs * this.#slowdown.value;
-    const remainingMs = totalMs - (this.#getTime() - startedAt);
-    return Math.max(MIN_REMAINING_SHARE * totalMs, remainingMs);
-  }
-
   #startIncarnation(worker: WorkerDescription): void {
     const { control, log } = this.#options;
     this.#worker = worker;
@@ -826,7 +795,7 @@
 
   #recordOutcome(run: LocalRun, outcome: RunOutcome): void {
     if (outcome === "done") {
-      this.#slowdown.record(this.#getTime() - run.startedAt, run.expectedMs);
+      this.#room.recordDone(run);
     }
     if (outcome === "done" || outcome === "failed") {
       const failure = outcome === "failed" ? 1 : 0;
--- a/src/state/batch/queued_run.ts
+++ b/src/state/batch/queued_run.ts
@@ -14,4 +14,9 @@
   readonly deadlineAt: number;
   /** Latency target of its job, as a time on the monotonic clock. */
   readonly latencyTargetAt: number;
+  /**
+   * When it is decided once more whether the run goes on waiting, on the monotonic
+   * clock: after that, another place is of no use to its task. Infinite by default.
+   */
+  recheckAt?: number;
 }
--- a/src/state/batch/run_queue.ts
+++ b/src/state/batch/run_queue.ts
@@ -78,11 +78,26 @@
     );
   }
 
+  /**
+   * Takes out the runs whose `recheckAt` has come and that `isLate` finds better
+   * placed elsewhere; the others wait on, and are not checked again.
+   */
+  takeOverdue(now: number, isLate: (run: T) => boolean): T[] {
+    return this.removeWhere((run) => {
+      if (run.recheckAt === undefined || now < run.recheckAt) {
+        return false;
+      }
+      run.recheckAt = Infinity;
+      return isLate(run);
+    });
+  }
+
   /** Takes out and returns the runs that match. */
   removeWhere(matches: (run: T) => boolean): T[] {
     const removed = this.#runs.filter(matches);
     if (removed.length > 0) {
-      this.#runs = this.#runs.filter((run) => !matches(run));
+      const removedRuns = new Set(removed);
+      this.#runs = this.#runs.filter((run) => !removedRuns.has(run));
     }
     return removed;
   }
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -149,6 +149,29 @@
     expect(runner.runCount).to.equal(3);
   });
 
+  it("hands a run back at its check when the runs before it take longer", async () => {
+    await startWorker();
+    for (const task of ["a", "b"]) {
+      await startRun(createRun(owner, { task, expectedMs: 400 }));
+    }
+    const now = performance.now();
+    const options = {
+      priority: 1,
+      expectedMs: 100,
+      latencyTargetAt: now + 600,
+    };
+    const checked = { ...options, task: "c", canBeDeclined: true };
+    runner.add(createRun(owner, { ...checked, recheckAt: now + 50 }));
+    runner.add(createRun(owner, { ...options, task: "d" }));
+    // A more urgent run comes first from here on.
+    const earlier = { task: "e", priority: 0, expectedMs: 400 };
+    runner.add(createRun(owner, { ...options, ...earlier }));
+    runner.add(createRun(owner, { ...options, ...earlier, task: "f" }));
+    await waitUntil(() => owner.ends.length > 0, "the run is handed back");
+    expect(owner.ends.map(({ task, outcome }) => `${task} ${outcome}`))
+      .to.deep.equal(["c declined"]);
+  });
+
   it("starts no more runs than the worker has room for", async () => {
     await startWorker();
     const tasks = ["a", "b", "c"];
--- a/tests/state/batch/run_queue_test.ts
+++ b/tests/state/batch/run_queue_test.ts
@@ -29,6 +29,19 @@
     expect(order).to.deep.equal(["b", "c", "a"]);
   });
 
+  it("takes out a run that is late when it is checked, and checks it once", () => {
+    const queue = new RunQueue<QueuedRun>();
+    for (const task of ["a", "b"]) {
+      queue.add(createRun({ task, recheckAt: 50 }));
+    }
+    queue.add(createRun({ task: "c" }));
+    expect(queue.takeOverdue(49, () => true)).to.have.length(0);
+    const taken = queue.takeOverdue(50, ({ task }) => task === "b");
+    expect(taken.map(({ task }) => task)).to.deep.equal(["b"]);
+    expect(queue.takeOverdue(60, () => true)).to.have.length(0);
+    expect(queue.size).to.equal(2);
+  });
+
   it("takes runs that miss their latency target last in their priority", () => {
     const queue = new RunQueue<QueuedRun>();
     queue.add(createRun({ task: "late", latencyTargetAt: 50 }));
