--- a/src/state/batch/capacity_timeline.ts
+++ b/src/state/batch/capacity_timeline.ts
@@ -35,10 +35,9 @@
   ) {
     this.#load = load;
     this.#priority = task.priority;
-    const hasQueue = load.queuedRuns.some((runs, queuePriority) =>
-      queuePriority <= task.priority && runs > 0
-    );
-    const free = hasQueue ? 0 : countSlots(load.free, task.resources);
+    const free = hasQueue(load.queuedRuns, task.priority)
+      ? 0
+      : countSlots(load.free, task.resources);
     this.#ownSlots = Math.floor(
       free * load.ownSlotShare + load.slotRoundingOffset,
     );
@@ -56,6 +55,23 @@
       : firstEndMs;
   }
 
+  /**
+   * Gets a time that the start of the first task is not before, in milliseconds. It
+   * needs less work than `nextStartMs`.
+   */
+  get minStartMs(): number {
+    if (this.#ownSlots > 0) {
+      return 0;
+    }
+    let firstEndMs = this.#load.runningLeftMs[0] ?? 0;
+    for (const leftMs of this.#load.runningLeftMs) {
+      firstEndMs = leftMs < firstEndMs ? leftMs : firstEndMs;
+    }
+    return this.#sharedSlots > 0
+      ? Math.min(SHARED_SLOT_WAIT_MS, firstEndMs)
+      : firstEndMs;
+  }
+
   /** Occupies the slot that is free first for `runMs` milliseconds. */
   reserve(runMs: number): void {
     const startMs = this.nextStartMs;
@@ -101,12 +117,20 @@
   times.splice(index < 0 ? times.length : index, 0, time);
 }
 
+/** Returns whether runs of the same or a more urgent priority are queued. */
+function hasQueue(queuedRuns: readonly number[], priority: number): boolean {
+  for (let queued = 0; queued <= priority; queued++) {
+    if ((queuedRuns[queued] ?? 0) > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /** Counts how many tasks of one size fit into the free resources together. */
 function countSlots(free: TaskResources, task: TaskResources): number {
-  const counts = [
-    free.cpuMillis / Math.max(1, task.cpuMillis),
-    free.memoryMb / Math.max(1, task.memoryMb),
-    task.gpus > 0 ? free.gpus / task.gpus : Infinity,
-  ];
-  return Math.max(0, Math.floor(Math.min(...counts)));
+  const byCpu = free.cpuMillis / Math.max(1, task.cpuMillis);
+  const byMemory = free.memoryMb / Math.max(1, task.memoryMb);
+  const byGpu = task.gpus > 0 ? free.gpus / task.gpus : Infinity;
+  return Math.max(0, Math.floor(Math.min(byCpu, byMemory, byGpu)));
 }
--- a/src/state/batch/decide_admission.ts
+++ b/src/state/batch/decide_admission.ts
@@ -7,7 +7,7 @@
 export interface DecideAdmissionOptions {
   /** Number of tasks of the steps that depend on no other step. */
   taskCount: number;
-  placements: readonly PlacedTask[];
+  placements: readonly Pick<PlacedTask, "endMs">[];
   /** Whether any worker of the service accepts work. */
   hasWorkers: boolean;
   /** Time left until the deadline of the job, in milliseconds. */
