Place tasks by the decision on waits, and count what came of it

The entry records the waits of tasks that name a rack, and orders agents to check those that wait. An order of a far run states its longer run time: agents took such runs as a sign of a slow worker. job_admission says which tasks are far or wait; runs_by_place and place_waits count them.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -40,6 +40,7 @@
 import { JobClaims } from "./job_claims.ts";
 import { JobHold } from "./job_hold.ts";
 import { LoopDelayMonitor } from "./loop_delay_monitor.ts";
+import { PlaceRecord } from "./place_record.ts";
 import { WarmUpGate } from "./warm_up_gate.ts";
 
 export interface BatchEntryOptions {
@@ -54,6 +55,11 @@
   parseOperatorRecord: OperatorRecordParser;
   /** Factor by which tasks run longer away from the rack of their data. */
   farFactor: number;
+  /**
+   * Whether it is decided for each task how long it waits for a place near its data.
+   * Otherwise a wait has a fixed cost. True by default.
+   */
+  decidesPlaceWaits?: boolean;
 }
 
 export interface RunJobOptions {
@@ -89,11 +95,15 @@
   /** Decides which orders may be declined, by service. */
   readonly #declinePolicies = new Map<string, DeclinePolicy>();
   readonly #loopDelay = new LoopDelayMonitor();
+  readonly #placeRecord: PlaceRecord | undefined;
   readonly #jobHold: JobHold;
 
   constructor(options: BatchEntryOptions) {
     this.#options = options;
-    const { store, log, parseOperatorRecord } = options;
+    const { store, log, metrics, parseOperatorRecord } = options;
+    this.#placeRecord = options.decidesPlaceWaits === false
+      ? undefined
+      : new PlaceRecord({ metrics });
     this.operatorFollower = new OperatorFollower({
       store,
       log,
@@ -230,6 +240,7 @@
       timeLeftMs,
       log: this.#options.log,
       farFactor: this.#options.farFactor,
+      placeRecord: this.#placeRecord,
       crashHistory: this.#crashHistory,
       getLoads: () => this.#getLoads(route),
       getOffers: () => this.#getOffers(route),
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -21,6 +21,8 @@
 import type { BatchAnswer } from "./batch_answer.ts";
 import type { BatchTask } from "./batch_task.ts";
 import type { ClaimNeed } from "./claim_need.ts";
+import { formatPlacedTask } from "./format_placed_task.ts";
+import type { PlaceRecord } from "./place_record.ts";
 
 /**
  * Delay before a task whose run was returned, stopped or lost is placed again,
@@ -98,6 +100,11 @@
   sendStop: (agentId: string, tasks: string[]) => void;
   /** Factor by which tasks run longer away from the rack of their data. */
   farFactor: number;
+  /**
+   * Follows the runs of tasks that name the rack of their data, by which it is decided
+   * how long others wait for a place there; without it, a wait has a fixed cost.
+   */
+  placeRecord?: PlaceRecord | undefined;
   getTime?: () => number;
 }
 
@@ -236,9 +243,7 @@
       priority: route.priority,
       expectedMs: job.steps[0]?.expectedMs,
       ...decision,
-      placed: placements.flat().map(({ index, agentId, endMs }) =>
-        `${index}@${agentId} ${Math.round(endMs)} ms`
-      ),
+      placed: placements.flat().map(formatPlacedTask),
     });
     switch (decision.kind) {
       case "refused":
@@ -298,6 +303,11 @@
     task.run = end.run;
     task.state = "waiting";
     task.lastEnd = end.outcome;
+    const now = this.#getTime();
+    this.#options.placeRecord?.recordEnd(task, end, {
+      now,
+      isInTime: now <= this.#latencyTargetAt,
+    });
     if (!NOT_STARTED_OUTCOMES.has(end.outcome)) {
       this.#canHaveStarted = true;
     }
@@ -588,6 +598,8 @@
         tasks.map((task) => [task.index, this.#getAvoidedAgents(task, loads)]),
       ),
       farFactor: this.#options.farFactor,
+      waitForecast: this.#options.placeRecord?.waitForecast,
+      targetLeftMs: this.#latencyTargetAt - this.#getTime(),
     });
   }
 
@@ -625,17 +637,21 @@
     placements: readonly PlacedTask[],
     need: ClaimNeed,
   ): void {
-    const { job, route, sendStart, crashHistory, declinePolicy } =
+    const { job, route, sendStart, crashHistory, declinePolicy, placeRecord } =
       this.#options;
     const now = this.#getTime();
     const byAgent = new Map<string, BatchTask[]>();
-    for (const { index, agentId } of placements) {
+    for (const placed of placements) {
+      const { index, agentId } = placed;
       const task = tasks.find((other) => other.index === index) as BatchTask;
       this.#recordRepeatedPlacement(task, agentId);
       task.run++;
       task.state = "sent";
+      task.placed = placed;
+      task.sentAt = now;
       task.canBeDeclined = this.#latencyTargetAt - now > task.step.expectedMs &&
         declinePolicy.canBeDeclined(task.declines);
+      placeRecord?.recordOrder(task);
       byAgent.set(agentId, [...byAgent.get(agentId) ?? [], task]);
     }
     const spec = need.awaitedHomes > 0 ? "" : job.spec;
@@ -653,10 +669,11 @@
           task: task.name,
           run: task.run,
           ...task.step.resources,
-          expectedMs: task.step.expectedMs,
+          expectedMs: this.#getExpectedMs(task),
           crashes: crashHistory.getCount(task.name),
           crashedAfterMs: crashHistory.getLatestRunTimeMs(task.name),
           canBeDeclined: task.canBeDeclined,
+          recheckAfterMs: getRecheckAfterMs(task),
         })),
       });
       for (const task of sent) {
@@ -668,6 +685,17 @@
     }
   }
 
+  /**
+   * Gets the expected run time of a task that has been placed, on a worker of average
+   * speed. An agent learns the speed of its worker by it, so it includes the way to
+   * the data.
+   */
+  #getExpectedMs({ step, placed }: BatchTask): number {
+    return placed?.isFar === true
+      ? Math.round(step.expectedMs * this.#options.farFactor)
+      : step.expectedMs;
+  }
+
   /** Logs why a task is placed that has been placed before. */
   #recordRepeatedPlacement(task: BatchTask, agentId: string): void {
     if (task.run > 0) {
@@ -737,6 +765,18 @@
   }
 }
 
+/** Gets when the agent checks a run that waits for a place near its data. */
+function getRecheckAfterMs(
+  { placed, canBeDeclined }: BatchTask,
+): number | undefined {
+  const recheckAfterMs = placed?.place?.kind === "wait"
+    ? placed.place.recheckAfterMs
+    : Infinity;
+  return canBeDeclined && Number.isFinite(recheckAfterMs)
+    ? Math.round(recheckAfterMs)
+    : undefined;
+}
+
 /** Returns whether a run of the task may be executing. */
 function isActive({ state }: BatchTask): boolean {
   return state === "sent" || state === "lost";
@@ -777,6 +817,8 @@
       run: 0,
       state: "waiting",
       stream: undefined,
+      placed: undefined,
+      sentAt: 0,
       lastEnd: undefined,
       failures: 0,
       declines: 0,
--- a/src/coordination/batch/entry/batch_task.ts
+++ b/src/coordination/batch/entry/batch_task.ts
@@ -1,4 +1,4 @@
-import type { BatchStep } from "../../../state/batch/mod.ts";
+import type { BatchStep, PlacedTask } from "../../../state/batch/mod.ts";
 import type { AgentStream } from "./agent_stream.ts";
 
 /** The state of one task of a job at the entry that coordinates the job. */
@@ -14,6 +14,10 @@
   state: "waiting" | "sent" | "lost" | "done";
   /** Stream on which the latest run was ordered. */
   stream: AgentStream | undefined;
+  /** Where the latest run was placed; undefined before the first one. */
+  placed: PlacedTask | undefined;
+  /** When the latest run was ordered, on the monotonic clock. */
+  sentAt: number;
   /**
    * How the latest ended run ended: its outcome, or for a lost one what excludes
    * that it is still executing; undefined before the first end.
--- a/src/coordination/batch/entry/mod.ts
+++ b/src/coordination/batch/entry/mod.ts
@@ -4,4 +4,5 @@
 export { BatchJobRun } from "./batch_job_run.ts";
 export { EntryDrain } from "./entry_drain.ts";
 export { LoopDelayMonitor } from "./loop_delay_monitor.ts";
+export { PlaceRecord } from "./place_record.ts";
 export { WarmUpGate } from "./warm_up_gate.ts";
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -4,9 +4,13 @@
   type AgentStream,
   type BatchAnswer,
   BatchJobRun,
+  PlaceRecord,
 } from "../../../../src/coordination/batch/entry/mod.ts";
 import { getRunExpiryMs } from "../../../../src/coordination/batch/get_run_expiry_ms.ts";
-import type { RunEnd } from "../../../../src/coordination/messages/mod.ts";
+import type {
+  RunEnd,
+  RunOrder,
+} from "../../../../src/coordination/messages/mod.ts";
 import {
   type BatchStep,
   CrashHistory,
@@ -15,6 +19,7 @@
   type WorkerLoad,
   type WorkerOffer,
 } from "../../../../src/state/batch/mod.ts";
+import { Metrics } from "../../../../src/state/metrics/mod.ts";
 import { createBatchStep } from "../../../lib/create_batch_step.ts";
 import { RecordedLog } from "../../../lib/recorded_log.ts";
 import { waitUntil } from "../../../lib/wait_until.ts";
@@ -25,7 +30,7 @@
 /** Time after which the runs of a lost stream have ended, in milliseconds. */
 const EXPIRY_MS = getRunExpiryMs();
 
-interface SentRun {
+interface SentRun extends Pick<RunOrder, "expectedMs" | "recheckAfterMs"> {
   agentId: string;
   stream: AgentStream;
   task: string;
@@ -38,6 +43,7 @@
   readonly sentTimesLeftMs: number[] = [];
   readonly stopped: { agentId: string; tasks: string[] }[] = [];
   readonly log = new RecordedLog();
+  readonly metrics = new Metrics();
   /** Number of the stream to each agent; a test raises it for a new one. */
   streamNumber = 1;
   /** Address at which the agents accept streams. */
@@ -87,13 +93,15 @@
       sendStart: (agentId, { runs, timeLeftMs }) => {
         this.sentTimesLeftMs.push(timeLeftMs);
         const stream = this.getStream(agentId);
-        for (const { task, run } of runs) {
-          this.sent.push({ agentId, stream, task, run });
+        for (const { task, run, expectedMs, recheckAfterMs } of runs) {
+          const times = { expectedMs, recheckAfterMs };
+          this.sent.push({ agentId, stream, task, run, ...times });
         }
         return stream;
       },
       sendStop: (agentId, tasks) => this.stopped.push({ agentId, tasks }),
       farFactor: 1.5,
+      placeRecord: new PlaceRecord({ metrics: this.metrics }),
     });
     void this.run.answer.then((answer) => this.answer = answer);
     this.run.start();
@@ -130,6 +138,33 @@
     expect(job.answer).to.deep.equal({ kind: "completed" });
   });
 
+  it("has a run that waits near its data checked, and places it far afterwards", () => {
+    const busy = {
+      free: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
+      runningLeftMs: [20],
+    };
+    const job = new JobHarness(
+      [createBatchStep({ expectedMs: 50, preferredRack: "r1" })],
+      10_000,
+      [
+        createWorkerLoad({ agentId: "near", labels: ["r1"], ...busy }),
+        createWorkerLoad({ agentId: "far", labels: ["r2"] }),
+      ],
+    );
+    // The target is 1.6 x 50 ms + 60 ms; a far run takes up to 1.4 x 75 ms.
+    expect(job.sent[0]).to.include({ agentId: "near", expectedMs: 50 });
+    expect(job.sent[0]?.recheckAfterMs).to.be.within(20, 25);
+    job.endRun(0, "declined");
+    return waitUntil(() => job.sent.length === 2, "it is placed again")
+      .then(() => {
+        // The agent learns the speed of its worker by the expected run time.
+        expect(job.sent[1]).to.include({ agentId: "far", expectedMs: 75 });
+        expect(job.metrics.format()).to.include(
+          'place_waits_total{result="handed_back"} 1',
+        );
+      });
+  });
+
   it("starts a step when the steps that it depends on are done", async () => {
     const job = new JobHarness([
       createBatchStep({ count: 2 }),
