Distrust a worker soon that turns slow, fails or refuses starts

The speed of a worker was one mean, which took some twenty runs to follow a worker that turned five times slower. Once most of its latest runs took far longer than the mean, their median counts; it is trusted again by degrees. Single long tasks don't change that.

--- a/src/coordination/batch/agent/worker_room.ts
+++ b/src/coordination/batch/agent/worker_room.ts
@@ -26,10 +26,11 @@
 /** The room on a worker, now and as its runs are expected to end. */
 export class WorkerRoom {
   readonly #options: WorkerRoomOptions;
-  readonly #slowdown = new SlowdownEstimate();
+  readonly #slowdown: SlowdownEstimate;
 
   constructor(options: WorkerRoomOptions) {
     this.#options = options;
+    this.#slowdown = new SlowdownEstimate({ getTime: options.getTime });
   }
 
   /** Gets the factor by which the worker exceeds expected run times. */
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -7,6 +7,7 @@
   RunQueue,
   SAME_POINT_TOLERANCE_MS,
   type TaskResources,
+  WorkerTrust,
 } from "../../../state/batch/mod.ts";
 import type { Metrics } from "../../../state/metrics/mod.ts";
 import type {
@@ -60,15 +61,6 @@
 /** A run is lost when this many consecutive lease reports do not list it. */
 const MAX_MISSED_REPORTS = 2;
 
-/**
- * Time without starts after the worker refused one as unhealthy, in
- * milliseconds.
- */
-const UNHEALTHY_PAUSE_MS = 300;
-
-/** Weight of the latest run in the moving average of failed runs. */
-const FAILURE_WEIGHT = 0.2;
-
 /**
  * Least time between the moments at which two runs of one worker reach the
  * points at which workers have crashed under their tasks, in milliseconds.
@@ -144,8 +136,8 @@
   /** Processes the queue when runs that wait are to be checked. */
   #recheckTimer: NodeJS.Timeout | undefined;
   #nextRecheckAt = Infinity;
-  #unhealthyUntil = 0;
-  #failureShare = 0;
+  /** Of the worker's incarnation. */
+  #trust = new WorkerTrust();
 
   constructor(options: WorkerRunnerOptions) {
     this.#options = options;
@@ -173,7 +165,7 @@
     return this.#worker !== undefined && !this.#worker.isDraining &&
       this.#isSettled && !this.#isStopping &&
       this.#lease?.isAnswering === true &&
-      this.#getTime() >= this.#unhealthyUntil && this.#options.isInService();
+      this.#trust.canStart(this.#getTime()) && this.#options.isInService();
   }
 
   /**
@@ -498,7 +490,7 @@
       queuedMs: backlog.expectedMs.map((ms) =>
         Math.round(ms * this.#room.slowdown)
       ),
-      failureShare: round(this.#failureShare),
+      failureShare: round(this.#trust.failureShare),
       suspectRuns: this.#countSuspects(),
     };
   }
@@ -535,8 +527,7 @@
     this.#clock.reset();
     this.#isSettled = false;
     this.#hasUnknownRuns = false;
-    this.#unhealthyUntil = 0;
-    this.#failureShare = 0;
+    this.#trust = new WorkerTrust();
     log.record("worker_found", { ...worker });
     const lease = new WorkerLease({
       workerId: worker.workerId,
@@ -798,8 +789,7 @@
       this.#room.recordDone(run);
     }
     if (outcome === "done" || outcome === "failed") {
-      const failure = outcome === "failed" ? 1 : 0;
-      this.#failureShare += FAILURE_WEIGHT * (failure - this.#failureShare);
+      this.#trust.recordEnd(outcome === "failed");
     }
   }
 
@@ -961,7 +951,7 @@
         this.#endRun(run, "returned", "the worker has no room");
         return false;
       case "unhealthy":
-        this.#unhealthyUntil = this.#getTime() + UNHEALTHY_PAUSE_MS;
+        this.#trust.recordRefusal(this.#getTime());
         this.#endRun(run, "returned", "the worker is unhealthy");
         return false;
       case "other_worker":
--- a/src/state/batch/mod.ts
+++ b/src/state/batch/mod.ts
@@ -40,3 +40,4 @@
 export type { WorkerCrash } from "./worker_crash.ts";
 export type { WorkerLoad } from "./worker_load.ts";
 export type { WorkerOffer } from "./worker_offer.ts";
+export { WorkerTrust } from "./worker_trust.ts";
--- a/src/state/batch/slowdown_estimate.ts
+++ b/src/state/batch/slowdown_estimate.ts
@@ -1,3 +1,11 @@
+/**
+ * Estimates how slow a worker is. The load it answers: some workers turn several times
+ * slower from one second to the next, and a few tasks on sound ones take several times
+ * as long as declared. The mean of many runs tells apart workers of different kinds. A
+ * worker is distrusted once most of its latest runs took far longer than that, which
+ * single long tasks don't bring about, and is trusted again by degrees.
+ */
+
 /**
  * Weight of a new ratio. Actual run times differ from the declared ones by a
  * factor of about 1.5 in either direction; about twenty runs average this out.
@@ -13,17 +21,48 @@
 /** Ratios outside these bounds are clamped. */
 const RATIO_BOUNDS = { min: 0.1, max: 20 } as const;
 
+/** Number of the latest runs whose median tells whether the worker has turned slow. */
+const RECENT_RUNS = 5;
+
+/** Least number of runs for a median. */
+const MIN_RECENT_RUNS = 3;
+
+/** Factor between the median and the mean from which on the worker is distrusted. */
+const DISTRUST_FACTOR = 2;
+
 /**
- * Estimates the slowdown of a worker: the ratio of actual to declared run
- * times, as a moving geometric mean.
+ * Time in which the logarithm of the additional slowdown of a distrusted worker
+ * halves, in milliseconds: it gets few tasks, so its runs alone would not show soon
+ * that it is sound again.
+ */
+const TRUST_HALF_LIFE_MS = 2_000;
+
+export interface SlowdownEstimateOptions {
+  /** Gets the time on the monotonic clock, in milliseconds. */
+  getTime?: () => number;
+}
+
+/**
+ * Estimates the slowdown of a worker: the ratio of actual to declared run times, as a
+ * moving geometric mean, or that of the latest runs while they took far longer.
  */
 export class SlowdownEstimate {
+  readonly #getTime: () => number;
   #logMean = 0;
   #samples = 0;
+  /** Logarithms of the latest ratios, the next to be replaced at `#samples`. */
+  readonly #recent: number[] = [];
+  /** Additional slowdown at `#distrustedAt`, as a logarithm. */
+  #logExcess = 0;
+  #distrustedAt = 0;
+
+  constructor(options: SlowdownEstimateOptions = {}) {
+    this.#getTime = options.getTime ?? (() => performance.now());
+  }
 
   /** Gets the factor by which declared run times are multiplied. */
   get value(): number {
-    return Math.exp(this.#logMean);
+    return Math.exp(this.#logMean + this.#getLogExcess());
   }
 
   /** Records the actual and the declared run time of a run, in milliseconds. */
@@ -35,8 +74,32 @@
       RATIO_BOUNDS.max,
       Math.max(RATIO_BOUNDS.min, runMs / expectedMs),
     );
+    const logRatio = Math.log(ratio);
+    this.#recent[this.#samples % RECENT_RUNS] = logRatio;
     this.#samples++;
     const weight = Math.max(SAMPLE_WEIGHT, INITIAL_WEIGHT / this.#samples);
-    this.#logMean += weight * (Math.log(ratio) - this.#logMean);
+    this.#logMean += weight * (logRatio - this.#logMean);
+    const logExcess = this.#getMedian() - this.#logMean;
+    if (
+      this.#samples >= MIN_RECENT_RUNS &&
+      logExcess > Math.log(DISTRUST_FACTOR)
+    ) {
+      this.#logExcess = logExcess;
+      this.#distrustedAt = this.#getTime();
+    }
+  }
+
+  #getMedian(): number {
+    const sorted = [...this.#recent].sort((a, b) => a - b);
+    return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+  }
+
+  #getLogExcess(): number {
+    if (this.#logExcess === 0) {
+      return 0;
+    }
+    const halfLives = (this.#getTime() - this.#distrustedAt) /
+      TRUST_HALF_LIFE_MS;
+    return this.#logExcess * 0.5 ** halfLives;
   }
 }
--- a/tests/lib/fleet/fleet_worker.ts
+++ b/tests/lib/fleet/fleet_worker.ts
@@ -34,7 +34,7 @@
   readonly #capacity: TaskResources;
   readonly #queue = new RunQueue<FleetRun>();
   readonly #running = new Set<FleetRun>();
-  readonly #slowdown = new SlowdownEstimate();
+  readonly #slowdown: SlowdownEstimate;
   /** Number of the last order from each entry. */
   readonly receivedBatches: number[] = [];
   #isReportDue = false;
@@ -42,6 +42,9 @@
 
   constructor(options: FleetWorkerOptions) {
     this.#options = options;
+    this.#slowdown = new SlowdownEstimate({
+      getTime: () => options.events.now,
+    });
     this.#capacity = {
       ...{ cpuMillis: options.cpuMillis, memoryMb: 65_536, gpus: 0 },
     };
--- a/tests/lib/simulate_rack_load.ts
+++ b/tests/lib/simulate_rack_load.ts
@@ -52,6 +52,12 @@
   /** Number of workers that this rack has; the others have more. */
   hotWorkers?: number;
   seed: number;
+  /** Factor by which a sixth of the workers turns slower for some seconds. */
+  slowFactor?: number;
+  /** Share of the tasks that take seven times as long. */
+  longShare?: number;
+  /** Whether the speed of workers is learned as a plain mean of their runs. */
+  learnsMean?: boolean;
 }
 
 export interface RackLoadResult {
@@ -95,7 +101,20 @@
   speed: number;
   queue: RunQueue<Run>;
   running: { run: Run; startedAt: number; endsAt: number }[];
-  slowdown: SlowdownEstimate;
+  slowdown: Pick<SlowdownEstimate, "value" | "record">;
+}
+
+/** A moving mean, which a few long runs don't change much. */
+class MeanSlowdown {
+  #logMean = 0;
+
+  get value(): number {
+    return Math.exp(this.#logMean);
+  }
+
+  record(runMs: number, expectedMs: number): void {
+    this.#logMean += 0.06 * (Math.log(runMs / expectedMs) - this.#logMean);
+  }
 }
 
 /**
@@ -138,7 +157,9 @@
         speed,
         queue: new RunQueue<Run>(),
         running: [],
-        slowdown: new SlowdownEstimate(),
+        slowdown: options.learnsMean === true
+          ? new MeanSlowdown()
+          : new SlowdownEstimate({ getTime: () => this.#now }),
       };
     });
     for (const { slowdown, speed } of this.#workers) {
@@ -200,7 +221,8 @@
     const runs = createEach(kind.tasks, (index) => ({
       ...{ task: "t", job, entry, index, rack, declines: new Set<string>() },
       resources: createBatchStep().resources,
-      actualMs: kind.runMs * Math.exp(0.6 * (this.#getRandom() - 0.5)),
+      actualMs: kind.runMs * Math.exp(0.6 * (this.#getRandom() - 0.5)) *
+        (this.#getRandom() < (this.#options.longShare ?? 0) ? 7 : 1),
     }));
     this.#place(runs);
   }
@@ -353,6 +375,11 @@
   /** Ends the runs that are due, and starts those that fit. */
   #advance(worker: Worker): void {
     const now = this.#now;
+    if (
+      worker.queue.size === 0 && !worker.running.some((r) => r.endsAt <= now)
+    ) {
+      return;
+    }
     const ended = worker.running.filter(({ endsAt }) => endsAt <= now);
     worker.running = worker.running.filter(({ endsAt }) => endsAt > now);
     for (const { run, startedAt } of ended) {
@@ -375,7 +402,10 @@
       }
       this.#recordEnd(run, false);
       const isFar = run.placed.isFar && !this.#isInformed;
+      const isSlow = Number(worker.load.agentId) % WORKERS_PER_RACK === 1 &&
+        now >= HOT.fromMs && now < HOT.toMs;
       const runMs = run.actualMs * worker.speed *
+        (isSlow ? this.#options.slowFactor ?? 1 : 1) *
         (isFar ? this.#options.farFactor : 1);
       worker.running.push({ run, startedAt: now, endsAt: now + runMs });
     }
