Distrust a worker by several jobs, and pause it for 0.6 s at most

All tasks of a job share a declared run time that may be far too short, so the five latest runs were often of one job, and sound workers were distrusted. Now the least ratio of each of the latest five jobs counts, from three times the mean on, and runs are given up by the mean.

--- a/src/coordination/batch/agent/worker_room.ts
+++ b/src/coordination/batch/agent/worker_room.ts
@@ -38,6 +38,14 @@
     return this.#slowdown.value;
   }
 
+  /**
+   * Gets the factor by which runs exceeded their expected run times on average. Runs
+   * are given up by it, since a worker that is distrusted may be sound.
+   */
+  get meanSlowdown(): number {
+    return this.#slowdown.mean;
+  }
+
   /** Gets the resources that no started run uses. */
   get free(): TaskResources {
     let free = this.#options.getCapacity();
@@ -50,8 +58,9 @@
   }
 
   /** Records that a run has completed its task. */
-  recordDone({ startedAt, expectedMs }: LocalRun): void {
-    this.#slowdown.record(this.#options.getTime() - startedAt, expectedMs);
+  recordDone({ jobId, startedAt, expectedMs }: LocalRun): void {
+    const runMs = this.#options.getTime() - startedAt;
+    this.#slowdown.record(jobId, runMs, expectedMs);
   }
 
   /** Gets the expected remaining times of the started runs, in milliseconds. */
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -388,7 +388,7 @@
     const canExtendLease = this.#canExtendLease();
     const takeOptions = {
       now: this.#getTime(),
-      slowdown: this.#room.slowdown,
+      slowdown: this.#room.meanSlowdown,
       // The runs of an entry that is behind wait: it would only send them again.
       canStart: (run: LocalRun) =>
         canExtendLease && run.owner.isResponsive() &&
--- a/src/state/batch/worker_trust.ts
+++ b/src/state/batch/worker_trust.ts
@@ -12,7 +12,7 @@
  * Time without starts after the worker refused one as unhealthy, in milliseconds. It
  * doubles from one such time to the next until a run has completed its task.
  */
-const PAUSE_MS = { first: 300, max: 2_400 } as const;
+const PAUSE_MS = { first: 300, max: 600 } as const;
 
 /** Follows the refused starts and the failed runs of a worker. */
 export class WorkerTrust {
--- a/tests/lib/fleet/fleet_entry.ts
+++ b/tests/lib/fleet/fleet_entry.ts
@@ -117,6 +117,7 @@
       workers[workerIndex]?.handleOrder(batch, {
         ...{ ...task, task: job.kind.name, entry, canBeDeclined, startableAt },
         ...{ arrivedAt: events.now, startedAt: 0 },
+        jobId: `${entry} ${job.arrivedAt}`,
         workMs: job.workMs * random.getFactor(FLEET_LIMITS.taskDeviation),
         deadlineAt: getUsefulUntil(job),
         latencyTargetAt: job.arrivedAt + getExpectedTargetMs(job),
--- a/tests/lib/fleet/fleet_run.ts
+++ b/tests/lib/fleet/fleet_run.ts
@@ -5,6 +5,8 @@
   /** Run time on the slowest workers, in milliseconds; nobody knows it. */
   readonly workMs: number;
   readonly entry: number;
+  /** Identifies its job. */
+  readonly jobId: string;
   readonly canBeDeclined: boolean;
   /** When the grants of its job arrive. */
   readonly startableAt: number;
