--- a/src/coordination/batch/entry/place_record.ts
+++ b/src/coordination/batch/entry/place_record.ts
@@ -50,12 +50,11 @@
       const waitMs = Math.max(0, now - sentAt - end.runMs);
       this.waitForecast.record(rack, placed.startMs, waitMs);
     }
-    if (placed.place?.kind === "wait") {
-      const result = end.outcome !== "done"
-        ? "handed_back"
-        : isInTime
-        ? "in_time"
-        : "late";
+    const isDone = end.outcome === "done";
+    if (
+      placed.place?.kind === "wait" && (isDone || end.outcome === "declined")
+    ) {
+      const result = !isDone ? "handed_back" : isInTime ? "in_time" : "late";
       this.#metrics.incrementCounter("place_waits", 1, { labels: { result } });
     }
   }
