--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -67,6 +67,9 @@
  */
 const SUSPECT_SPACING_MS = 2 * SAME_POINT_TOLERANCE_MS;
 
+/** Factor by which the slowdown rises at once when a worker is distrusted. */
+const DISTRUST_FACTOR = 1.5;
+
 const NO_RESOURCES: TaskResources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
 export interface WorkerRunnerOptions {
@@ -786,13 +789,27 @@
 
   #recordOutcome(run: LocalRun, outcome: RunOutcome): void {
     if (outcome === "done") {
-      this.#room.recordDone(run);
+      this.#recordRunTime(run);
     }
     if (outcome === "done" || outcome === "failed") {
       this.#trust.recordEnd(outcome === "failed");
     }
   }
 
+  #recordRunTime(run: LocalRun): void {
+    const former = this.#room.slowdown;
+    this.#room.recordDone(run);
+    const { slowdown, meanSlowdown } = this.#room;
+    if (slowdown > DISTRUST_FACTOR * Math.max(former, meanSlowdown)) {
+      this.#options.metrics.incrementCounter("workers_distrusted", 1);
+      this.#options.log.record("worker_distrusted", {
+        workerId: this.#worker?.workerId,
+        slowdown: round(slowdown),
+        meanSlowdown: round(meanSlowdown),
+      });
+    }
+  }
+
   /** Compares the runs that the worker lists with those that it should run. */
   #reconcileRuns(
     listed: readonly ActiveRun[],
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -172,6 +172,22 @@
       .to.deep.equal(["c declined"]);
   });
 
+  it("logs that it distrusts a worker whose latest jobs took far longer", async () => {
+    await startWorker();
+    for (const jobId of ["a", "b", "c"]) {
+      const run = createRun(owner, {
+        task: `${jobId}.0.0.0`,
+        jobId,
+        expectedMs: 1,
+      });
+      await startRun(run);
+      await wait(30);
+      worker.endRun(run.task, "done");
+      await waitUntil(() => runner.runCount === 0, "the run has ended");
+    }
+    expect(log.count("worker_distrusted")).to.equal(1);
+  });
+
   it("starts no more runs than the worker has room for", async () => {
     await startWorker();
     const tasks = ["a", "b", "c"];
