--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -31,6 +31,7 @@
 import { JobHold } from "./job_hold.ts";
 import { JobIntake } from "./job_intake.ts";
 import { LoopDelayMonitor } from "./loop_delay_monitor.ts";
+import { PlaceRecord } from "./place_record.ts";
 import { recordAnswer } from "./record_answer.ts";
 import { recordIntakeRefusal } from "./record_intake_refusal.ts";
 import type { SubmissionHead } from "./submission_head.ts";
@@ -54,6 +55,11 @@
    * and caller; otherwise in the order in which they are read. True by default.
    */
   ordersIntake?: boolean;
+  /**
+   * Whether it is decided for each task how long it waits for a place near its data.
+   * Otherwise a wait has a fixed cost. True by default.
+   */
+  decidesPlaceWaits?: boolean;
 }
 
 export interface SubmitJobOptions extends SubmissionHead {
@@ -100,12 +106,16 @@
   /** Decides which orders may be declined, by service. */
   readonly #declinePolicies = new Map<string, DeclinePolicy>();
   readonly #loopDelay = new LoopDelayMonitor();
+  readonly #placeRecord: PlaceRecord | undefined;
   readonly #jobHold: JobHold;
   readonly #intake: JobIntake;
 
   constructor(options: BatchEntryOptions) {
     this.#options = options;
-    const { store, log, parseOperatorRecord } = options;
+    const { store, log, metrics, parseOperatorRecord } = options;
+    this.#placeRecord = options.decidesPlaceWaits === false
+      ? undefined
+      : new PlaceRecord({ metrics });
     this.operatorFollower = new OperatorFollower({
       store,
       log,
@@ -316,6 +326,7 @@
       log: this.#options.log,
       farFactor: this.#options.farFactor,
       crashHistory: this.#crashes.history,
+      placeRecord: this.#placeRecord,
       getLoads: () => this.#getLoads(route),
       getOffers: () => this.#getOffers(route),
       isConfined: () => this.#crashes.isConfined(route.name),
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -41,6 +41,7 @@
   crashes: number,
   crashedAfterMs: number,
   canBeDeclined: boolean,
+  recheckAfterMs?: number,
 ];
 
 type CrashedRunRow = [
@@ -241,6 +242,7 @@
     crashes: row[6],
     crashedAfterMs: row[7],
     canBeDeclined: row[8],
+    ...(row[9] === undefined ? {} : { recheckAfterMs: row[9] }),
   };
 }
 
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -149,6 +149,45 @@
     expect(runner.runCount).to.equal(3);
   });
 
+  it("hands a run back at its check when the runs before it take longer", async () => {
+    await startWorker();
+    for (const task of ["a", "b"]) {
+      await startRun(createRun(owner, { task, expectedMs: 400 }));
+    }
+    const now = performance.now();
+    const options = {
+      priority: 1,
+      expectedMs: 100,
+      latencyTargetAt: now + 600,
+    };
+    const checked = { ...options, task: "c", canBeDeclined: true };
+    runner.add(createRun(owner, { ...checked, recheckAt: now + 50 }));
+    runner.add(createRun(owner, { ...options, task: "d" }));
+    // A more urgent run comes first from here on.
+    const earlier = { task: "e", priority: 0, expectedMs: 400 };
+    runner.add(createRun(owner, { ...options, ...earlier }));
+    runner.add(createRun(owner, { ...options, ...earlier, task: "f" }));
+    await waitUntil(() => owner.ends.length > 0, "the run is handed back");
+    expect(owner.ends.map(({ task, outcome }) => `${task} ${outcome}`))
+      .to.deep.equal(["c declined"]);
+  });
+
+  it("logs that it distrusts a worker whose latest jobs took far longer", async () => {
+    await startWorker();
+    for (const jobId of ["a", "b", "c"]) {
+      const run = createRun(owner, {
+        task: `${jobId}.0.0.0`,
+        jobId,
+        expectedMs: 1,
+      });
+      await startRun(run);
+      await wait(30);
+      worker.endRun(run.task, "done");
+      await waitUntil(() => runner.runCount === 0, "the run has ended");
+    }
+    expect(log.count("worker_distrusted")).to.equal(1);
+  });
+
   it("starts no more runs than the worker has room for", async () => {
     await startWorker();
     const tasks = ["a", "b", "c"];
