--- a/src/transport/http/body_discarder.ts
+++ b/src/transport/http/body_discarder.ts
@@ -6,6 +6,9 @@
 /** Largest part of a refused body that is read, in bytes. */
 const MAX_BYTES = 2_097_152;
 
+/** Least number of bytes that a chunk counts for; many tiny ones take much time. */
+const MIN_CHUNK_BYTES = 512;
+
 /** Largest number of refused bodies that are read at the same time. */
 const MAX_COUNT = 32;
 
@@ -26,7 +29,7 @@
     let discardedBytes = 0;
     const timer = setTimeout(() => socket.destroy(), TIMEOUT_MS).unref();
     message.on("data", (chunk: Buffer) => {
-      discardedBytes += chunk.length;
+      discardedBytes += Math.max(chunk.length, MIN_CHUNK_BYTES);
       if (discardedBytes > MAX_BYTES) {
         socket.destroy();
       }
--- a/src/transport/http/refusal_cause.ts
+++ b/src/transport/http/refusal_cause.ts
@@ -6,6 +6,7 @@
  */
 export type RefusalCause =
   | "body_size"
+  | "body_chunks"
   | "header_size"
   | "memory"
   | "connections"
--- a/tests/cluster/request_limits_test.ts
+++ b/tests/cluster/request_limits_test.ts
@@ -162,6 +162,10 @@
     // Guards against a limit that only an announced length is held against.
     checkEntry({ count: 40, createParts: () => createChunkedBody(JOB_HEAD) }));
 
+  it("survives bodies in chunks of one byte", () =>
+    // Guards against chunks that cost many times their length in memory and time.
+    checkEntry({ count: 60, createParts: () => createTinyChunks(200_000) }));
+
   it("survives many bodies of an allowed size that never end", () =>
     // Guards against a limit for each request without one over all connections.
     checkEntry({
@@ -230,6 +234,13 @@
   }
 }
 
+function createTinyChunks(count: number): Buffer[] {
+  return [
+    Buffer.from(`${JOB_HEAD}transfer-encoding: chunked\r\n\r\n`),
+    Buffer.from("1\r\n \r\n".repeat(count)),
+  ];
+}
+
 function createRequestsAhead(count: number): Buffer[] {
   const request =
     `GET ${ROUTE.pathPrefix} HTTP/1.1\r\nhost: ${ROUTE.host}\r\n\r\n`;
