Parse and discard less of what refused clients send

In trials with default limits for 160 MB and larger crowds than the tests have (2,000 bodies of 250 KB; 40 of 30 MB announced; 400 clients with 20,000 requests ahead), an entry went to 149, 124 and 211 MB. Small responses are sent in one buffer with their headers.

--- a/src/transport/http/body_discarder.ts
+++ b/src/transport/http/body_discarder.ts
@@ -4,10 +4,10 @@
 const TIMEOUT_MS = 2_000;
 
 /** Largest part of a refused body that is read, in bytes. */
-const MAX_BYTES = 2_097_152;
+const MAX_BYTES = 1_048_576;
 
 /** Largest number of refused bodies that are read at the same time. */
-const MAX_COUNT = 32;
+const MAX_COUNT = 8;
 
 /**
  * Reads and discards the rest of refused bodies, within limits: a client could not read the
--- a/src/transport/http/http_exchange.ts
+++ b/src/transport/http/http_exchange.ts
@@ -9,6 +9,9 @@
 import type { RefusalCause } from "./refusal_cause.ts";
 import type { ServerConnection } from "./server_connection.ts";
 
+/** Largest body of a response that is sent in one buffer with the headers, in bytes. */
+const MAX_JOINED_BYTES = 2_048;
+
 export interface HttpExchangeOptions {
   context: ExchangeContext;
   connection: ServerConnection;
@@ -174,7 +177,15 @@
         ? { connection: "close" }
         : {}),
     });
-    this.#response.end(body);
+    if (body.length <= MAX_JOINED_BYTES) {
+      // Latin-1 keeps all bytes. Text is sent in one buffer with the headers, which takes
+      // less time than a write of several buffers.
+      const { buffer, byteOffset, length } = body;
+      const text = Buffer.from(buffer, byteOffset, length).toString("latin1");
+      this.#response.end(text, "latin1");
+    } else {
+      this.#response.end(body);
+    }
   }
 }
 
--- a/src/transport/http/limit_parsing.ts
+++ b/src/transport/http/limit_parsing.ts
@@ -1,7 +1,7 @@
 import type { Socket } from "node:net";
 
-/** Bytes that are parsed at once; an ordinary request is shorter. */
-const SLICE_BYTES = 8_192;
+/** Bytes that are parsed at once; most requests are shorter. */
+const SLICE_BYTES = 2_048;
 
 type DataListener = (this: Socket, bytes: Buffer) => void;
 
@@ -23,11 +23,18 @@
     while (rest !== undefined && !socket.isPaused()) {
       if (socket.destroyed || !canParse()) {
         rest = undefined;
+        // What is read further would only be discarded.
+        socket.pause();
         return;
       }
-      const slice = rest.subarray(0, SLICE_BYTES);
-      rest = rest.length > SLICE_BYTES ? rest.subarray(SLICE_BYTES) : undefined;
-      parse.call(socket, slice);
+      const bytes = rest;
+      if (bytes.length <= SLICE_BYTES) {
+        rest = undefined;
+        parse.call(socket, bytes);
+      } else {
+        rest = bytes.subarray(SLICE_BYTES);
+        parse.call(socket, bytes.subarray(0, SLICE_BYTES));
+      }
     }
   };
   socket.removeListener("data", parse);
