Count the headers of requests in the memory budget

Cause: headers were in no budget, neither incomplete ones nor those of requests that wait for their answer.

Change: headers count with 8 times their length and 2 KiB for the objects of a request, incomplete ones by connection, the others until the request is answered. When the budget is exceeded by incomplete ones, the connection of the longest closes after the answers to its earlier requests, with the cause memory. The bytes given to the parser are counted, so that a large read isn't taken for one request. Two exact assertions on held bytes of http_server_limits_test include the headers now, and stay exact.

--- a/src/transport/http/http_exchange.ts
+++ b/src/transport/http/http_exchange.ts
@@ -1,8 +1,10 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { createError } from "../../state/errors/mod.ts";
 import { BodyReader } from "./body_reader.ts";
+import { countHeaderBytes } from "./count_header_bytes.ts";
 import { createErrorResponse } from "./create_error_response.ts";
 import { createRefusal } from "./create_refusal.ts";
+import { estimateHeaderMemory } from "./estimate_header_memory.ts";
 import type { ExchangeContext } from "./exchange_context.ts";
 import type { HttpResponse } from "./http_response.ts";
 import { ReceivedRequest } from "./received_request.ts";
@@ -29,6 +31,9 @@
   readonly #response: ServerResponse;
   readonly #request: ReceivedRequest;
   readonly #waitsForContinue: boolean;
+  readonly #headerBytes: number;
+  /** Memory of the request's headers that the budget knows, in bytes. */
+  #headerMemory = 0;
   /** Whether the connection closes after this response; earlier ones are sent before. */
   #isLast = false;
 
@@ -39,6 +44,7 @@
     this.#response = options.response;
     this.#waitsForContinue = options.waitsForContinue;
     this.#request = new ReceivedRequest(options.message);
+    this.#headerBytes = countHeaderBytes(options.message);
   }
 
   /** Checks the head, reads the body, and has the request handled. */
@@ -55,6 +61,8 @@
       this.#refuse(cause);
       return;
     }
+    this.#headerMemory = estimateHeaderMemory(this.#headerBytes);
+    this.#connection.addHeaderMemory(this.#headerMemory);
     const refusal = context.checkHead(this.#request);
     if (refusal !== undefined) {
       this.#sendRefusal(refusal);
@@ -82,7 +90,7 @@
     }
     // The parser applies the limit of the process.
     return maxHeaderBytes < limits.maxHeaderBytes &&
-        countHeaderBytes(this.#message) > maxHeaderBytes
+        this.#headerBytes > maxHeaderBytes
       ? "header_size"
       : undefined;
   }
@@ -119,11 +127,16 @@
     if (cause === "body_size" || cause === "header_size") {
       this.#sendRefusal(createRefusal(cause));
     } else {
-      this.#connection.endRequest();
+      this.#endRequest();
       this.#connection.closeAfterAnswers();
     }
   }
 
+  #endRequest(): void {
+    this.#connection.releaseHeaderMemory(this.#headerMemory);
+    this.#connection.endRequest();
+  }
+
   /** Sends a refusal of a request whose body isn't read, or not completely. */
   #sendRefusal(refusal: HttpResponse): void {
     const connection = this.#connection;
@@ -134,7 +147,11 @@
         this.#isLast = true;
         connection.isClosing = true;
       }
-      this.#message.once("end", () => connection.markRequestRead());
+      connection.isDiscarding = true;
+      this.#message.once("end", () => {
+        connection.isDiscarding = false;
+        connection.markRequestRead();
+      });
     }
     this.#send(refusal);
   }
@@ -165,7 +182,7 @@
     connection.addUnsentBytes(body.length);
     this.#response.once("finish", () => {
       connection.releaseUnsentBytes(body.length);
-      connection.endRequest();
+      this.#endRequest();
     });
     this.#response.writeHead(status, {
       "content-type": contentType,
@@ -188,11 +205,3 @@
     }
   }
 }
-
-function countHeaderBytes({ rawHeaders, url }: IncomingMessage): number {
-  return rawHeaders.reduce(
-    // Each name and value is followed by two separating bytes.
-    (sum, text) => sum + text.length + 2,
-    url?.length ?? 0,
-  );
-}
--- a/src/transport/http/http_limits.ts
+++ b/src/transport/http/http_limits.ts
@@ -4,7 +4,7 @@
   readonly maxBodyBytes: number;
   /** Largest request line and headers of a request, in bytes. */
   readonly maxHeaderBytes: number;
-  /** Memory for request bodies and unsent responses of all connections, in bytes. */
+  /** Memory for requests and unsent responses of all connections, in bytes. */
   readonly memoryBytes: number;
   readonly maxConnections: number;
   /** Largest number of requests on one connection whose responses are not yet sent. */
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -156,11 +156,19 @@
       socket,
       budget: this.#budget,
       onUnread: () => this.#closeConnection(socket, "unread_response"),
+      onHeadersEvicted: () => this.#reportRefusal("memory", socket),
     });
     this.#connections.set(socket, connection);
     this.#table.add(connection);
     socket.once("close", () => this.#removeConnection(connection));
-    limitParsing(socket, () => !connection.isClosing);
+    const isLimited = limitParsing(socket, {
+      canParse: () => !connection.isClosing,
+      onParse: (bytes) => connection.parsedBytes += bytes,
+      onParsed: () => connection.countIncompleteHeaders(),
+    });
+    if (!isLimited) {
+      socket.on("data", (bytes) => connection.parsedBytes += bytes.length);
+    }
   }
 
   #removeConnection(connection: ServerConnection): void {
--- a/src/transport/http/limit_parsing.ts
+++ b/src/transport/http/limit_parsing.ts
@@ -5,18 +5,35 @@
 
 type DataListener = (this: Socket, bytes: Buffer) => void;
 
+export interface LimitParsingOptions {
+  canParse: () => boolean;
+  /** Called with the number of bytes before they are parsed. */
+  onParse: (bytes: number) => void;
+  /** Called after bytes were parsed. */
+  onParsed: () => void;
+}
+
 /**
  * Lets the HTTP server of a socket parse received bytes in small parts, and no more of them
  * once `canParse` returns false. The server would parse up to 64 KiB at once, and a client
  * that sends thousands of requests ahead makes it create the objects of all of them.
+ *
+ * @returns Whether the runtime reads in the expected way; otherwise nothing is limited.
  */
-export function limitParsing(socket: Socket, canParse: () => boolean): void {
+export function limitParsing(
+  socket: Socket,
+  { canParse, onParse, onParsed }: LimitParsingOptions,
+): boolean {
   const listeners = socket.listeners("data") as DataListener[];
   const [parse] = listeners;
   if (parse === undefined || listeners.length > 1) {
     // Another version of the runtime reads in another way.
-    return;
+    return false;
   }
+  const parseSlice = (bytes: Buffer) => {
+    onParse(bytes.length);
+    parse.call(socket, bytes);
+  };
   let rest: Buffer | undefined;
   const parseRest = () => {
     // The server pauses the socket while the client doesn't read its responses.
@@ -30,12 +47,13 @@
       const bytes = rest;
       if (bytes.length <= SLICE_BYTES) {
         rest = undefined;
-        parse.call(socket, bytes);
+        parseSlice(bytes);
       } else {
         rest = bytes.subarray(SLICE_BYTES);
-        parse.call(socket, bytes.subarray(0, SLICE_BYTES));
+        parseSlice(bytes.subarray(0, SLICE_BYTES));
       }
     }
+    onParsed();
   };
   socket.removeListener("data", parse);
   socket.on("data", (bytes: Buffer) => {
@@ -43,4 +61,5 @@
     parseRest();
   });
   socket.on("resume", parseRest);
+  return true;
 }
--- a/src/transport/http/server_connection.ts
+++ b/src/transport/http/server_connection.ts
@@ -1,6 +1,7 @@
 import type { Socket } from "node:net";
 import type { BodyReader } from "./body_reader.ts";
 import type { ConnectionActivity } from "./connection_activity.ts";
+import { estimateHeaderMemory } from "./estimate_header_memory.ts";
 import type { ConnectionState } from "./connection_state.ts";
 import type { MemoryHolder } from "../memory_holder.ts";
 import type { ReceivedRequest } from "./received_request.ts";
@@ -21,13 +22,21 @@
   droppedCount = 0;
   /** Whether the connection closes after the answers to its requests so far. */
   isClosing = false;
+  /** Whether the rest of a refused body is being read. */
+  isDiscarding = false;
+  /** Bytes that were given to the parser. */
+  parsedBytes = 0;
   /** The body that is being read. */
   body: BodyReader | undefined;
   readonly #budget: MemoryBudget;
   readonly #onUnread: (connection: ServerConnection) => void;
+  /** Stands for the headers of a request that aren't complete. */
+  readonly #incompleteHeaders: MemoryHolder;
   readonly #handledRequests = new Set<ReceivedRequest>();
   #readBytesAtRequest = 0;
   #unsentBytes = 0;
+  /** Memory of the headers of requests that are not answered yet, in bytes. */
+  #headerMemory = 0;
   #isClosed = false;
 
   constructor(options: {
@@ -35,10 +44,19 @@
     budget: MemoryBudget;
     /** Called when the connection is to be closed for its unread responses. */
     onUnread: (connection: ServerConnection) => void;
+    /** Called when no further request is served for the memory of its headers. */
+    onHeadersEvicted: () => void;
   }) {
     this.socket = options.socket;
     this.#budget = options.budget;
     this.#onUnread = options.onUnread;
+    this.#incompleteHeaders = {
+      heldBytes: 0,
+      evict: () => {
+        options.onHeadersEvicted();
+        this.closeAfterAnswers();
+      },
+    };
   }
 
   getActivity(): ConnectionActivity {
@@ -48,7 +66,7 @@
     if (this.pendingCount > 0) {
       return this.#handledRequests.size > 0 ? "handling" : "unread";
     }
-    return this.socket.bytesRead > this.#readBytesAtRequest ? "header" : "idle";
+    return this.parsedBytes > this.#readBytesAtRequest ? "header" : "idle";
   }
 
   getProgress(): number {
@@ -56,9 +74,43 @@
       (this.pendingCount > 0 ? this.socket.writableLength : this.requestCount);
   }
 
-  /** Notes that all bytes received so far belong to known requests. */
+  /** Counts the memory of headers that aren't complete, after bytes were parsed. */
+  countIncompleteHeaders(): void {
+    const isReadingBody = this.body !== undefined || this.isDiscarding;
+    const bytes = isReadingBody || this.#isClosed || this.isClosing
+      ? 0
+      : this.parsedBytes - this.#readBytesAtRequest;
+    const holder = this.#incompleteHeaders;
+    if (bytes === 0) {
+      if (holder.heldBytes > 0) {
+        this.#budget.releaseHolder(holder);
+      }
+      return;
+    }
+    const memory = estimateHeaderMemory(bytes);
+    if (memory > holder.heldBytes) {
+      this.#budget.addEvictable(holder, memory - holder.heldBytes);
+    }
+  }
+
+  /** Adds the memory of the headers of a request that will be answered. */
+  addHeaderMemory(bytes: number): void {
+    if (!this.#isClosed) {
+      this.#headerMemory += bytes;
+      this.#budget.addFixed(bytes);
+    }
+  }
+
+  releaseHeaderMemory(bytes: number): void {
+    if (!this.#isClosed) {
+      this.#headerMemory -= bytes;
+      this.#budget.releaseFixed(bytes);
+    }
+  }
+
+  /** Notes that all bytes parsed so far belong to known requests. */
   markRequestRead(): void {
-    this.#readBytesAtRequest = this.socket.bytesRead;
+    this.#readBytesAtRequest = this.parsedBytes;
   }
 
   /** Notes that a request is answered, or will not be. */
@@ -135,8 +187,10 @@
     this.#isClosed = true;
     this.body?.close();
     this.#keepUnsent();
-    this.#budget.releaseFixed(this.#unsentBytes);
+    this.#budget.releaseFixed(this.#unsentBytes + this.#headerMemory);
     this.#unsentBytes = 0;
+    this.#headerMemory = 0;
+    this.#budget.releaseHolder(this.#incompleteHeaders);
     for (const request of this.#handledRequests) {
       this.#budget.releaseFixed(request.body.length);
       request.abort();
--- a/tests/cluster/request_limits_test.ts
+++ b/tests/cluster/request_limits_test.ts
@@ -58,12 +58,14 @@
   const client = new HttpClient();
   let cluster: SoakCluster;
   let lastJob = 0;
+  let processSettings: Record<string, unknown> = { limits: LIMITS };
+  let maxDescriptors = MAX_DESCRIPTORS;
 
   beforeEach(async () => {
     cluster = new SoakCluster({
       ...{ folder, entries: 1, agents: 2, zones: ["a"] },
       ...{ services: [ROUTE.service], hasEqualWorkers: true },
-      processSettings: { limits: LIMITS },
+      processSettings,
       findTask: () => ({ cpuMillis: 100, runMs: 20 }),
       onEvent: () => {},
     });
@@ -127,7 +129,7 @@
         answerBesideCrowd,
         answerAfterCrowd,
         memoryMb: getExcess(usage.readPeakMemoryMb(), MAX_MEMORY_MB),
-        descriptors: getExcess(usage.peakDescriptors, MAX_DESCRIPTORS),
+        descriptors: getExcess(usage.peakDescriptors, maxDescriptors),
       }).to.deep.equal({
         pid,
         answerBesideCrowd: "200 completed",
@@ -195,6 +197,25 @@
       createParts: () => [Buffer.from(JOB_HEAD)],
     }));
 
+  describe("with the limits that follow from the smallest machine", () => {
+    before(() => {
+      processSettings = { machine: { memoryMb: MAX_MEMORY_MB, maxFds: 4_096 } };
+      maxDescriptors = 4_096;
+    });
+
+    after(() => {
+      processSettings = { limits: LIMITS };
+      maxDescriptors = MAX_DESCRIPTORS;
+    });
+
+    it("survives many short headers that never end", () =>
+      // Guards against parsed headers, which take several times their length.
+      checkEntry({
+        count: 1_200,
+        createParts: () => [Buffer.from(JOB_HEAD + "ab:\r\n".repeat(3_100))],
+      }));
+  });
+
   it("survives bodies far over the limit at the server for the worker's reports", async () => {
     // Guards against an agent that a local client ends.
     const [agent] = cluster.agents;
--- a/tests/transport/http/http_server_limits_test.ts
+++ b/tests/transport/http/http_server_limits_test.ts
@@ -10,6 +10,9 @@
 
 const GET = "GET / HTTP/1.1\r\nhost: h\r\n\r\n";
 
+/** Memory that counts for the 34 bytes of target and headers of `createBody`. */
+const HEAD_MEMORY = 2_048 + 34 * 8;
+
 /** The load: clients that send more than they may on connections of one server. */
 describe("HttpServer with limits", () => {
   let server: HttpServer;
@@ -70,14 +73,17 @@
       ...[true, false, false],
     ]);
     // The announced lengths, which are one byte longer than what was sent.
-    expect(server.heldBytes).to.equal(270_002);
+    expect(server.heldBytes).to.equal(270_002 + 2 * HEAD_MEMORY);
   });
 
   it("releases what a client held when it disconnects, its request is answered or refused", async () => {
     // Guards against a budget that runs out over time.
     await startServer({ limits: { memoryBytes: 400_000 } });
     const gone = openClient(createBody(100_000));
-    await waitUntil(() => server.heldBytes === 100_001, "the body");
+    await waitUntil(
+      () => server.heldBytes === 100_001 + HEAD_MEMORY,
+      "the body",
+    );
     gone.socket.destroy();
     openClient(createBody(100_000) + "y");
     openClient(createBody(350_000));
@@ -86,6 +92,47 @@
     expect(refusals).to.deep.equal(["body_size"]);
   });
 
+  it("counts headers that aren't complete, and closes the connection of the longest", async () => {
+    // Guards against headers that are in no budget while they arrive.
+    await startServer({ limits: { memoryBytes: 200_000 } });
+    const clients = [8_000, 7_000, 6_000].map((bytes) =>
+      openClient("GET / HTTP/1.1\r\n" + "ab:\r\n".repeat(bytes / 5))
+    );
+    await waitUntil(() => refusals.length > 0, "a refusal");
+    await waitUntil(
+      () => clients[0]?.socket.destroyed === true,
+      "the closed connection",
+    );
+    expect(refusals).to.deep.equal(["memory"]);
+    expect(server.heldBytes).to.be.within(100_000, 150_000);
+    clients[1]?.socket.write("host: h\r\n\r\n");
+    await waitUntil(() => clients[1]?.received !== "", "the answer");
+    clients[2]?.socket.destroy();
+    await waitUntil(() => server.heldBytes === 0, "nothing held");
+  });
+
+  it("counts the headers of requests that are handled, until they are answered", async () => {
+    // Guards against headers that are in no budget while jobs wait.
+    const waiting: (() => void)[] = [];
+    await startServer({
+      limits: { memoryBytes: 400_000 },
+      handleRequest: () =>
+        new Promise((resolve) =>
+          waiting.push(() => resolve(createJsonResponse(200, {})))
+        ),
+    });
+    const request = `GET / HTTP/1.1\r\nhost: h\r\n${
+      "ab:\r\n".repeat(1_000)
+    }\r\n`;
+    const client = openClient(request.repeat(20));
+    await waitUntil(() => refusals.length > 0, "a refusal");
+    expect(refusals).to.deep.equal(["memory"]);
+    expect(waiting).to.have.length.within(8, 12);
+    waiting.forEach((answer) => answer());
+    await waitUntil(() => client.socket.destroyed, "the end");
+    await waitUntil(() => server.heldBytes === 0, "nothing held");
+  });
+
   it("answers requests that are sent ahead in order, and refuses those beyond the limit", async () => {
     // Guards against answers that are lost because a client sent too much.
     const waiting: (() => void)[] = [];
