Close streams between processes that send no frame, and count all incomplete frames

Cause: an agent accepted streams up to a number and closed none that stayed silent, so that as many silent connections kept all entries and agents out for good.

Change: a stream without a complete frame is closed after 10 s, counted in checks, and the oldest such stream is closed for a new one when there are too many. All incomplete bytes count, and the rest of a read is copied, so that it doesn't hold the read buffer.

--- a/src/transport/stream/frame_socket.ts
+++ b/src/transport/stream/frame_socket.ts
@@ -33,9 +33,6 @@
  */
 const KEEP_ALIVE_DELAY_MS = 1_000;
 
-/** Size from which an incomplete frame counts for the budget, in bytes. */
-const MIN_COUNTED_BYTES = 65_536;
-
 /**
  * A stream of frames on a TCP connection. Frames that are sent in the same turn
  * of the event loop are combined in one write.
@@ -46,6 +43,7 @@
   #unsentLines = "";
   #partialLine: Buffer = Buffer.alloc(0);
   #isClosed = false;
+  #hasReceivedFrame = false;
   #error: Error | undefined;
   readonly #budget: MemoryBudget | undefined;
   readonly #incompleteFrame: MemoryHolder = {
@@ -75,6 +73,20 @@
     return this.#isClosed;
   }
 
+  /** Gets whether a complete frame has arrived. */
+  get hasReceivedFrame(): boolean {
+    return this.#hasReceivedFrame;
+  }
+
+  get remoteAddress(): string {
+    return this.#socket.remoteAddress ?? "";
+  }
+
+  /** Ends the stream at once, with an error for its reader. */
+  destroy(error: Error): void {
+    this.#socket.destroy(error);
+  }
+
   send(frame: BatchFrame): void {
     if (this.#isClosed) {
       return;
@@ -124,7 +136,10 @@
       lineStart = lineEnd + 1;
       searchStart = lineStart;
     }
-    this.#partialLine = bytes.subarray(lineStart);
+    // A part of a larger buffer would hold all of it.
+    this.#partialLine = lineStart > 0
+      ? Buffer.from(bytes.subarray(lineStart))
+      : bytes;
     if (this.#partialLine.length > MAX_FRAME_BYTES) {
       this.#socket.destroy(
         new Error(`received more than ${MAX_FRAME_BYTES} bytes of one frame`),
@@ -136,11 +151,11 @@
   #countIncompleteFrame(): void {
     const { length } = this.#partialLine;
     const holder = this.#incompleteFrame;
-    if (length < MIN_COUNTED_BYTES && holder.heldBytes === 0) {
+    if (length === holder.heldBytes) {
       return;
     }
     this.#budget?.releaseHolder(holder);
-    if (length >= MIN_COUNTED_BYTES && !this.#socket.destroyed) {
+    if (length > 0 && !this.#socket.destroyed) {
       this.#budget?.addEvictable(holder, length);
     }
   }
@@ -148,6 +163,7 @@
   #handleLine(line: string): void {
     try {
       const frame = parseBatchFrame(line);
+      this.#hasReceivedFrame = true;
       if (frame !== undefined) {
         this.received.add(frame);
       }
--- a/src/transport/stream/stream_server.ts
+++ b/src/transport/stream/stream_server.ts
@@ -1,3 +1,11 @@
+/**
+ * Accepts streams of frames from other processes. The load: connections that send nothing,
+ * or frames that they never complete, as many as the process accepts.
+ *
+ * Each peer sends a frame as soon as it has opened a stream. A stream without a complete
+ * frame is closed after some time, and the oldest one at once when a new stream would be
+ * too many. Streams on which a frame has arrived are never closed for others.
+ */
 import { type AddressInfo, createServer, type Server } from "node:net";
 import type { BatchFrame } from "../../coordination/messages/mod.ts";
 import type { PeerStream } from "../../coordination/ports/mod.ts";
@@ -8,25 +16,41 @@
 /** Default of `maxStreams`; a process has one stream to each peer. */
 const MAX_STREAMS = 4_096;
 
+/** Interval at which streams without a frame are counted, in milliseconds. */
+const CHECK_INTERVAL_MS = 1_000;
+
+/**
+ * Default of `firstFrameTimeoutMs`. An entry closes a stream itself on which an agent is
+ * silent for a shorter time.
+ */
+const FIRST_FRAME_TIMEOUT_MS = 10_000;
+
 export interface StreamServerOptions {
   host: string;
   /** Port to listen on; 0 selects a free port. */
   port: number;
   /** Serves a stream until it ends. */
   serveStream: (stream: PeerStream<BatchFrame>) => Promise<void>;
-  /** Largest number of open streams; further connections are closed at once. */
+  /** Largest number of open streams. */
   maxStreams?: number;
   /** Memory for incomplete frames of all streams, in bytes. */
   incompleteFrameBytes?: number;
-  /** Called for each connection that is closed because of `maxStreams`. */
-  onRefusal?: (remoteAddress: string) => void;
+  /** Longest time until the first complete frame of a stream, in milliseconds. */
+  firstFrameTimeoutMs?: number;
+  /** Called for each stream that a limit closes. */
+  onRefusal?: (
+    cause: "connections" | "frame_time",
+    remoteAddress: string,
+  ) => void;
 }
 
 /** Accepts TCP connections that carry streams of frames. */
 export class StreamServer {
   readonly #options: StreamServerOptions;
   readonly #server: Server;
-  readonly #streams = new Set<FrameSocket>();
+  /** The open streams, the oldest first, with the checks that each has existed for. */
+  readonly #streams = new Map<FrameSocket, number>();
+  #checkTimer: NodeJS.Timeout | undefined;
 
   constructor(options: StreamServerOptions) {
     this.#options = options;
@@ -36,13 +60,15 @@
     } = options;
     const budget = new MemoryBudget(incompleteFrameBytes);
     this.#server = createServer((socket) => {
+      const stream = new FrameSocket(socket, budget);
       if (this.#streams.size >= maxStreams) {
-        options.onRefusal?.(socket.remoteAddress ?? "");
-        socket.destroy();
-        return;
+        const oldest = this.#findStreamWithoutFrame();
+        this.#refuse(oldest ?? stream, "connections");
+        if (oldest === undefined) {
+          return;
+        }
       }
-      const stream = new FrameSocket(socket, budget);
-      this.#streams.add(stream);
+      this.#streams.set(stream, 0);
       void options.serveStream(stream).finally(() => {
         this.#streams.delete(stream);
         stream.close();
@@ -57,14 +83,49 @@
       this.#server.once("error", reject);
       this.#server.listen(port, host, resolve);
     });
+    this.#checkTimer = setInterval(
+      () => this.#checkStreams(),
+      CHECK_INTERVAL_MS,
+    ).unref();
     return (this.#server.address() as AddressInfo).port;
   }
 
   /** Stops listening, and closes the streams. */
   stop(): void {
+    clearInterval(this.#checkTimer);
     this.#server.close();
-    for (const stream of this.#streams) {
+    for (const stream of this.#streams.keys()) {
       stream.close();
     }
   }
+
+  #findStreamWithoutFrame(): FrameSocket | undefined {
+    for (const stream of this.#streams.keys()) {
+      if (!stream.hasReceivedFrame) {
+        return stream;
+      }
+    }
+    return undefined;
+  }
+
+  /** Counts checks, so that a pause of this process isn't taken for silence. */
+  #checkStreams(): void {
+    const { firstFrameTimeoutMs = FIRST_FRAME_TIMEOUT_MS } = this.#options;
+    for (const [stream, checks] of this.#streams) {
+      if (stream.hasReceivedFrame) {
+        continue;
+      }
+      if (checks * CHECK_INTERVAL_MS >= firstFrameTimeoutMs) {
+        this.#refuse(stream, "frame_time");
+      } else {
+        this.#streams.set(stream, checks + 1);
+      }
+    }
+  }
+
+  #refuse(stream: FrameSocket, cause: "connections" | "frame_time"): void {
+    this.#options.onRefusal?.(cause, stream.remoteAddress);
+    this.#streams.delete(stream);
+    stream.destroy(new Error(`closed by a limit on streams: ${cause}`));
+  }
 }
