Let the readers of a queue end their iteration with an error

The client of Connect refuses an iterator without throw, so the streams of the processes outside the platform did not open: tests/cluster/end_to_end_test failed with the iterator that was written out, and passes again.

--- a/src/transport/message_queue.ts
+++ b/src/transport/message_queue.ts
@@ -30,13 +30,17 @@
     }
   }
 
-  // Written out, since each item of an async generator costs several promises.
+  // Written out, since each item of an async generator costs several promises. The
+  // client of Connect needs `throw`, with which it ends the iteration.
   [Symbol.asyncIterator](): AsyncIterator<T, undefined> {
     let items: T[] = [];
     let index = 0;
+    let hasEnded = false;
     const next = async (): Promise<IteratorResult<T, undefined>> => {
-      while (index === items.length) {
-        if (this.#items.length > 0) {
+      while (hasEnded || index === items.length) {
+        if (hasEnded) {
+          return { value: undefined, done: true };
+        } else if (this.#items.length > 0) {
           items = this.#items;
           index = 0;
           this.#items = [];
@@ -51,6 +55,20 @@
       }
       return { value: items[index++] as T, done: false };
     };
-    return { next };
+    const end = () => {
+      hasEnded = true;
+      this.#wakeReader?.();
+    };
+    return {
+      next,
+      return: () => {
+        end();
+        return Promise.resolve({ value: undefined, done: true });
+      },
+      throw: (error) => {
+        end();
+        return Promise.reject(error);
+      },
+    };
   }
 }
