--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -51,7 +51,7 @@
   farFactor: number;
   /**
    * Whether requests that this entry can't handle at once are handled by urgency
-   * and caller; otherwise in the order in which they are read. True by default.
+   * and caller; otherwise in the order in which they are read. False by default.
    */
   ordersIntake?: boolean;
 }
@@ -155,7 +155,7 @@
     this.#intake = new JobIntake({
       log,
       metrics: options.metrics,
-      isEnabled: options.ordersIntake ?? true,
+      isEnabled: options.ordersIntake ?? false,
       isBehind: () => this.#loopDelay.delayMs > BEHIND_DELAY_MS,
     });
     options.metrics.setGauge("jobs_open", () => this.#jobs.size);
--- a/tests/coordination/batch/entry/queued_submission_test.ts
+++ b/tests/coordination/batch/entry/queued_submission_test.ts
@@ -45,7 +45,7 @@
     log = new RecordedLog();
     entry = new BatchEntry({
       ...{ name: "entry-1", incarnation, store, peers, log },
-      ...{ metrics: new Metrics(), farFactor: 1.5 },
+      ...{ metrics: new Metrics(), farFactor: 1.5, ordersIntake: true },
       parseOperatorRecord: () => ok({ kind: "other" }),
     });
     entry.start();
--- a/tests/platform/settings_schema_test.ts
+++ b/tests/platform/settings_schema_test.ts
@@ -9,9 +9,9 @@
     ...{ readyAddress: "127.0.0.1:4", farFactor: 1 },
   };
 
-  it("order the intake by default, and refuse another value with its path", () => {
+  it("leave the intake in order of arrival by default, and refuse an unknown value with its path", () => {
     // Guards against a typing error that leaves the order on or off unnoticed.
-    expect(SettingsSchema.entry.parse(SETTINGS).intake).to.equal("ordered");
+    expect(SettingsSchema.entry.parse(SETTINGS).intake).to.equal("arrival");
     const parsed = SettingsSchema.entry.safeParse({ ...SETTINGS, intake: "x" });
     const { message } = createSchemaError(
       "invalid_settings",
