Obey limits on headers of a configuration above that of the process

Change: the parser of a server with a configuration allows 1 MiB, and the server compares headers with the limit in force, complete ones and, with 1 KiB of tolerance, those that are still arriving.

--- a/src/transport/http/http_exchange.ts
+++ b/src/transport/http/http_exchange.ts
@@ -76,7 +76,7 @@
   /** Finds a limit that the request exceeds, as far as its head tells. */
   #checkLimits(
     maxBodyBytes: number,
-    maxHeaderBytes = Infinity,
+    maxHeaderBytes = this.#context.limits.maxHeaderBytes,
   ): RefusalCause | undefined {
     const { limits, budget } = this.#context;
     if (this.#connection.pendingCount > limits.maxRequestsAhead) {
@@ -88,11 +88,7 @@
     if (budget.isExceeded) {
       return "memory";
     }
-    // The parser applies the limit of the process.
-    return maxHeaderBytes < limits.maxHeaderBytes &&
-        this.#headerBytes > maxHeaderBytes
-      ? "header_size"
-      : undefined;
+    return this.#headerBytes > maxHeaderBytes ? "header_size" : undefined;
   }
 
   #hasBody(): boolean {
--- a/src/transport/http/http_server.ts
+++ b/src/transport/http/http_server.ts
@@ -18,6 +18,12 @@
 /** Interval at which connections are checked for limits on time, in milliseconds. */
 const CHECK_INTERVAL_MS = 1_000;
 
+/** Largest headers that a configuration can allow, in bytes. */
+const MAX_CONFIGURED_HEADER_BYTES = 1_048_576;
+
+/** Part of incomplete headers that doesn't count for their limit, in bytes. */
+const HEADER_SLACK_BYTES = 1_024;
+
 const BAD_REQUEST = "HTTP/1.1 400 Bad Request\r\nconnection: close\r\n\r\n";
 const HEADERS_TOO_LARGE =
   "HTTP/1.1 431 Request Header Fields Too Large\r\nconnection: close\r\n\r\n";
@@ -66,7 +72,10 @@
     this.#budget = new MemoryBudget(this.#limits.memoryBytes);
     this.#context = this.#createContext();
     this.#server = http.createServer({
-      maxHeaderSize: this.#limits.maxHeaderBytes,
+      // The parser's limit can't change while a connection is open.
+      maxHeaderSize: options.getLimits === undefined
+        ? this.#limits.maxHeaderBytes
+        : MAX_CONFIGURED_HEADER_BYTES,
       // The connection table applies the limits on time, so that a pause of the process
       // doesn't use them up.
       headersTimeout: 0,
@@ -164,13 +173,27 @@
     const isLimited = limitParsing(socket, {
       canParse: () => !connection.isClosing,
       onParse: (bytes) => connection.parsedBytes += bytes,
-      onParsed: () => connection.countIncompleteHeaders(),
+      onParsed: () => this.#checkIncompleteHeaders(connection),
     });
     if (!isLimited) {
       socket.on("data", (bytes) => connection.parsedBytes += bytes.length);
     }
   }
 
+  #checkIncompleteHeaders(connection: ServerConnection): void {
+    connection.countIncompleteHeaders();
+    const { incompleteHeaderBytes: bytes, socket } = connection;
+    if (bytes === 0) {
+      return;
+    }
+    const maxBytes = this.#options.getLimits?.()?.maxHeaderBytes ??
+      this.#limits.maxHeaderBytes;
+    // Complete headers are checked without the request line and the spaces.
+    if (bytes > maxBytes + HEADER_SLACK_BYTES) {
+      this.#handleClientError({ code: "HPE_HEADER_OVERFLOW" }, socket);
+    }
+  }
+
   #removeConnection(connection: ServerConnection): void {
     this.#table.remove(connection);
     connection.close();
@@ -206,7 +229,10 @@
     }
   }
 
-  #handleClientError(error: NodeJS.ErrnoException, socket: Socket): void {
+  #handleClientError(
+    error: { code?: string | undefined },
+    socket: Socket,
+  ): void {
     const isTooLarge = error.code === "HPE_HEADER_OVERFLOW";
     if (isTooLarge) {
       this.#reportRefusal("header_size", socket);
--- a/src/transport/http/server_connection.ts
+++ b/src/transport/http/server_connection.ts
@@ -74,12 +74,17 @@
       (this.pendingCount > 0 ? this.socket.writableLength : this.requestCount);
   }
 
-  /** Counts the memory of headers that aren't complete, after bytes were parsed. */
-  countIncompleteHeaders(): void {
+  /** Gets the bytes of a request whose headers aren't complete. */
+  get incompleteHeaderBytes(): number {
     const isReadingBody = this.body !== undefined || this.isDiscarding;
-    const bytes = isReadingBody || this.#isClosed || this.isClosing
+    return isReadingBody || this.#isClosed || this.isClosing
       ? 0
       : this.parsedBytes - this.#readBytesAtRequest;
+  }
+
+  /** Counts the memory of headers that aren't complete, after bytes were parsed. */
+  countIncompleteHeaders(): void {
+    const bytes = this.incompleteHeaderBytes;
     const holder = this.#incompleteHeaders;
     if (bytes === 0) {
       if (holder.heldBytes > 0) {
--- a/tests/transport/http/http_server_limits_test.ts
+++ b/tests/transport/http/http_server_limits_test.ts
@@ -194,6 +194,22 @@
     await waitUntil(() => served.received.includes("200 OK"), "the answer");
   });
 
+  it("applies a limit on headers above that of the process, also while they arrive", async () => {
+    // Guards against a configuration that allows what the parser refuses, and against
+    // headers without a limit until they are complete.
+    await startServer({
+      limits: { maxHeaderBytes: 2_000 },
+      getLimits: () => ({ maxHeaderBytes: 30_000 }),
+    });
+    const text = `GET / HTTP/1.1\r\nhost: h\r\nx: ${"x".repeat(25_000)}\r\n`;
+    const served = openClient(text + "\r\n");
+    await waitUntil(() => served.received !== "", "the answer");
+    expect(served.received).to.include("200 OK");
+    const refused = openClient(`${text}y: ${"y".repeat(10_000)}`);
+    await waitUntil(() => refused.received.includes("431"), "the refusal");
+    expect(refusals).to.deep.equal(["header_size"]);
+  });
+
   it("asks for a body that waits to be asked for only if it is allowed", async () => {
     // Guards against a body that the client sends in vain.
     const requests: HttpRequest[] = [];
