Keep the waiting submission of a job when its holder claims again on another stream

In the logs of the same failure here, an agent that doesn't decide between two submissions got the holder's claim again on a new stream, granted it and had the entry with the later submission stop the job; the deciding agent stopped the holder, so that both entries gave the job up. Change: a repeated claim of the holder doesn't end the wait of a submission that came later. If the agent has become the deciding one, the holder is asked to stop instead.

--- a/src/coordination/batch/agent/job_claim_table.ts
+++ b/src/coordination/batch/agent/job_claim_table.ts
@@ -188,9 +188,7 @@
     }
     if (isDecided) {
       waiter?.owner.sendCancel(jobId, "superseded");
-      this.#recordSuperseded(jobId, holder, owner.name);
-      held.isCancelled = true;
-      holder.sendCancel(jobId, "superseded");
+      this.#supersedeHolder(jobId, held, owner.name);
     }
     const value = { jobId, number, holder: holder.name } as const;
     owner.sendClaimReply({ ...value, outcome: "held" });
@@ -226,8 +224,26 @@
       claim.owner.sendCancel(jobId, "superseded");
       return;
     }
-    this.#grant(jobId, claim);
-    waiter?.owner.sendCancel(jobId, "superseded");
+    if (waiter === undefined || isLater(claim, waiter)) {
+      this.#grant(jobId, claim);
+      waiter?.owner.sendCancel(jobId, "superseded");
+      return;
+    }
+    // The holder repeats its claim after its stream was interrupted; the submission that
+    // waits remains the latest one.
+    if (claim.isDeciding) {
+      held.holder = claim.owner;
+      held.isDeciding = true;
+      this.#supersedeHolder(jobId, held, waiter.owner.name);
+    } else {
+      this.#grant(jobId, claim, waiter);
+    }
+  }
+
+  #supersedeHolder(jobId: string, held: HeldJob, claimedBy: string): void {
+    this.#recordSuperseded(jobId, held.holder, claimedBy);
+    held.isCancelled = true;
+    held.holder.sendCancel(jobId, "superseded");
   }
 
   /** Handles the release of jobs by an entry, or the end of its wait for them. */
@@ -297,6 +313,7 @@
   #grant(
     jobId: string,
     { owner, number, arrivedAt, isDeciding, notify, spec }: ClaimWaiter,
+    waiter?: ClaimWaiter,
   ): void {
     this.#jobs.set(jobId, {
       holder: owner,
@@ -305,7 +322,7 @@
       frameCount: owner.frameCount,
       wasClosed: owner.isClosed,
       silenceMs: 0,
-      waiter: undefined,
+      waiter,
       isCancelled: false,
     });
     const reply = { jobId, number, outcome: "granted", holder: "" } as const;
--- a/tests/coordination/batch/agent/job_claim_table_test.ts
+++ b/tests/coordination/batch/agent/job_claim_table_test.ts
@@ -106,6 +106,36 @@
     ]]);
   });
 
+  it("keeps the later submission that waits when the holder claims again on another stream", () => {
+    claim(first, { isDeciding: false, ageMs: 500 });
+    claim(second, { isDeciding: false });
+    const reopened = new FakeOwner("entry-1");
+    claim(reopened, { isDeciding: false, ageMs: 520 });
+    expect(second.cancels).to.deep.equal([]);
+    table.release(reopened, [JOB_ID]);
+    expect(second.replies).to.deep.equal(["held", "granted"]);
+  });
+
+  it("has the holder stop when it claims again and this agent decides for the later submission", () => {
+    claim(first, { isDeciding: false, ageMs: 500 });
+    claim(second, { isDeciding: false });
+    const reopened = new FakeOwner("entry-1");
+    claim(reopened, { isDeciding: true, ageMs: 520 });
+    expect([reopened.cancels, second.cancels]).to.deep.equal([[JOB_ID], []]);
+    table.release(reopened, [JOB_ID]);
+    expect(second.replies).to.deep.equal(["held", "granted"]);
+  });
+
+  it("has the entry that waits stop when the holder claims a later submission", () => {
+    claim(first, { isDeciding: false, ageMs: 500 });
+    claim(second, { isDeciding: false });
+    now += ARRIVAL_TOLERANCE_MS;
+    claim(first, { isDeciding: false, number: 2 });
+    expect(second.cancels).to.deep.equal([JOB_ID]);
+    table.release(first, [JOB_ID]);
+    expect(second.replies).to.deep.equal(["held"]);
+  });
+
   it("grants a later submission only after the release by the former entry", () => {
     claim(first);
     claim(second);
