--- a/src/transport/stream/frame_socket.ts
+++ b/src/transport/stream/frame_socket.ts
@@ -11,6 +11,8 @@
 
 const LINE_FEED = 0x0a;
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** Largest accepted frame, in bytes. A task's description is far shorter. */
 const MAX_FRAME_BYTES = 16_777_216;
 
@@ -41,7 +43,7 @@
   readonly received = new MessageQueue<BatchFrame>();
   readonly #socket: Socket;
   #unsentLines = "";
-  #partialLine: Buffer = Buffer.alloc(0);
+  #partialLine: Buffer = NO_BYTES;
   #isClosed = false;
   #hasReceivedFrame = false;
   #error: Error | undefined;
@@ -60,7 +62,7 @@
     this.#budget = budget;
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
-    socket.on("data", (bytes: Buffer) => this.#handleBytes(bytes));
+    socket.on("data", (bytes: Buffer) => this.handleBytes(bytes));
     socket.on("error", (error) => this.#error ??= error);
     socket.on("close", () => {
       this.#isClosed = true;
@@ -118,8 +120,11 @@
     }
   }
 
-  /** Extracts the complete frames from the received bytes. */
-  #handleBytes(chunk: Buffer): void {
+  /**
+   * Extracts the complete frames from received bytes.
+   * @param chunk - Received bytes. They may be overwritten afterwards.
+   */
+  handleBytes(chunk: Buffer): void {
     let bytes = chunk;
     let searchStart = 0;
     if (this.#partialLine.length > 0) {
@@ -136,10 +141,14 @@
       lineStart = lineEnd + 1;
       searchStart = lineStart;
     }
-    // A part of a larger buffer would hold all of it.
-    this.#partialLine = lineStart > 0
-      ? Buffer.from(bytes.subarray(lineStart))
-      : bytes;
+    if (lineStart === bytes.length) {
+      this.#partialLine = NO_BYTES;
+    } else if (lineStart > 0 || bytes === chunk) {
+      // A part of a larger buffer would hold all of it.
+      this.#partialLine = Buffer.from(bytes.subarray(lineStart));
+    } else {
+      this.#partialLine = bytes;
+    }
     if (this.#partialLine.length > MAX_FRAME_BYTES) {
       this.#socket.destroy(
         new Error(`received more than ${MAX_FRAME_BYTES} bytes of one frame`),
--- a/tests/transport/stream/stream_test.ts
+++ b/tests/transport/stream/stream_test.ts
@@ -2,6 +2,7 @@
 import { connect, createServer, type Socket } from "node:net";
 import type { BatchFrame } from "../../../src/coordination/messages/mod.ts";
 import type { PeerStream } from "../../../src/coordination/ports/mod.ts";
+import { formatBatchFrame } from "../../../src/protocol/batch/mod.ts";
 import { FrameSocket } from "../../../src/transport/stream/frame_socket.ts";
 import {
   StreamClient,
@@ -83,6 +84,39 @@
     expect(receivedNumbers).to.deep.equal([1, 2]);
   });
 
+  it("reassembles frames whose fragments arrive in turn on two streams of a client", async () => {
+    // Guards against a fragment that is overwritten by what the other stream reads.
+    const sockets: Socket[] = [];
+    const fragmentServer = createServer((socket) => sockets.push(socket));
+    await new Promise<void>((resolve) =>
+      fragmentServer.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = fragmentServer.address() as { port: number };
+    const client = new StreamClient();
+    const numbers: number[] = [];
+    const ends = [0, 1].map(async () => {
+      for await (
+        const { sentAtMs } of client.open(`127.0.0.1:${port}`).received
+      ) {
+        numbers.push(sentAtMs);
+      }
+    });
+    await waitUntil(() => sockets.length === 2, "the connections");
+    const lines = [1_111, 2_222].map((n) => formatBatchFrame(createPing(n)));
+    for (let part = 0; part < 4; part++) {
+      for (const [index, line = ""] of lines.entries()) {
+        sockets[index]?.write(
+          line.slice(part * 4, part < 3 ? part * 4 + 4 : undefined),
+        );
+        await new Promise((resolve) => setTimeout(resolve, 20));
+      }
+    }
+    sockets.forEach((socket) => socket.end("\n"));
+    await Promise.all(ends);
+    fragmentServer.close();
+    expect(numbers.toSorted()).to.deep.equal([1_111, 2_222]);
+  });
+
   it("closes a stream on which data other than frames arrives", async () => {
     const [host, port] = address.split(":") as [string, string];
     const socket = connect(Number(port), host);
