Tell a handler that its client has gone without an AbortController

Creating an AbortController and adding a listener takes 7.5 µs in optimized code, and had 2.6% of the processor time of an entry's main thread at 40 jobs/s. Requests now carry a signal with just the two members that handlers use; an AbortSignal still fits.

--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -25,6 +25,7 @@
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
+import type { CallerSignal } from "./caller_signal.ts";
 import type { ClaimNeed } from "./claim_need.ts";
 import type { JobArrival } from "./job_arrival.ts";
 import { JobClaims } from "./job_claims.ts";
@@ -64,7 +65,7 @@
 
 export interface SubmitJobOptions extends SubmissionHead {
   /** Aborts when the client no longer waits. */
-  signal: AbortSignal;
+  signal: CallerSignal;
   /** Parses the request. Called when its turn has come. */
   parseJob: () => Result<BatchJob, DispatchError>;
 }
@@ -75,7 +76,7 @@
   /** Time in which the job must be answered, in milliseconds. */
   timeLeftMs: number;
   /** Aborts when the client no longer waits. */
-  signal: AbortSignal;
+  signal: CallerSignal;
   /** When the job came, if it has waited since it was read. */
   arrival?: JobArrival;
 }
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -20,6 +20,7 @@
 import type { AgentStream } from "./agent_stream.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import type { BatchTask } from "./batch_task.ts";
+import type { CallerSignal } from "./caller_signal.ts";
 import type { ClaimNeed } from "./claim_need.ts";
 import { formatPlacedTask } from "./format_placed_task.ts";
 import type { PlaceRecord } from "./place_record.ts";
@@ -168,7 +169,7 @@
    * Adds a caller that waits for the answer. The job is cancelled when `signal`
    * has been aborted for each of its callers.
    */
-  addCaller(signal: AbortSignal): void {
+  addCaller(signal: CallerSignal): void {
     this.#callerCount++;
     const handleAbort = () => {
       this.#callerCount--;
--- a/src/transport/http/http_request.ts
+++ b/src/transport/http/http_request.ts
@@ -1,3 +1,4 @@
+import type { ClientSignal } from "./client_signal.ts";
 import type { HttpRequestHead } from "./http_request_head.ts";
 
 /** A received HTTP request with its complete body. */
@@ -7,5 +8,5 @@
   readonly query: URLSearchParams;
   readonly body: Buffer;
   /** Aborts if the client closes its connection before the response is sent. */
-  readonly signal: AbortSignal;
+  readonly signal: Omit<ClientSignal, "abort">;
 }
--- a/src/transport/http/received_request.ts
+++ b/src/transport/http/received_request.ts
@@ -1,12 +1,13 @@
 import type { IncomingHttpHeaders, IncomingMessage } from "node:http";
+import { ClientSignal } from "./client_signal.ts";
 import type { HttpRequest } from "./http_request.ts";
 
 /** Paths that need no decoding: segments of unreserved characters. */
 const PLAIN_PATH = /^(?:\/[A-Za-z0-9_~-][A-Za-z0-9._~-]*)*\/?$/;
 
 /**
- * A request of a client. What only some handlers need, such as the query and the signal, is
- * created when it is first used.
+ * A request of a client. What only some handlers need, such as the query, is created when
+ * it is first used.
  */
 export class ReceivedRequest implements HttpRequest {
   readonly method: string;
@@ -16,8 +17,7 @@
   readonly #message: IncomingMessage;
   readonly #target: string;
   #pathSegments: readonly string[] | undefined;
-  #abort: AbortController | undefined;
-  #isAborted = false;
+  readonly signal = new ClientSignal();
 
   constructor(message: IncomingMessage) {
     this.#message = message;
@@ -43,16 +43,6 @@
     return this.#parseTarget().searchParams;
   }
 
-  get signal(): AbortSignal {
-    if (this.#abort === undefined) {
-      this.#abort = new AbortController();
-      if (this.#isAborted) {
-        this.#abort.abort();
-      }
-    }
-    return this.#abort.signal;
-  }
-
   /** Whether the path is validly encoded. */
   hasValidPath(): boolean {
     if (PLAIN_PATH.test(this.rawPath)) {
@@ -67,8 +57,7 @@
 
   /** Notifies the handler that the client has gone. */
   abort(): void {
-    this.#isAborted = true;
-    this.#abort?.abort();
+    this.signal.abort();
   }
 
   #parseSegments(): readonly string[] {
--- a/tests/transport/http/http_server_test.ts
+++ b/tests/transport/http/http_server_test.ts
@@ -115,7 +115,7 @@
 
   it("aborts the signal of each request that a client sent before it disconnected", async () => {
     // Guards against a job that runs on for a client that has gone.
-    const signals: AbortSignal[] = [];
+    const signals: HttpRequest["signal"][] = [];
     const waiting = new HttpServer({
       host: "127.0.0.1",
       port: 0,
