Split the run of a job: its tasks, timers, orders and the record of its admission

JobTasks keeps the tasks by step and name, JobTimers the timers until the answer, createRunOrder writes an order, recordAdmission logs the decision. What the job decides and logs is the same.

--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -5,7 +5,6 @@
   decideAdmission,
   type DeclinePolicy,
   getResponseTimes,
-  hasRoom,
   type PlacedTask,
   placeTasks,
   type Route,
@@ -22,8 +21,11 @@
 import type { BatchTask } from "./batch_task.ts";
 import type { CallerSignal } from "./caller_signal.ts";
 import type { ClaimNeed } from "./claim_need.ts";
-import { formatPlacedTask } from "./format_placed_task.ts";
+import { createRunOrder } from "./create_run_order.ts";
+import { JobTasks } from "./job_tasks.ts";
+import { JobTimers } from "./job_timers.ts";
 import type { PlaceRecord } from "./place_record.ts";
+import { recordAdmission } from "./record_admission.ts";
 
 /**
  * Delay before a task whose run was returned, stopped or lost is placed again,
@@ -41,12 +43,6 @@
 /** Interval of the retries while no worker accepts work, in milliseconds. */
 const NO_WORKER_RETRY_MS = 100;
 
-/**
- * Longest delay of a timer of Node.js, in milliseconds; a longer one would fire
- * at once.
- */
-const MAX_TIMER_MS = 2 ** 31 - 1;
-
 /** The homes have granted the job. */
 const NO_NEED: ClaimNeed = { claimNumber: 0, awaitedHomes: 0 };
 
@@ -57,9 +53,6 @@
   "returned",
 ]);
 
-/** Occurrence number in the names of tasks; 0 for jobs that run once. */
-const OCCURRENCE = 0;
-
 export interface BatchJobRunOptions {
   job: BatchJob;
   route: Route;
@@ -123,8 +116,7 @@
   readonly runsEnded: Promise<void>;
   readonly #options: BatchJobRunOptions;
   readonly #getTime: () => number;
-  readonly #tasks: BatchTask[][];
-  readonly #tasksByName = new Map<string, BatchTask>();
+  readonly #tasks: JobTasks;
   readonly #createdAt: number;
   readonly #deadlineAt: number;
   /**
@@ -135,7 +127,7 @@
   #usefulUntil = 0;
   /** Time at which the latency target is missed, on the monotonic clock. */
   #latencyTargetAt = 0;
-  readonly #timers = new Set<NodeJS.Timeout>();
+  readonly #timers = new JobTimers();
   /** Tasks that agents have declined in this turn of the event loop. */
   #declinedTasks: BatchTask[] = [];
   #resolve: (answer: BatchAnswer) => void = () => {};
@@ -154,20 +146,12 @@
     this.#deadlineAt = this.#createdAt + options.timeLeftMs;
     this.answer = new Promise((resolve) => this.#resolve = resolve);
     this.runsEnded = new Promise((resolve) => this.#resolveRunsEnded = resolve);
-    this.#tasks = createTasks(options.job);
-    for (const task of this.#tasks.flat()) {
-      this.#tasksByName.set(task.name, task);
-    }
+    this.#tasks = new JobTasks(options.job);
   }
 
   /** Gets whether a run of the job may be executing. */
   get hasActiveRuns(): boolean {
-    for (const task of this.#tasksByName.values()) {
-      if (isActive(task)) {
-        return true;
-      }
-    }
-    return false;
+    return this.#tasks.hasActiveRuns;
   }
 
   /**
@@ -198,7 +182,7 @@
     const { job, route } = this.#options;
     const { criticalPathMs } = getResponseTimes(job, route);
     const latestStartAt = this.#deadlineAt - criticalPathMs;
-    this.#startTimer(Math.max(0, latestStartAt - this.#getTime()), () => {
+    this.#timers.start(Math.max(0, latestStartAt - this.#getTime()), () => {
       if (!this.#isStarted) {
         this.#settleWithError("deadline_unreachable");
       }
@@ -220,36 +204,29 @@
     const { targetMs, maxUsefulMs } = getResponseTimes(job, route);
     this.#usefulUntil = now + Math.min(timeLeftMs, maxUsefulMs);
     this.#latencyTargetAt = now + targetMs;
-    for (const task of this.#tasksByName.values()) {
+    for (const task of this.#tasks.getAll()) {
       if (this.#giveUpCrashing(task)) {
         return;
       }
     }
     const loads = getLoads();
-    const ready = this.#tasks.filter((tasks) =>
-      this.#hasDependenciesDone(tasks)
+    const ready = this.#tasks.steps.filter((tasks) =>
+      this.#tasks.hasDependenciesDone(tasks)
     );
     const placements = ready.map((tasks) => this.#place(tasks, loads));
+    const placed = placements.flat();
     const decision = decideAdmission({
       taskCount: ready.flat().length,
-      placements: placements.flat(),
+      placements: placed,
       hasWorkers: loads.length > 0,
       timeLeftMs: this.#usefulUntil - this.#getTime(),
     });
-    log.record("job_admission", {
-      job: job.id,
-      route: route.name,
-      tasks: this.#tasksByName.size,
-      timeLeftMs: Math.round(timeLeftMs),
-      usefulMs: Math.round(this.#usefulUntil - this.#getTime()),
-      workers: loads.length,
-      freeWorkers: countWorkersWithRoom(loads, job),
-      reportAgeMs: getOldestReportAgeMs(loads, placements.flat(), now),
-      isConfined: isConfined() || undefined,
-      priority: route.priority,
-      expectedMs: job.steps[0]?.expectedMs,
-      ...decision,
-      placed: placements.flat().map(formatPlacedTask),
+    recordAdmission(log, {
+      ...{ job, route, decision, loads, timeLeftMs, now },
+      placements: placed,
+      taskCount: this.#tasks.size,
+      usefulMs: this.#usefulUntil - this.#getTime(),
+      isConfined: isConfined(),
     });
     switch (decision.kind) {
       case "refused":
@@ -266,7 +243,7 @@
         );
         return;
       case "admitted":
-        this.#startTimer(timeLeftMs, () => this.#settleWithError("timeout"));
+        this.#timers.start(timeLeftMs, () => this.#settleWithError("timeout"));
         this.#sendFirst(ready, placements);
         return;
       default:
@@ -299,7 +276,7 @@
   /** Handles the end of a run that was ordered on a stream. */
   handleEnd(stream: AgentStream, end: RunEnd): void {
     const { agentId } = stream;
-    const task = this.#tasksByName.get(end.task);
+    const task = this.#tasks.get(end.task);
     if (
       task === undefined || task.state !== "sent" ||
       task.stream?.number !== stream.number || end.run < task.run
@@ -371,7 +348,7 @@
   /** Handles the loss of a stream; its runs may still be executing. */
   handleStreamLost(stream: AgentStream): void {
     const { agentId } = stream;
-    const tasks = this.#findTasks(
+    const tasks = this.#tasks.find(
       "sent",
       ({ number }) => number === stream.number,
     );
@@ -396,7 +373,7 @@
     });
     // Runs after the answer, too: it ends the wait for the job's former runs.
     setTimeout(() => {
-      const expired = this.#findTasks(
+      const expired = this.#tasks.find(
         "lost",
         ({ number }) => number === stream.number,
       );
@@ -413,7 +390,7 @@
    * the agent had another worker.
    */
   handleEarlierRunsEnded(stream: AgentStream): void {
-    const ended = this.#findTasks(
+    const ended = this.#tasks.find(
       "lost",
       ({ agentId, address, number }) =>
         agentId === stream.agentId && address === stream.address &&
@@ -482,29 +459,9 @@
     }
   }
 
-  #findTasks(
-    state: BatchTask["state"],
-    matches: (stream: AgentStream) => boolean,
-  ): BatchTask[] {
-    return [...this.#tasksByName.values()].filter((task) =>
-      task.state === state && task.stream !== undefined && matches(task.stream)
-    );
-  }
-
-  /** Returns whether all steps that the tasks' step depends on are done. */
-  #hasDependenciesDone(tasks: readonly BatchTask[]): boolean {
-    const [first] = tasks;
-    return first !== undefined &&
-      first.step.dependsOn.every((number) =>
-        this.#tasks[number]?.every((task) => task.state === "done") ?? false
-      );
-  }
-
   /** Completes the job when all tasks are done, or sends the next steps. */
   #completeOrSendNext(): void {
-    const unfinished = this.#tasks.filter((tasks) =>
-      tasks.some((task) => task.state !== "done")
-    );
+    const unfinished = this.#tasks.findUnfinishedSteps();
     if (unfinished.length === 0) {
       this.#settle({ kind: "completed" });
       return;
@@ -512,7 +469,7 @@
     for (const tasks of unfinished) {
       if (
         tasks.every((task) => task.run === 0) &&
-        this.#hasDependenciesDone(tasks)
+        this.#tasks.hasDependenciesDone(tasks)
       ) {
         this.#placeAndSend(tasks);
       }
@@ -521,7 +478,7 @@
 
   #schedulePlacement(task: BatchTask, delayMs: number): void {
     task.state = "waiting";
-    this.#startTimer(delayMs, () => {
+    this.#timers.start(delayMs, () => {
       if (task.state === "waiting") {
         this.#placeAndSend([task]);
       }
@@ -537,10 +494,10 @@
       return;
     }
     this.#options.requestGrants();
-    this.#startTimer(0, () => {
+    this.#timers.start(0, () => {
       const declined = this.#declinedTasks;
       this.#declinedTasks = [];
-      for (const tasks of this.#tasks) {
+      for (const tasks of this.#tasks.steps) {
         const ofStep = declined.filter((other) => tasks.includes(other));
         if (ofStep.length > 0) {
           this.#placeAndSend(ofStep);
@@ -588,7 +545,7 @@
       return [];
     }
     const placedCounts = new Map<string, number>();
-    for (const task of this.#tasks[first.stepNumber] ?? []) {
+    for (const task of this.#tasks.steps[first.stepNumber] ?? []) {
       if (task.state === "sent" && task.stream !== undefined) {
         const { agentId } = task.stream;
         placedCounts.set(agentId, (placedCounts.get(agentId) ?? 0) + 1);
@@ -643,8 +600,7 @@
     placements: readonly PlacedTask[],
     need: ClaimNeed,
   ): void {
-    const { job, route, sendStart, crashHistory, declinePolicy, placeRecord } =
-      this.#options;
+    const { job, route, sendStart, declinePolicy, placeRecord } = this.#options;
     const now = this.#getTime();
     const byAgent = new Map<string, BatchTask[]>();
     for (const placed of placements) {
@@ -672,16 +628,7 @@
         priority: route.priority,
         timeLeftMs: Math.max(0, Math.round(this.#usefulUntil - now)),
         targetLeftMs: Math.round(this.#latencyTargetAt - now),
-        runs: sent.map((task) => ({
-          task: task.name,
-          run: task.run,
-          ...task.step.resources,
-          expectedMs: this.#getExpectedMs(task),
-          crashes: crashHistory.getCount(task.name),
-          crashedAfterMs: crashHistory.getLatestRunTimeMs(task.name),
-          canBeDeclined: task.canBeDeclined,
-          recheckAfterMs: getRecheckAfterMs(task),
-        })),
+        runs: sent.map((task) => createRunOrder(task, this.#options)),
       });
       for (const task of sent) {
         task.stream = stream;
@@ -692,17 +639,6 @@
     }
   }
 
-  /**
-   * Gets the expected run time of a task that has been placed, on a worker of average
-   * speed. An agent learns the speed of its worker by it, so it includes the way to
-   * the data.
-   */
-  #getExpectedMs({ step, placed }: BatchTask): number {
-    return placed?.isFar === true
-      ? Math.round(step.expectedMs * this.#options.farFactor)
-      : step.expectedMs;
-  }
-
   /** Logs why a task is placed that has been placed before. */
   #recordRepeatedPlacement(task: BatchTask, agentId: string): void {
     if (task.run > 0) {
@@ -743,9 +679,9 @@
       return;
     }
     this.#isAnswered = true;
-    this.#timers.forEach((timer) => clearTimeout(timer));
+    this.#timers.stop();
     const byAgent = new Map<string, string[]>();
-    for (const task of this.#tasksByName.values()) {
+    for (const task of this.#tasks.getAll()) {
       if (task.state === "sent" && task.stream !== undefined) {
         const { agentId } = task.stream;
         addToGroup(byAgent, agentId, task.name);
@@ -757,31 +693,6 @@
     this.#resolve(answer);
     this.#checkRunsEnded();
   }
-
-  #startTimer(delayMs: number, handle: () => void): void {
-    if (this.#isAnswered) {
-      return;
-    }
-    const timer = setTimeout(() => {
-      this.#timers.delete(timer);
-      if (!this.#isAnswered) {
-        handle();
-      }
-    }, Math.min(delayMs, MAX_TIMER_MS));
-    this.#timers.add(timer);
-  }
-}
-
-/** Gets when the agent checks a run that waits for a place near its data. */
-function getRecheckAfterMs(
-  { placed, canBeDeclined }: BatchTask,
-): number | undefined {
-  const recheckAfterMs = placed?.place?.kind === "wait"
-    ? placed.place.recheckAfterMs
-    : Infinity;
-  return canBeDeclined && Number.isFinite(recheckAfterMs)
-    ? Math.round(recheckAfterMs)
-    : undefined;
 }
 
 function addToGroup<T>(groups: Map<string, T[]>, key: string, item: T): void {
@@ -792,54 +703,3 @@
     group.push(item);
   }
 }
-
-/** Returns whether a run of the task may be executing. */
-function isActive({ state }: BatchTask): boolean {
-  return state === "sent" || state === "lost";
-}
-
-/** Counts the workers with room for a task of each of the job's steps. */
-function countWorkersWithRoom(
-  loads: readonly WorkerLoad[],
-  { steps }: BatchJob,
-): number {
-  return loads.filter(({ free }) =>
-    steps.every(({ resources }) => hasRoom(free, resources))
-  ).length;
-}
-
-/**
- * Gets the age of the oldest report of the workers on which tasks are placed, in
- * milliseconds; undefined without such a worker.
- */
-function getOldestReportAgeMs(
-  loads: readonly WorkerLoad[],
-  placements: readonly PlacedTask[],
-  now: number,
-): number | undefined {
-  const agentIds = new Set(placements.map(({ agentId }) => agentId));
-  const agesMs = loads.filter(({ agentId }) => agentIds.has(agentId))
-    .map(({ reportedAt }) => now - reportedAt);
-  return agesMs.length === 0 ? undefined : Math.round(Math.max(...agesMs));
-}
-
-function createTasks(job: BatchJob): BatchTask[][] {
-  return job.steps.map((step, stepNumber) =>
-    Array.from({ length: step.count }, (_, index): BatchTask => ({
-      name: `${job.id}.${OCCURRENCE}.${stepNumber}.${index}`,
-      step,
-      stepNumber,
-      index,
-      run: 0,
-      state: "waiting",
-      stream: undefined,
-      placed: undefined,
-      sentAt: 0,
-      lastEnd: undefined,
-      failures: 0,
-      declines: 0,
-      canBeDeclined: false,
-      avoidedAgents: new Set(),
-    }))
-  );
-}
