Wait for lost agents while no home of a job remembers claims

Cause: after a second loss of all agents, homes that restart within the lease of runs at agents that stay away have forgotten the claim and grant the job to a second entry at once. Change: while none of a job's homes is as old as getClaimMemoryMs, the entry waits for the agents that it has lost, until the lease of their runs has ended (1,120 ms). Agents that it has never reached don't count, so that a start of all processes takes no longer.

--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -163,6 +163,10 @@
     return this.#connectingMs < BATCH_LIMITS.agentTimeoutMs;
   }
 
+  get hasBeenReached(): boolean {
+    return this.#hasBeenReached;
+  }
+
   get isInDoubt(): boolean {
     const limitMs = this.#hasBeenReached
       ? DOUBT_MS.lost
--- a/src/coordination/batch/entry/claim_home.ts
+++ b/src/coordination/batch/entry/claim_home.ts
@@ -14,6 +14,8 @@
    * this entry doesn't reach it.
    */
   readonly isInDoubt: boolean;
+  /** Whether this entry has had a stream to the agent. */
+  readonly hasBeenReached: boolean;
   /** Number of entries that the agent hears; 0 if it is not known. */
   readonly entryCount: number;
   /** Time since the agent's process started to keep claims, in milliseconds. */
--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -532,10 +532,12 @@
           : MAX_RANKED_COUNT;
         const ranked = selectHomes(claim.jobId, candidates, maxCount);
         const count = this.#countNeededHomes(ranked, claim.homeCount);
-        return [
-          ...ranked.slice(0, count),
-          ...findMissingHomes(claim.jobId, homes),
-        ];
+        const selected = ranked.slice(0, count);
+        const lost = selected.some(hasClaimMemory)
+          ? []
+          : homes.filter(canHaveLostRuns);
+        const missing = findMissingHomes(claim.jobId, homes);
+        return [...new Set([...selected, ...missing, ...lost])];
       }
       case "all":
         return this.#options.getHomes().filter((home) => home.canKeepClaims);
@@ -556,7 +558,7 @@
         continue;
       }
       reachedByAllCount++;
-      rememberingCount += home.uptimeMs >= getClaimMemoryMs() ? 1 : 0;
+      rememberingCount += hasClaimMemory(home) ? 1 : 0;
       if (
         rememberingCount === homeCount || reachedByAllCount === MAX_HOME_COUNT
       ) {
@@ -567,6 +569,19 @@
   }
 }
 
+/** Returns whether an agent knows of each job that has it as a home. */
+function hasClaimMemory(home: ClaimHome): boolean {
+  return home.uptimeMs >= getClaimMemoryMs();
+}
+
+/**
+ * Returns whether runs may go on at the worker of an agent that this entry has lost.
+ * While no home has a memory of claims, nothing else tells of the job of such a run.
+ */
+function canHaveLostRuns(home: ClaimHome): boolean {
+  return home.isInDoubt && home.hasBeenReached;
+}
+
 /**
  * Finds the agents that another entry may have chosen as the homes of a job, and of
  * which this one doesn't reach enough to have a home in common with it.
--- a/tests/coordination/batch/entry/job_claims_test.ts
+++ b/tests/coordination/batch/entry/job_claims_test.ts
@@ -26,6 +26,7 @@
   canKeepClaims = true;
   isConnecting = false;
   isInDoubt = false;
+  hasBeenReached = true;
   entryCount = 2;
   uptimeMs = 60_000;
   proofAgeMs = 0;
@@ -253,6 +254,21 @@
     expect(claims.canPlace(JOB_ID)).to.equal(true);
   });
 
+  it("waits while runs of lost agents may go on, if no home remembers claims", async () => {
+    // Guards against a second run while the first one is known only to forgetful homes.
+    homes.forEach((home) => home.uptimeMs = 0);
+    const lost = homes.find((home) => !getAsked().includes(home)) as FakeHome;
+    lost.canKeepClaims = false;
+    lost.isInDoubt = true;
+    claims.release(JOB_ID);
+    claimJob();
+    getAsked().forEach((home) => reply(home, "granted"));
+    await wait(LOST_HOME_CHECK_MS);
+    expect(claims.canPlace(JOB_ID)).to.equal(false);
+    lost.isInDoubt = false;
+    await waitUntil(() => claims.canPlace(JOB_ID), "the end of the doubt");
+  });
+
   it("counts a pause of this entry as part of the age of a job that comes after it", () => {
     // Guards against a job that is older than its entry takes it for.
     longestWaitMs = BATCH_LIMITS.claimAgeMs;
