--- a/src/transport/stream/frame_socket.ts
+++ b/src/transport/stream/frame_socket.ts
@@ -62,6 +62,7 @@
     this.#budget = budget;
     socket.setNoDelay(true);
     socket.setKeepAlive(true, KEEP_ALIVE_DELAY_MS);
+    // A socket that was opened with `onread` emits none.
     socket.on("data", (bytes: Buffer) => this.handleBytes(bytes));
     socket.on("error", (error) => this.#error ??= error);
     socket.on("close", () => {
