Place tasks that share a rack on one rack for as long as waiting for it pays

Cause: a step with sameRack was placed as if it didn't say so. Its tasks were spread over racks, where each takes the far factor longer, also if one rack had room for all of them. Change: the entry makes a plan for each rack and one over all workers, and compares when the last task ends, with the learned waits of each rack (placeGroup). Tasks that are placed again go to the rack of the others as long as that pays. Agents name the rack of their worker in a new field at the end of its profile; platform/ reads it from the labels. decidesPlaceWaits turns it off. With placeTasks in place of placeGroup, both tests of BatchJobRun for groups fail; with lost tasks placed one by one, the one of a rack that is cut off.

--- a/src/coordination/batch/agent/worker_description.ts
+++ b/src/coordination/batch/agent/worker_description.ts
@@ -14,4 +14,6 @@
   readonly remainingMs: number | undefined;
   readonly capacity: TaskResources;
   readonly labels: readonly string[];
+  /** Rack of the worker; empty if the worker doesn't name it. */
+  readonly rack: string;
 }
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -475,6 +475,7 @@
       labels: [...worker?.labels ?? []],
       zone: worker?.zone ?? "",
       service: worker?.service ?? "",
+      rack: worker?.rack ?? "",
     };
   }
 
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -56,8 +56,9 @@
    */
   ordersIntake?: boolean;
   /**
-   * Whether it is decided for each task how long it waits for a place near its data.
-   * Otherwise a wait has a fixed cost. True by default.
+   * Whether it is decided for each task how long it waits for a place near its data,
+   * and for each group how long for a place on one rack. Otherwise a wait has a fixed
+   * cost, and groups are placed like other tasks. True by default.
    */
   decidesPlaceWaits?: boolean;
 }
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -7,6 +7,7 @@
   getResponseTimes,
   hasRoom,
   type PlacedTask,
+  placeGroup,
   placeTasks,
   type Route,
   type RunOutcome,
@@ -22,6 +23,7 @@
 import type { BatchTask } from "./batch_task.ts";
 import type { ClaimNeed } from "./claim_need.ts";
 import { formatPlacedTask } from "./format_placed_task.ts";
+import { getPlacedGroup } from "./get_placed_group.ts";
 import type { PlaceRecord } from "./place_record.ts";
 
 /**
@@ -101,8 +103,9 @@
   /** Factor by which tasks run longer away from the rack of their data. */
   farFactor: number;
   /**
-   * Follows the runs of tasks that name the rack of their data, by which it is decided
-   * how long others wait for a place there; without it, a wait has a fixed cost.
+   * Follows the runs of tasks that name the rack of their data or share one, by which
+   * it is decided how long others wait for a place there; without it, a wait has a
+   * fixed cost, and tasks that share a rack are placed like others.
    */
   placeRecord?: PlaceRecord | undefined;
   getTime?: () => number;
@@ -135,8 +138,8 @@
   /** Time at which the latency target is missed, on the monotonic clock. */
   #latencyTargetAt = 0;
   readonly #timers = new Set<NodeJS.Timeout>();
-  /** Tasks that agents have declined in this turn of the event loop. */
-  #declinedTasks: BatchTask[] = [];
+  /** Tasks that are placed again in the next turn of the event loop. */
+  #dueTasks: BatchTask[] = [];
   #resolve: (answer: BatchAnswer) => void = () => {};
   #resolveRunsEnded: () => void = () => {};
   #isAnswered = false;
@@ -242,6 +245,7 @@
       isConfined: isConfined() || undefined,
       priority: route.priority,
       expectedMs: job.steps[0]?.expectedMs,
+      sharesRack: job.steps.some((step) => step.sharesRack) || undefined,
       ...decision,
       placed: placements.flat().map(formatPlacedTask),
     });
@@ -303,6 +307,7 @@
     task.run = end.run;
     task.state = "waiting";
     task.lastEnd = end.outcome;
+    task.declinedAgents.delete(agentId);
     const now = this.#getTime();
     this.#options.placeRecord?.recordEnd(task, end, {
       now,
@@ -338,7 +343,9 @@
       case "declined":
         task.declines++;
         task.avoidedAgents.add(agentId);
-        this.#placeDeclined(task);
+        task.declinedAgents.add(agentId);
+        this.#options.requestGrants();
+        this.#placeWithOthers(task);
         return;
       case "lost":
       case "crashed":
@@ -376,6 +383,7 @@
     for (const task of tasks) {
       task.state = "lost";
       task.avoidedAgents.add(agentId);
+      task.declinedAgents.delete(agentId);
     }
     const expiryMs = getRunExpiryMs();
     const longestMs = Math.max(...tasks.map((task) => task.step.expectedMs));
@@ -516,26 +524,34 @@
   #schedulePlacement(task: BatchTask, delayMs: number): void {
     task.state = "waiting";
     this.#startTimer(delayMs, () => {
-      if (task.state === "waiting") {
+      if (task.state !== "waiting") {
+        return;
+      }
+      if (task.step.sharesRack) {
+        // A rack for one task may have no room for the others that are due.
+        this.#placeWithOthers(task);
+      } else {
         this.#placeAndSend([task]);
       }
     });
   }
 
   /**
-   * Places a declined task again, together with others whose ends are in the same
-   * frame, and after the status that follows it.
+   * Places a task again, together with others that are due in this turn of the event
+   * loop: declined ones whose ends are in the same frame, and tasks of a group. Comes
+   * after the status that follows the frame.
    */
-  #placeDeclined(task: BatchTask): void {
-    if (this.#declinedTasks.push(task) > 1) {
+  #placeWithOthers(task: BatchTask): void {
+    if (this.#dueTasks.push(task) > 1) {
       return;
     }
-    this.#options.requestGrants();
     this.#startTimer(0, () => {
-      const declined = this.#declinedTasks;
-      this.#declinedTasks = [];
+      const due = this.#dueTasks;
+      this.#dueTasks = [];
       for (const tasks of this.#tasks) {
-        const ofStep = declined.filter((other) => tasks.includes(other));
+        const ofStep = due.filter((other) =>
+          other.state === "waiting" && tasks.includes(other)
+        );
         if (ofStep.length > 0) {
           this.#placeAndSend(ofStep);
         }
@@ -581,14 +597,16 @@
     if (first === undefined) {
       return [];
     }
+    const now = this.#getTime();
+    const stepTasks = this.#tasks[first.stepNumber] ?? [];
     const placedCounts = new Map<string, number>();
-    for (const task of this.#tasks[first.stepNumber] ?? []) {
+    for (const task of stepTasks) {
       if (task.state === "sent" && task.stream !== undefined) {
         const { agentId } = task.stream;
         placedCounts.set(agentId, (placedCounts.get(agentId) ?? 0) + 1);
       }
     }
-    return placeTasks({
+    const options = {
       step: first.step,
       indexes: tasks.map((task) => task.index),
       priority: this.#options.route.priority,
@@ -598,9 +616,18 @@
         tasks.map((task) => [task.index, this.#getAvoidedAgents(task, loads)]),
       ),
       farFactor: this.#options.farFactor,
-      waitForecast: this.#options.placeRecord?.waitForecast,
-      targetLeftMs: this.#latencyTargetAt - this.#getTime(),
-    });
+      targetLeftMs: this.#latencyTargetAt - now,
+    };
+    const waitForecast = this.#options.placeRecord?.waitForecast;
+    return first.step.sharesRack && waitForecast !== undefined
+      ? placeGroup({
+        ...{ ...options, waitForecast },
+        placedGroup: getPlacedGroup(stepTasks, now),
+        declinedAgents: new Map(
+          tasks.map(({ index, declinedAgents }) => [index, declinedAgents]),
+        ),
+      })
+      : placeTasks({ ...options, waitForecast });
   }
 
   /**
@@ -688,12 +715,13 @@
   /**
    * Gets the expected run time of a task that has been placed, on a worker of average
    * speed. An agent learns the speed of its worker by it, so it includes the way to
-   * the data.
+   * the data and to the other tasks of a group.
    */
   #getExpectedMs({ step, placed }: BatchTask): number {
-    return placed?.isFar === true
-      ? Math.round(step.expectedMs * this.#options.farFactor)
-      : step.expectedMs;
+    const { farFactor } = this.#options;
+    const dataFactor = placed?.isFar === true ? farFactor : 1;
+    const groupFactor = placed?.group?.kind === "spread" ? farFactor : 1;
+    return Math.round(step.expectedMs * dataFactor * groupFactor);
   }
 
   /** Logs why a task is placed that has been placed before. */
@@ -824,6 +852,7 @@
       declines: 0,
       canBeDeclined: false,
       avoidedAgents: new Set(),
+      declinedAgents: new Set(),
     }))
   );
 }
--- a/src/coordination/batch/entry/batch_task.ts
+++ b/src/coordination/batch/entry/batch_task.ts
@@ -30,4 +30,6 @@
   canBeDeclined: boolean;
   /** Agents at which a run failed, was declined, returned, stopped or lost. */
   readonly avoidedAgents: Set<string>;
+  /** Those of them at which its latest run was declined. */
+  readonly declinedAgents: Set<string>;
 }
--- a/src/coordination/batch/entry/place_record.ts
+++ b/src/coordination/batch/entry/place_record.ts
@@ -13,8 +13,8 @@
 ]);
 
 /**
- * Follows the runs of tasks that name the rack of their data: counts those near it
- * and away from it, and records how long they waited for their place.
+ * Follows the runs of tasks that name the rack of their data or share a rack: counts
+ * those near it and away from it, and records how long they waited for their place.
  */
 export class PlaceRecord {
   readonly waitForecast = new WaitForecast();
@@ -26,6 +26,12 @@
 
   /** Records that a run of the task has been ordered. */
   recordOrder({ step, placed }: BatchTask): void {
+    if (placed?.group !== undefined) {
+      const place = placed.group.kind;
+      this.#metrics.incrementCounter("group_runs_by_place", 1, {
+        labels: { place },
+      });
+    }
     if (step.preferredRack !== undefined && placed !== undefined) {
       const place = placed.isFar ? "far" : placed.place?.kind ?? "near";
       this.#metrics.incrementCounter("runs_by_place", 1, { labels: { place } });
@@ -42,8 +48,10 @@
     end: RunEnd,
     { now, isInTime }: { now: number; isInTime: boolean },
   ): void {
-    const rack = step.preferredRack;
-    if (rack === undefined || placed === undefined || placed.isFar) {
+    const isNear = placed?.isFar === false;
+    const rack = placed?.group?.rack ??
+      (isNear ? step.preferredRack : undefined);
+    if (rack === undefined || placed === undefined) {
       return;
     }
     if (WAITED_OUTCOMES.has(end.outcome)) {
@@ -51,11 +59,16 @@
       this.waitForecast.record(rack, placed.startMs, waitMs);
     }
     const isDone = end.outcome === "done";
-    if (
-      placed.place?.kind === "wait" && (isDone || end.outcome === "declined")
-    ) {
-      const result = !isDone ? "handed_back" : isInTime ? "in_time" : "late";
-      this.#metrics.incrementCounter("place_waits", 1, { labels: { result } });
+    if (!isDone && end.outcome !== "declined") {
+      return;
+    }
+    const result = !isDone ? "handed_back" : isInTime ? "in_time" : "late";
+    const labels = { result };
+    if (isNear && placed.place?.kind === "wait") {
+      this.#metrics.incrementCounter("place_waits", 1, { labels });
+    }
+    if (placed.group?.kind === "wait" && placed.startMs > 0) {
+      this.#metrics.incrementCounter("group_waits", 1, { labels });
     }
   }
 }
--- a/src/coordination/batch/entry/reported_load.ts
+++ b/src/coordination/batch/entry/reported_load.ts
@@ -95,6 +95,7 @@
   return {
     agentId,
     zone: profile.zone,
+    rack: profile.rack,
     labels: profile.labels,
     capacity: profile,
     free: {
--- a/src/coordination/messages/worker_profile.ts
+++ b/src/coordination/messages/worker_profile.ts
@@ -11,4 +11,6 @@
   labels: string[];
   zone: string;
   service: string;
+  /** Rack of the worker; empty if it isn't known. */
+  rack: string;
 }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -115,8 +115,8 @@
 
 function createProfileRow(profile: WorkerProfile): unknown[] {
   const { workerId, cpuMillis, memoryMb, gpus } = profile;
-  const { labels, zone, service } = profile;
-  return [workerId, cpuMillis, memoryMb, gpus, labels, zone, service];
+  const { labels, zone, service, rack } = profile;
+  return [workerId, cpuMillis, memoryMb, gpus, labels, zone, service, rack];
 }
 
 function createStatusRow(status: WorkerStatus): unknown[] {
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -60,7 +60,16 @@
   detail: string,
 ];
 
-type ProfileRow = [string, number, number, number, string[], string, string];
+type ProfileRow = [
+  workerId: string,
+  cpuMillis: number,
+  memoryMb: number,
+  gpus: number,
+  labels: string[],
+  zone: string,
+  service: string,
+  rack?: string,
+];
 
 type StatusRow = [
   acceptsWork: boolean,
@@ -263,7 +272,9 @@
 
 function parseProfile(row: ProfileRow): WorkerProfile {
   const [workerId, cpuMillis, memoryMb, gpus, labels, zone, service] = row;
-  return { workerId, cpuMillis, memoryMb, gpus, labels, zone, service };
+  // Agents of earlier versions don't send the rack.
+  const rack = row[7] ?? "";
+  return { workerId, cpuMillis, memoryMb, gpus, labels, zone, service, rack };
 }
 
 function parseStatus(row: StatusRow): WorkerStatus {
--- a/src/state/batch/batch_step.ts
+++ b/src/state/batch/batch_step.ts
@@ -12,6 +12,8 @@
   readonly requiredLabel: string | undefined;
   /** Rack on which the tasks run faster. */
   readonly preferredRack: string | undefined;
+  /** Whether the tasks run faster when all of them run on one rack. */
+  readonly sharesRack: boolean;
   /** Largest number of tasks of the step on one worker. */
   readonly maxPerWorker: number;
 }
--- a/src/state/batch/decide_wait_for_place.ts
+++ b/src/state/batch/decide_wait_for_place.ts
@@ -40,12 +40,24 @@
   far: Place;
   /** Time left until the latency target of the job, in milliseconds. */
   targetLeftMs: number;
+  /**
+   * Whether a task that waits can go elsewhere if the wait gets too long. True by
+   * default.
+   */
+  canBeChecked?: boolean;
+  /**
+   * Time for which other tasks of the job occupy their room longer if this one goes
+   * elsewhere, in total, in milliseconds. 0 by default.
+   */
+  othersExtraMs?: number;
 }
 
 /** Decides between the best places near the data and away from it. */
 export function decideWaitForPlace(
-  { near, far, targetLeftMs }: DecideWaitForPlaceOptions,
+  options: DecideWaitForPlaceOptions,
 ): PlaceDecision {
+  const { near, far, targetLeftMs } = options;
+  const { canBeChecked = true, othersExtraMs = 0 } = options;
   if (near.waitMs <= 0 && near.runMs <= far.runMs) {
     return { kind: "near" };
   }
@@ -56,12 +68,13 @@
     const isInTime =
       near.longWaitMs + RUN_TIME_MARGIN * near.runMs <= targetLeftMs;
     const recheckAfterMs = targetLeftMs - surelyFarEndMs - HAND_BACK_MS;
-    return isInTime || WAIT_MARGIN * near.waitMs <= recheckAfterMs
+    return isInTime ||
+        (canBeChecked && WAIT_MARGIN * near.waitMs <= recheckAfterMs)
       ? { kind: "wait", recheckAfterMs: Math.max(0, recheckAfterMs) }
       : { kind: "far" };
   }
   const nearEndMs = near.waitMs + near.runMs;
-  const latestEndMs = farEndMs + OTHERS_WEIGHT * extraMs;
+  const latestEndMs = farEndMs + OTHERS_WEIGHT * (extraMs + othersExtraMs);
   return nearEndMs <= Math.max(latestEndMs, targetLeftMs)
     ? { kind: "wait", recheckAfterMs: Infinity }
     : { kind: "far" };
--- a/src/state/batch/placed_task.ts
+++ b/src/state/batch/placed_task.ts
@@ -1,3 +1,4 @@
+import type { GroupPlace } from "./group_place.ts";
 import type { PlaceDecision } from "./place_decision.ts";
 
 /** The agent chosen for a task, and the expected end of the task. */
@@ -12,4 +13,6 @@
   readonly isFar: boolean;
   /** Decision between a place near the data and another one, if there was one. */
   readonly place: PlaceDecision | undefined;
+  /** Where the group of the task was placed, if its step shares a rack. */
+  readonly group?: GroupPlace;
 }
--- a/src/state/batch/worker_load.ts
+++ b/src/state/batch/worker_load.ts
@@ -4,6 +4,8 @@
 export interface WorkerLoad {
   readonly agentId: string;
   readonly zone: string;
+  /** Rack of the worker; empty if it isn't known. */
+  readonly rack: string;
   readonly labels: readonly string[];
   readonly capacity: TaskResources;
   /** Free resources, less those of tasks sent since the last report. */
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -38,7 +38,7 @@
 const WORKER_REPORT = {
   ...{ workerId: "w-1", bornAtMs: 1_000, sequence: 1, service: "s" },
   ...{ zone: "a", isDraining: false, remainingMs: undefined },
-  ...{ capacity: CAPACITY, labels: [] },
+  ...{ capacity: CAPACITY, labels: [], rack: "" },
 };
 
 const JOB_ID = "00000000000000aa";
--- a/tests/coordination/batch/agent/stop_reason_test.ts
+++ b/tests/coordination/batch/agent/stop_reason_test.ts
@@ -56,7 +56,13 @@
     agent.start();
     agent.runner.handleWorkerReport({
       ...{ workerId: "w-1", bornAtMs: 1_000, sequence: 1, service: "s" },
-      ...{ zone: "a", isDraining: false, remainingMs: undefined, labels: [] },
+      ...{
+        zone: "a",
+        isDraining: false,
+        remainingMs: undefined,
+        labels: [],
+        rack: "",
+      },
       capacity: { cpuMillis: 4_000, memoryMb: 1_000, gpus: 0 },
     });
     await waitUntil(() => agent.runner.acceptsWork, "the agent accepts work");
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -54,6 +54,7 @@
     remainingMs: undefined,
     capacity: { cpuMillis: 4_000, memoryMb: 1_000, gpus: 0 },
     labels: [],
+    rack: "",
     ...changes,
   };
 }
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -138,6 +138,51 @@
     expect(job.answer).to.deep.equal({ kind: "completed" });
   });
 
+  describe("with tasks that share a rack", () => {
+    const step = createBatchStep({ count: 4, sharesRack: true });
+    const createLoads = (racks: string[]) =>
+      racks.map((rack, n) =>
+        createWorkerLoad({
+          ...{ agentId: `agent-${n}`, rack },
+          capacity: { cpuMillis: 4_000, memoryMb: 65_536, gpus: 0 },
+          free: { cpuMillis: 4_000, memoryMb: 65_536, gpus: 0 },
+        })
+      );
+
+    it("places them together again after their rack was cut off", async () => {
+      const job = new JobHarness(
+        [step],
+        10_000,
+        createLoads(["r1", "r1", "r2", "r3"]),
+      );
+      expect(new Set(job.sent.map(({ agentId }) => agentId)))
+        .to.deep.equal(new Set(["agent-0", "agent-1"]));
+      // Each of the streams breaks; the agents return on other racks.
+      const streams = [...new Set(job.sent.map(({ agentId }) => agentId))]
+        .map((agentId) => ({ ...job.getStream(agentId), number: 1 }));
+      streams.forEach((stream) => job.run.handleStreamLost(stream));
+      job.loads = createLoads(["r5", "r6", "r2", "r2"]);
+      job.streamNumber = 2;
+      await wait(50);
+      expect(job.sent, "before the runs have ended").to.have.length(4);
+      streams.forEach(({ agentId }) =>
+        job.run.handleEarlierRunsEnded(job.getStream(agentId))
+      );
+      await waitUntil(() => job.sent.length === 8, "all are placed again");
+      expect(new Set(job.sent.slice(4).map(({ agentId }) => agentId)))
+        .to.deep.equal(new Set(["agent-2", "agent-3"]));
+    });
+
+    it("tells agents and operators that they are spread", () => {
+      const job = new JobHarness([step], 10_000, createLoads(["r1", "r2"]));
+      expect(job.sent.map(({ expectedMs }) => expectedMs))
+        .to.deep.equal([150, 150, 150, 150]);
+      expect(job.metrics.format())
+        .to.include('group_runs_by_place_total{place="spread"} 4');
+      expect(JSON.stringify(job.log)).to.include("150 ms spread");
+    });
+  });
+
   it("has a run that waits near its data checked, and places it far afterwards", () => {
     const busy = {
       free: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
--- a/tests/coordination/batch/entry/place_record_test.ts
+++ b/tests/coordination/batch/entry/place_record_test.ts
@@ -16,7 +16,8 @@
     ...{ stepNumber: 0, index: 0, run: 1, state: "sent" },
     ...{ stream: undefined, lastEnd: undefined, failures: 0, declines: 0 },
     placed: { index: 0, agentId: "a", ...times, isFar, place },
-    ...{ sentAt: 1_000, canBeDeclined: true, avoidedAgents: new Set<string>() },
+    ...{ sentAt: 1_000, canBeDeclined: true },
+    ...{ avoidedAgents: new Set<string>(), declinedAgents: new Set<string>() },
   };
 }
 
@@ -52,6 +53,18 @@
     expect(metrics.format()).not.to.include("place_waits");
   });
 
+  it("learns from a group on its rack, and counts its waits apart", () => {
+    const task = createTask(undefined);
+    const group = { kind: "wait", rack: "r2" } as const;
+    const placed = task.placed && { ...task.placed, place: undefined, group };
+    endRuns({ ...task, placed }, "done");
+    expect(record.waitForecast.estimate("r2", 20).meanMs).to.be.above(50);
+    expect(metrics.format())
+      .to.include('group_runs_by_place_total{place="wait"} 50')
+      .and.to.include('group_waits_total{result="in_time"} 50')
+      .and.not.to.include("place_waits");
+  });
+
   it("counts nothing for tasks that name no rack", () => {
     endRuns(createTask(undefined), "done");
     expect(metrics.format()).not.to.include("place");
--- a/tests/coordination/batch/entry/reported_load_test.ts
+++ b/tests/coordination/batch/entry/reported_load_test.ts
@@ -7,7 +7,7 @@
 } from "../../../../src/coordination/messages/mod.ts";
 
 const PROFILE: WorkerProfile = {
-  ...{ workerId: "w", service: "s", zone: "a", labels: [] },
+  ...{ workerId: "w", service: "s", zone: "a", labels: [], rack: "" },
   ...{ cpuMillis: 4_000, memoryMb: 512, gpus: 0 },
 };
 
--- a/tests/coordination/batch/model/simulated_cluster.ts
+++ b/tests/coordination/batch/model/simulated_cluster.ts
@@ -386,7 +386,13 @@
     const report = {
       ...{ workerId: worker.id, bornAtMs: worker.bornAtMs },
       sequence: Math.floor(this.#time.nowMs),
-      ...{ service: ROUTE.service, zone: "a", isDraining: false, labels: [] },
+      ...{
+        service: ROUTE.service,
+        zone: "a",
+        isDraining: false,
+        labels: [],
+        rack: "",
+      },
       remainingMs: undefined,
       capacity: { cpuMillis: CPU_MILLIS.worker, memoryMb: 1_000, gpus: 0 },
     };
--- a/tests/coordination/batch/two_entries_test.ts
+++ b/tests/coordination/batch/two_entries_test.ts
@@ -105,7 +105,7 @@
     agent.start();
     agent.runner.handleWorkerReport({
       ...{ workerId: worker.workerId, bornAtMs: 1_000, sequence: 1 },
-      ...{ service: "s", zone: "a", isDraining: false, labels: [] },
+      ...{ service: "s", zone: "a", isDraining: false, labels: [], rack: "" },
       remainingMs: undefined,
       capacity: { cpuMillis: 2_000, memoryMb: 1_000, gpus: 0 },
     });
--- a/tests/lib/batch_cluster.ts
+++ b/tests/lib/batch_cluster.ts
@@ -238,6 +238,7 @@
       remainingMs: undefined,
       capacity: CAPACITY,
       labels: [],
+      rack: "",
     });
   }
 
--- a/tests/lib/create_batch_step.ts
+++ b/tests/lib/create_batch_step.ts
@@ -12,6 +12,7 @@
     dependsOn: [],
     requiredLabel: undefined,
     preferredRack: undefined,
+    sharesRack: false,
     maxPerWorker: Infinity,
     ...changes,
   };
--- a/tests/lib/create_worker_load.ts
+++ b/tests/lib/create_worker_load.ts
@@ -8,6 +8,7 @@
     agentId: "agent-1",
     zone: "a",
     labels: ["r1"],
+    rack: "r1",
     capacity: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
     free: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
     ownSlotShare: 1,
--- a/tests/lib/fake_agent_peers.ts
+++ b/tests/lib/fake_agent_peers.ts
@@ -10,7 +10,7 @@
 
 const PROFILE: WorkerProfile = {
   ...{ workerId: "w-1", cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
-  ...{ labels: [], zone: "a", service: "s" },
+  ...{ labels: [], rack: "", zone: "a", service: "s" },
 };
 
 const STATUS: WorkerStatus = {
--- a/tests/lib/fleet/fleet_worker.ts
+++ b/tests/lib/fleet/fleet_worker.ts
@@ -162,7 +162,7 @@
     const slowdown = this.#slowdown.value;
     const backlog = this.#queue.getBacklog();
     return {
-      ...{ agentId, zone: "a", labels: [], capacity: this.#capacity },
+      ...{ agentId, zone: "a", labels: [], rack: "", capacity: this.#capacity },
       free: this.#free,
       ownSlotShare: 1 / entryCount,
       slotRoundingOffset: 0,
--- a/tests/lib/simulate_rack_load.ts
+++ b/tests/lib/simulate_rack_load.ts
@@ -13,17 +13,18 @@
   type WorkerLoad,
 } from "../../src/state/batch/mod.ts";
 import { createBatchStep } from "./create_batch_step.ts";
+import { placeGroupByPolicy } from "./place_group_by_policy.ts";
 import { createWorkerLoad } from "./create_worker_load.ts";
 import { TestRandom } from "./test_random.ts";
 
-/** Kinds of jobs, with their arrivals per second for one rack at full load. */
+/** Kinds of jobs, with their arrivals per second for six workers at full load. */
 const KINDS = [
   { priority: 0, tasks: 8, runMs: 60, perSecond: 17 },
   { priority: 2, tasks: 4, runMs: 900, perSecond: 3 },
   { priority: 1, tasks: 2, runMs: 200, perSecond: 50 },
 ];
-const RACK_COUNT = 4;
-const WORKERS_PER_RACK = 6;
+const WORKER_COUNT = 24;
+const LOADED_RACKS = WORKER_COUNT / 6;
 const SLOWDOWNS = [0.7, 0.7, 1.7];
 const ENTRY_COUNT = 5;
 const REPORT_INTERVAL_MS = 24;
@@ -52,6 +53,13 @@
   /** Number of workers that this rack has; the others have more. */
   hotWorkers?: number;
   seed: number;
+  /** Number of workers on each rack; 6 by default. */
+  workersPerRack?: number;
+  /**
+   * Number of tasks of an urgent job if they share a rack; by default they name one.
+   * The load is the same for each number.
+   */
+  groupTasks?: number;
   /** Factor by which a sixth of the workers turns slower for some seconds. */
   slowFactor?: number;
   /** Share of the tasks that take seven times as long. */
@@ -81,6 +89,8 @@
   usefulUntil: number;
   endedAt?: number;
   isLost: boolean;
+  /** Those of its tasks that have been placed and not ended, by index. */
+  placed: Map<number, { rack: string; endsAt: number }>;
 }
 
 interface PlainRun extends Pick<QueuedRun, "task" | "resources"> {
@@ -99,11 +109,19 @@
   canBeDeclined: boolean;
 }
 
+interface Execution {
+  run: Run;
+  startedAt: number;
+  endsAt: number;
+  /** Whether it runs longer since its group is on several racks. */
+  isSpread: boolean;
+}
+
 interface Worker {
   load: WorkerLoad;
   speed: number;
   queue: RunQueue<Run>;
-  running: { run: Run; startedAt: number; endsAt: number }[];
+  running: Execution[];
   slowdown: Pick<SlowdownEstimate, "value" | "mean" | "record">;
 }
 
@@ -152,12 +170,13 @@
   constructor(options: RackLoadOptions) {
     this.#options = options;
     this.#random = new TestRandom(options.seed);
-    this.#workers = createEach(RACK_COUNT * WORKERS_PER_RACK, (n) => {
+    this.#workers = createEach(WORKER_COUNT, (n) => {
+      const rack = `rack-${Math.floor(n / this.#workersPerRack)}`;
       const speed = SLOWDOWNS[n % SLOWDOWNS.length] as number;
       return {
         load: createWorkerLoad({
           agentId: String(n),
-          labels: [`rack-${Math.floor(n / WORKERS_PER_RACK)}`],
+          ...{ labels: [rack], rack },
           ownSlotShare: 1 / this.#entryCount,
           slowdown: speed,
         }),
@@ -172,8 +191,8 @@
     for (const { slowdown, speed } of this.#workers) {
       createEach(50, () => slowdown.record("", 100 * speed, 100));
     }
-    const missing = WORKERS_PER_RACK - (options.hotWorkers ?? WORKERS_PER_RACK);
-    this.#workers.splice(0, missing);
+    const { hotWorkers = this.#workersPerRack } = options;
+    this.#workers.splice(0, this.#workersPerRack - hotWorkers);
     const loads = this.#workers.map(({ load }) => load);
     this.#views = createEach(ENTRY_COUNT, () => [...loads]);
   }
@@ -182,12 +201,26 @@
     return this.#options.policy === "informed";
   }
 
+  get #workersPerRack(): number {
+    return this.#options.workersPerRack ?? 6;
+  }
+
+  get #rackCount(): number {
+    return WORKER_COUNT / this.#workersPerRack;
+  }
+
   get #entryCount(): number {
     return this.#isInformed ? 1 : ENTRY_COUNT;
   }
 
   run(): RackLoadResult {
-    const { loadFactor } = this.#options;
+    const { loadFactor, groupTasks } = this.#options;
+    const kinds = KINDS.map((kind) =>
+      kind.priority > 0 || groupTasks === undefined ? kind : {
+        ...{ ...kind, tasks: groupTasks },
+        perSecond: kind.perSecond * kind.tasks / groupTasks,
+      }
+    );
     for (; this.#now < ARRIVAL_PERIOD_MS + 4_000; this.#now++) {
       this.#events.get(this.#now)?.forEach((handle) => handle());
       this.#events.delete(this.#now);
@@ -197,8 +230,8 @@
           this.#sendReport(worker, n);
         }
       });
-      for (const kind of this.#now < ARRIVAL_PERIOD_MS ? KINDS : []) {
-        const perSecond = kind.perSecond * RACK_COUNT * loadFactor;
+      for (const kind of this.#now < ARRIVAL_PERIOD_MS ? kinds : []) {
+        const perSecond = kind.perSecond * LOADED_RACKS * loadFactor;
         if (this.#getRandom() * 1_000 < perSecond) {
           this.#submit(kind);
         }
@@ -218,14 +251,15 @@
       targetAt: now + targetMs,
       usefulUntil: now + MAX_LATENESS * targetMs,
       isLost: false,
+      placed: new Map(),
     };
     this.#jobs.push(job);
     const entry = this.#random.getInt(0, this.#entryCount - 1);
     const isHot = now >= HOT.fromMs && now < HOT.toMs &&
       this.#getRandom() < this.#options.hotShare;
-    const rack = kind.priority > 0
+    const rack = kind.priority > 0 || this.#options.groupTasks !== undefined
       ? undefined
-      : `rack-${isHot ? 0 : this.#random.getInt(0, RACK_COUNT - 1)}`;
+      : `rack-${isHot ? 0 : this.#random.getInt(0, this.#rackCount - 1)}`;
     const spread = this.#options.declaredSpread ?? 0;
     const jobFactor = Math.exp(spread * (this.#getRandom() - 0.5));
     const runs = createEach(kind.tasks, (index) => ({
@@ -248,18 +282,37 @@
     const step = createBatchStep({
       expectedMs: job.kind.runMs,
       preferredRack: rack,
+      sharesRack: this.#isGroup(job),
     });
-    const placements = placeTasks({
+    const declinedAgents = new Map(
+      runs.map((run) => [run.index, run.declines]),
+    );
+    const placeOptions = {
       step,
       indexes: runs.map(({ index }) => index),
       priority: job.kind.priority,
       loads: rack === undefined ? view : this.#getCandidates(view, rack),
-      avoidedAgents: new Map(runs.map((run) => [run.index, run.declines])),
+      avoidedAgents: declinedAgents,
       farFactor: this.#isInformed ? 1 : farFactor,
-      waitForecast: policy === "decided" ? this.#forecasts[entry] : undefined,
       targetLeftMs: job.targetAt - now,
       getRandom: () => this.#getRandom(),
-    });
+    };
+    const waitForecast = this.#forecasts[entry] as WaitForecast;
+    const placed = [...job.placed.values()];
+    const leftMs = placed.map(({ endsAt }) => Math.max(0, endsAt - now));
+    const placedGroup = {
+      racks: new Set(placed.map((other) => other.rack)),
+      leftMs: Math.max(0, ...leftMs),
+      totalLeftMs: leftMs.reduce((sum, ms) => sum + ms, 0),
+    };
+    const placements = step.sharesRack
+      ? placeGroupByPolicy(policy, {
+        ...{ ...placeOptions, waitForecast, placedGroup, declinedAgents },
+      })
+      : placeTasks({
+        ...placeOptions,
+        waitForecast: policy === "decided" ? waitForecast : undefined,
+      });
     const decision = decideAdmission({
       taskCount: runs.length,
       placements,
@@ -295,16 +348,22 @@
     const { policy, farFactor } = this.#options;
     const { priority, runMs } = job.kind;
     const now = this.#now;
-    if (rack !== undefined) {
-      this.#counts[placed.isFar ? "far" : "near"]++;
+    const isAway = placed.isFar || placed.group?.kind === "spread";
+    if (rack !== undefined || placed.group !== undefined) {
+      this.#counts[isAway ? "far" : "near"]++;
     }
     // Before the decision, agents weren't told that a run takes longer there.
-    const isTold = placed.isFar && policy === "decided";
+    const isTold = isAway && policy === "decided";
     const expectedMs = runMs * (isTold ? farFactor : 1);
     const n = view.findIndex(({ agentId }) => agentId === placed.agentId);
     view[n] = addTaskToLoad(view[n] as WorkerLoad, {
       ...{ resources, expectedMs, priority },
     });
+    const { rack: placedRack } = view[n] as WorkerLoad;
+    job.placed.set(run.index, {
+      rack: placedRack,
+      endsAt: now + placed.endMs,
+    });
     const canBeDeclined = !this.#isInformed && job.targetAt - now > runMs &&
       (this.#declinePolicies[entry] as DeclinePolicy).canBeDeclined(
         run.declines.size,
@@ -370,6 +429,7 @@
     this.#counts.handedBack++;
     this.#recordEnd(run, true);
     run.declines.add(worker.load.agentId);
+    run.job.placed.delete(run.index);
     this.#startEvent(ROUND_TRIP_MS, () => this.#place([run]));
   }
 
@@ -378,8 +438,10 @@
       this.#declinePolicies[run.entry]?.record(isDeclined);
     }
     const waitMs = this.#now - run.arrivedAt;
-    if (run.rack !== undefined && !run.placed.isFar) {
-      this.#forecasts[run.entry]?.record(run.rack, run.placed.startMs, waitMs);
+    const { group, isFar, startMs } = run.placed;
+    const rack = group?.rack ?? (isFar ? undefined : run.rack);
+    if (rack !== undefined) {
+      this.#forecasts[run.entry]?.record(rack, startMs, waitMs);
     }
   }
 
@@ -395,6 +457,7 @@
     worker.running = worker.running.filter(({ endsAt }) => endsAt > now);
     for (const { run, startedAt } of ended) {
       worker.slowdown.record(run.job.id, now - startedAt, run.expectedMs);
+      run.job.placed.delete(run.index);
       if (--run.job.remainingTasks === 0) {
         run.job.endedAt = now;
       }
@@ -413,12 +476,39 @@
       }
       this.#recordEnd(run, false);
       const isFar = run.placed.isFar && !this.#isInformed;
-      const isSlow = Number(worker.load.agentId) % WORKERS_PER_RACK === 1 &&
+      const isSlow = Number(worker.load.agentId) % this.#workersPerRack === 1 &&
         now >= HOT.fromMs && now < HOT.toMs;
       const runMs = run.actualMs * worker.speed *
         (isSlow ? this.#options.slowFactor ?? 1 : 1) *
         (isFar ? this.#options.farFactor : 1);
-      worker.running.push({ run, startedAt: now, endsAt: now + runMs });
+      const execution = { run, startedAt: now, endsAt: now + runMs };
+      worker.running.push({ ...execution, isSpread: false });
+      this.#slowSpreadGroup(run.job);
+    }
+  }
+
+  #isGroup({ kind }: Job): boolean {
+    return this.#options.groupTasks !== undefined && kind.priority === 0;
+  }
+
+  /** Makes the running tasks of a group take longer once several racks have some. */
+  #slowSpreadGroup(job: Job): void {
+    if (!this.#isGroup(job) || this.#isInformed) {
+      return;
+    }
+    const executions = this.#workers.flatMap(({ load, running }) =>
+      running.filter(({ run }) => run.job === job)
+        .map((execution) => ({ execution, rack: load.rack }))
+    );
+    if (new Set(executions.map(({ rack }) => rack)).size < 2) {
+      return;
+    }
+    for (const { execution } of executions) {
+      if (!execution.isSpread) {
+        const leftMs = execution.endsAt - this.#now;
+        execution.endsAt += leftMs * (this.#options.farFactor - 1);
+        execution.isSpread = true;
+      }
     }
   }
 
--- a/tests/platform/parse_batch_job_test.ts
+++ b/tests/platform/parse_batch_job_test.ts
@@ -15,6 +15,8 @@
       steps: [
         { count: 4, cpu: 500, memMb: 256, estMs: 900, affinity: "r1-3" },
         { count: 1, cpu: 2_000, constraints: "b", dependsOn: [0] },
+        { count: 2, sameRack: true },
+        { count: 1, sameRack: true },
       ],
     })._unsafeUnwrap();
     expect(job.steps[0]).to.deep.equal({
@@ -24,9 +26,13 @@
       dependsOn: [],
       requiredLabel: undefined,
       preferredRack: "r1-3",
+      sharesRack: false,
       maxPerWorker: Infinity,
     });
     expect(job.steps[1]).to.include({ requiredLabel: "b", expectedMs: 500 });
+    // A single task is always on one rack.
+    expect(job.steps.map(({ sharesRack }) => sharesRack))
+      .to.deep.equal([false, false, true, false]);
   });
 
   it("reports the path of an invalid field", () => {
--- a/tests/platform/parse_well_formed_job_test.ts
+++ b/tests/platform/parse_well_formed_job_test.ts
@@ -5,7 +5,8 @@
 
 const FIELDS = [
   ...["count", "cpu", "memMb", "gpu", "estMs", "dependsOn", "constraints"],
-  ...["affinity", "antiAffinity", "gang", "longRunning", "fills", "other"],
+  ...["affinity", "antiAffinity", "sameRack", "gang", "longRunning", "fills"],
+  "other",
 ];
 
 /** Values at the borders of what the fields accept, and of other types. */
--- a/tests/platform/parse_worker_report_test.ts
+++ b/tests/platform/parse_worker_report_test.ts
@@ -93,6 +93,7 @@
       remainingMs: 20_000,
       capacity: { cpuMillis: 16_000, memoryMb: 32_768, gpus: 0 },
       labels: ["a", "r1-3"],
+      rack: "r1-3",
     });
   });
 });
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -64,6 +64,7 @@
       labels: ["a", "r1"],
       zone: "z",
       service: "s",
+      rack: "r1",
     },
   },
   {
@@ -152,6 +153,12 @@
     });
   }
 
+  it("of agents that don't send the rack of their worker leave it unknown", () => {
+    const fields = '"w",16000,1024,0,["a"],"z","s"';
+    const frame = parseBatchFrame(`[1,0,"workerProfile",${fields}]`);
+    expect(frame?.kind.value).to.include({ service: "s", rack: "" });
+  });
+
   it("of a kind that this version does not know are passed over", () => {
     expect(parseBatchFrame('[1,0,"newKind",5]')).to.equal(undefined);
   });
