--- a/src/coordination/batch/entry/create_run_order.ts
+++ b/src/coordination/batch/entry/create_run_order.ts
@@ -5,7 +5,7 @@
 export interface CreateRunOrderOptions {
   /** Crashes of workers that the agents have reported. */
   crashHistory: CrashHistory;
-  /** Factor by which tasks run longer away from the rack of their data. */
+  /** Factor by which tasks run longer away from the rack of their data or their group. */
   farFactor: number;
 }
 
@@ -32,12 +32,12 @@
 /**
  * Gets the expected run time of a task that has been placed, on a worker of average
  * speed. An agent learns the speed of its worker by it, so it includes the way to
- * the data.
+ * the data and to the other tasks of a group.
  */
 function getExpectedMs({ step, placed }: BatchTask, farFactor: number): number {
-  return placed?.isFar === true
-    ? Math.round(step.expectedMs * farFactor)
-    : step.expectedMs;
+  const dataFactor = placed?.isFar === true ? farFactor : 1;
+  const groupFactor = placed?.group?.kind === "spread" ? farFactor : 1;
+  return Math.round(step.expectedMs * dataFactor * groupFactor);
 }
 
 /** Gets when the agent checks a run that waits for a place near its data. */
--- a/src/coordination/batch/entry/job_tasks.ts
+++ b/src/coordination/batch/entry/job_tasks.ts
@@ -89,6 +89,7 @@
       declines: 0,
       canBeDeclined: false,
       avoidedAgents: new Set(),
+      declinedAgents: new Set(),
     }))
   );
 }
--- a/src/coordination/batch/entry/record_admission.ts
+++ b/src/coordination/batch/entry/record_admission.ts
@@ -46,6 +46,7 @@
     isConfined: options.isConfined || undefined,
     priority: route.priority,
     expectedMs: job.steps[0]?.expectedMs,
+    sharesRack: job.steps.some(({ sharesRack }) => sharesRack) || undefined,
     ...decision,
     placed: placements.map(formatPlacedTask),
   });
