Decline a run only if another worker is expected to start it sooner

Cause: an agent declined each run whose wait for room exceeds the slack of its job. Change: an entry learns how long orders take beyond the run time, by priority (DetourForecast), and states it in the order; an agent declines a run only if its wait exceeds that too. An agent of an earlier version ignores the field. The new cases of decide_queueing_test and batch_frame_test fail before.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -507,6 +507,7 @@
         crashes: order.crashes,
         crashedAfterMs: order.crashedAfterMs,
         canBeDeclined: order.canBeDeclined,
+        detourMs: message.detourMs,
         spec: message.spec,
         owner: this,
         awaitedGrant,
--- a/src/coordination/batch/agent/local_run.ts
+++ b/src/coordination/batch/agent/local_run.ts
@@ -22,6 +22,11 @@
   readonly crashedAfterMs: number;
   /** Whether its entry can place it at another worker. */
   readonly canBeDeclined: boolean;
+  /**
+   * Expected time from a decline until its start at another worker, in milliseconds;
+   * 0 by default.
+   */
+  readonly detourMs?: number | undefined;
   readonly spec: string;
   readonly owner: RunOwner;
   /** The claim that must be granted before the run is started, if it isn't yet. */
--- a/src/coordination/batch/agent/worker_room.ts
+++ b/src/coordination/batch/agent/worker_room.ts
@@ -104,6 +104,7 @@
       runMs: run.expectedMs * slowdown,
       targetLeftMs: run.latencyTargetAt - getTime(),
       canBeDeclined: run.canBeDeclined,
+      detourMs: run.detourMs ?? 0,
     });
   }
 
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -321,6 +321,11 @@
     switch (end.outcome) {
       case "done":
         task.state = "done";
+        this.#options.declinePolicy.detours.record(
+          this.#options.route.priority,
+          now - task.sentAt,
+          end.runMs,
+        );
         this.#completeOrSendNext();
         return;
       case "failed":
@@ -665,6 +670,7 @@
         priority: route.priority,
         timeLeftMs: Math.max(0, Math.round(this.#usefulUntil - now)),
         targetLeftMs: Math.round(this.#latencyTargetAt - now),
+        detourMs: Math.round(declinePolicy.detours.estimateMs(route.priority)),
         runs: sent.map((task) => ({
           task: task.name,
           run: task.run,
--- a/src/coordination/messages/start_runs.ts
+++ b/src/coordination/messages/start_runs.ts
@@ -30,5 +30,10 @@
    * after that time has passed.
    */
   targetLeftMs: number;
+  /**
+   * Expected time from the decline of a run until its start at another worker, in
+   * milliseconds; 0 by default.
+   */
+  detourMs?: number;
   runs: RunOrder[];
 }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -45,6 +45,7 @@
         value.ageMs,
         value.claimNumber,
         value.awaitedHomes,
+        value.detourMs,
       ];
     }
     case "stopRuns":
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -29,6 +29,7 @@
   ageMs: number,
   claimNumber: number,
   awaitedHomes: number,
+  detourMs?: number | null,
 ];
 
 type RunOrderRow = [
@@ -228,6 +229,8 @@
     ageMs: row[8],
     claimNumber: row[9],
     awaitedHomes: row[10],
+    // Entries of earlier versions don't send it.
+    ...(typeof row[11] === "number" ? { detourMs: row[11] } : {}),
   };
 }
 
--- a/src/state/batch/decide_queueing.ts
+++ b/src/state/batch/decide_queueing.ts
@@ -4,7 +4,8 @@
  * entries there are. The agent alone knows what its worker runs now, so it hands a
  * run back that would miss its latency target here, as long as another worker may
  * start it sooner. Without this, a task waits for room at one worker while others
- * have some, and its job is as late as that task.
+ * have some, and its job is as late as that task. While entries are behind with their
+ * messages, the way to another worker takes longer than most waits for room.
  */
 import type { QueueingDecision } from "./queueing_decision.ts";
 
@@ -17,15 +18,20 @@
   targetLeftMs: number;
   /** Whether the entry can place the run at another worker. */
   canBeDeclined: boolean;
+  /** Expected time until the run would start at another worker, in milliseconds. */
+  detourMs?: number;
 }
 
-/** Declines a run that would miss its latency target by the wait for room. */
+/**
+ * Declines a run that would miss its latency target by the wait for room, and is
+ * expected to start sooner at another worker.
+ */
 export function decideQueueing(
   options: DecideQueueingOptions,
 ): QueueingDecision {
-  const { startMs, runMs, targetLeftMs, canBeDeclined } = options;
+  const { startMs, runMs, targetLeftMs, canBeDeclined, detourMs = 0 } = options;
   const slackMs = Math.max(0, targetLeftMs - runMs);
-  return canBeDeclined && startMs > slackMs
+  return canBeDeclined && startMs > Math.max(slackMs, detourMs)
     ? { kind: "declined", startMs }
     : { kind: "queued" };
 }
--- a/src/state/batch/decline_policy.ts
+++ b/src/state/batch/decline_policy.ts
@@ -3,6 +3,7 @@
  * workers are full, each of them would decline, and the orders that go from one to the next cost
  * the entry the processor time that it needs for answers.
  */
+import { DetourForecast } from "./detour_forecast.ts";
 
 /** Number of agents that may decline one task. */
 const MAX_DECLINES = 2;
@@ -29,6 +30,8 @@
   readonly #getRandom: () => number;
   /** Moving share of the orders that were declined, 0 to 1. */
   #declinedShare = 0;
+  /** How long a decline delays a task. */
+  readonly detours = new DetourForecast();
 
   constructor(options: DeclinePolicyOptions = {}) {
     this.#getRandom = options.getRandom ?? Math.random;
--- a/src/state/batch/mod.ts
+++ b/src/state/batch/mod.ts
@@ -15,6 +15,7 @@
 export type { DecideWaitForPlaceOptions } from "./decide_wait_for_place.ts";
 export { decideQueueing } from "./decide_queueing.ts";
 export { DeclinePolicy } from "./decline_policy.ts";
+export { DetourForecast } from "./detour_forecast.ts";
 export { estimateStartMs } from "./estimate_start_ms.ts";
 export { getPriorityLabel } from "./get_priority_label.ts";
 export { getRetryAfterMs } from "./get_retry_after_ms.ts";
--- a/tests/lib/fleet/fleet_entry.ts
+++ b/tests/lib/fleet/fleet_entry.ts
@@ -26,6 +26,9 @@
   /** Index of the entry. */
   index: number;
   workers: readonly FleetWorker[];
+  /** Time by which it handles or sends a message late, in milliseconds. */
+  entryDelayMs?: number;
+  ignoresDetours?: boolean;
 }
 
 /** An entry, which places jobs by the reports that it has got. */
@@ -33,10 +36,13 @@
   readonly #options: FleetEntryOptions;
   readonly #declinePolicy: DeclinePolicy;
   readonly #views: View[];
+  /** Time of a message to or from an agent, in milliseconds. */
+  readonly #messageMs: number;
 
   constructor(options: FleetEntryOptions) {
     this.#options = options;
-    const { random, workers } = options;
+    const { random, workers, entryDelayMs = 0 } = options;
+    this.#messageMs = FLEET_LIMITS.frameMs + entryDelayMs;
     this.#declinePolicy = new DeclinePolicy({ getRandom: random.getNumber });
     this.#views = workers.map((worker) => ({
       load: worker.createReport(),
@@ -101,7 +107,7 @@
     placeAgain: () => void,
   ): void {
     const { events, random, workers, index: entry } = this.#options;
-    const { frameMs, grantMs, placeAgainMs, taskResources } = FLEET_LIMITS;
+    const { grantMs, placeAgainMs, taskResources } = FLEET_LIMITS;
     const { kind: { priority }, expectedMs } = job;
     const view = this.#views[workerIndex] as View;
     const batch = ++view.lastBatch;
@@ -113,17 +119,23 @@
     const recordEnd = (wasDeclined: boolean) =>
       canBeDeclined ? policy.record(wasDeclined) : undefined;
     const startableAt = events.now + (declines > 0 ? 0 : grantMs);
-    events.add(frameMs, () =>
+    const sentAt = events.now;
+    const detourMs = this.#options.ignoresDetours === true
+      ? 0
+      : policy.detours.estimateMs(priority);
+    events.add(this.#messageMs, () =>
       workers[workerIndex]?.handleOrder(batch, {
         ...{ ...task, task: job.kind.name, entry, canBeDeclined, startableAt },
+        detourMs,
         ...{ arrivedAt: events.now, startedAt: 0 },
         jobId: `${entry} ${job.arrivedAt}`,
         workMs: job.workMs * random.getFactor(FLEET_LIMITS.taskDeviation),
         deadlineAt: getUsefulUntil(job),
         latencyTargetAt: job.arrivedAt + getExpectedTargetMs(job),
-        onEnd: () => {
+        onEnd: (runMs) => {
           recordEnd(false);
-          events.add(frameMs, () => {
+          events.add(this.#messageMs, () => {
+            policy.detours.record(priority, events.now - sentAt, runMs);
             if (--job.tasksLeft === 0) {
               job.endedAt = events.now;
             }
@@ -132,7 +144,7 @@
         onDecline: () => {
           recordEnd(true);
           job.declines++;
-          events.add(frameMs + placeAgainMs, placeAgain);
+          events.add(this.#messageMs + placeAgainMs, placeAgain);
         },
       }));
   }
--- a/tests/lib/fleet/fleet_options.ts
+++ b/tests/lib/fleet/fleet_options.ts
@@ -9,4 +9,8 @@
   /** Time in which jobs arrive, in milliseconds. */
   durationMs?: number;
   seed?: number;
+  /** Time by which an entry handles or sends a message late, in milliseconds. */
+  entryDelayMs?: number;
+  /** Whether agents decline runs however long the way to another worker takes. */
+  ignoresDetours?: boolean;
 }
--- a/tests/lib/fleet/fleet_run.ts
+++ b/tests/lib/fleet/fleet_run.ts
@@ -8,9 +8,11 @@
   /** Identifies its job. */
   readonly jobId: string;
   readonly canBeDeclined: boolean;
+  /** Expected time from a decline until the start elsewhere, in milliseconds. */
+  readonly detourMs: number;
   /** When the grants of its job arrive. */
   readonly startableAt: number;
   startedAt: number;
-  onEnd(): void;
+  onEnd(runMs: number): void;
   onDecline(): void;
 }
--- a/tests/lib/fleet/fleet_worker.ts
+++ b/tests/lib/fleet/fleet_worker.ts
@@ -98,6 +98,7 @@
       runMs: run.expectedMs * slowdown,
       targetLeftMs: run.latencyTargetAt - events.now,
       canBeDeclined: run.canBeDeclined,
+      detourMs: run.detourMs,
     });
     switch (decision.kind) {
       case "declined":
@@ -140,7 +141,7 @@
     const { jobId, startedAt, expectedMs } = run;
     this.#slowdown.record(jobId, events.now - startedAt, expectedMs);
     this.#processQueue();
-    run.onEnd();
+    run.onEnd(events.now - startedAt);
     sendReport(run.entry);
   }
 
--- a/tests/lib/fleet/simulate_fleet.ts
+++ b/tests/lib/fleet/simulate_fleet.ts
@@ -36,7 +36,9 @@
   const entries: FleetEntry[] = [];
   const workers = createWorkers({ ...options, events, random, entries });
   for (let index = 0; index < entryCount; index++) {
-    entries.push(new FleetEntry({ events, random, index, workers }));
+    entries.push(
+      new FleetEntry({ ...options, events, random, index, workers }),
+    );
   }
   const jobsPerSecond = getJobsPerSecond(options, workers);
   const jobs: FleetJob[] = [];
@@ -61,11 +63,13 @@
 
 /** @param options.entries - Gets the reports of the workers. */
 function createWorkers(
-  { events, random, entries, entryCount, workerCount }: FleetOptions & {
-    events: EventQueue;
-    random: FleetRandom;
-    entries: readonly FleetEntry[];
-  },
+  { events, random, entries, entryCount, workerCount, entryDelayMs = 0 }:
+    & FleetOptions
+    & {
+      events: EventQueue;
+      random: FleetRandom;
+      entries: readonly FleetEntry[];
+    },
 ): FleetWorker[] {
   return Array.from({ length: workerCount }, (_, index) => {
     const worker: FleetWorker = new FleetWorker({
@@ -76,7 +80,8 @@
       sendReport: (receiver) => {
         const load = worker.createReport();
         const batches = [...worker.receivedBatches];
-        events.add(FLEET_LIMITS.frameMs, () => {
+        const { frameMs } = FLEET_LIMITS;
+        events.add(frameMs + entryDelayMs, () => {
           for (const [number, entry] of entries.entries()) {
             if (receiver === "all" || receiver === number) {
               entry.handleReport(index, load, batches[number] ?? 0);
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -27,6 +27,7 @@
       priority: 1,
       timeLeftMs: 1_500,
       targetLeftMs: -20,
+      detourMs: 35,
       runs: [{
         task: TASK,
         run: 1,
--- a/tests/state/batch/decide_queueing_test.ts
+++ b/tests/state/batch/decide_queueing_test.ts
@@ -10,6 +10,14 @@
       .to.deep.equal({ kind: "declined", startMs: 61 });
   });
 
+  it("queues a run whose way to another worker takes longer than its wait", () => {
+    // Guards against declines that pass an entry that is behind with its messages.
+    expect(decideQueueing({ ...RUN, startMs: 90, detourMs: 100 }))
+      .to.include({ kind: "queued" });
+    expect(decideQueueing({ ...RUN, startMs: 110, detourMs: 100 }))
+      .to.include({ kind: "declined" });
+  });
+
   it("queues a run that can wait", () => {
     expect(decideQueueing({ ...RUN, startMs: 59 }))
       .to.include({ kind: "queued" });
