--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -25,6 +25,7 @@
 import { BATCH_LIMITS } from "../batch_limits.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import { BatchJobRun } from "./batch_job_run.ts";
+import type { CallerSignal } from "./caller_signal.ts";
 import type { ClaimNeed } from "./claim_need.ts";
 import type { JobArrival } from "./job_arrival.ts";
 import { JobClaims } from "./job_claims.ts";
@@ -64,7 +65,7 @@
 
 export interface SubmitJobOptions extends SubmissionHead {
   /** Aborts when the client no longer waits. */
-  signal: AbortSignal;
+  signal: CallerSignal;
   /** Parses the request. Called when its turn has come. */
   parseJob: () => Result<BatchJob, DispatchError>;
 }
@@ -75,7 +76,7 @@
   /** Time in which the job must be answered, in milliseconds. */
   timeLeftMs: number;
   /** Aborts when the client no longer waits. */
-  signal: AbortSignal;
+  signal: CallerSignal;
   /** When the job came, if it has waited since it was read. */
   arrival?: JobArrival;
 }
@@ -97,6 +98,8 @@
   readonly #memberFollower: TopicFollower;
   readonly #claims: JobClaims;
   readonly #links = new Map<string, BatchAgentLink>();
+  /** The same links; replaced when one is added or removed. */
+  #linkList: readonly BatchAgentLink[] = [];
   readonly #jobs = new Map<string, BatchJobRun>();
   /** Answered jobs of which a run may still be executing. */
   readonly #endingJobs = new Map<string, BatchJobRun>();
@@ -142,18 +145,18 @@
     this.#claims = new JobClaims({
       log,
       metrics: options.metrics,
-      getHomes: () => [...this.#links.values()],
+      getHomes: () => this.#linkList,
       getLongestWaitMs: () => this.#loopDelay.longestWaitMs,
     });
     this.#jobHold = new JobHold({
       log,
       metrics: options.metrics,
       claims: this.#claims,
-      getLinks: () => [...this.#links.values()],
+      getLinks: () => this.#linkList,
       warmUpGate: new WarmUpGate({
         getKnownAgentCount: () => this.#links.size,
         getUsableAgentCount: () =>
-          [...this.#links.values()].filter(({ isUsable }) => isUsable).length,
+          this.#linkList.filter(({ isUsable }) => isUsable).length,
       }),
     });
     this.#crashes = new WorkerCrashes({
@@ -192,7 +195,7 @@
     this.#loopDelay.start();
     // One timer for all links: each timer of its own would wake the process.
     this.#checkTimer = setInterval(() => {
-      this.#links.forEach((link) => link.runPeriodicChecks());
+      this.#linkList.forEach((link) => link.runPeriodicChecks());
       this.#claims.runPeriodicChecks();
     }, BATCH_LIMITS.linkCheckIntervalMs);
     void this.operatorFollower.run();
@@ -417,13 +420,12 @@
   }
 
   #countOpenLinks(): number {
-    return [...this.#links.values()].filter(({ hasStatus }) => hasStatus)
-      .length;
+    return this.#linkList.filter(({ hasStatus }) => hasStatus).length;
   }
 
   /** Gets what all known workers of the service offer, also those away. */
   #getOffers(route: Route): WorkerOffer[] {
-    return [...this.#links.values()]
+    return this.#linkList
       .filter(({ lastService }) => lastService === route.service)
       .map(({ offer }) => offer)
       .filter((offer) => offer !== undefined);
@@ -431,7 +433,7 @@
 
   #getLoads(route: Route): readonly WorkerLoad[] {
     const loads: WorkerLoad[] = [];
-    for (const link of this.#links.values()) {
+    for (const link of this.#linkList) {
       const load = link.getLoad(route.service);
       if (
         load !== undefined && !this.operatorFollower.state.isZoneOut(load.zone)
@@ -481,6 +483,7 @@
       },
     });
     this.#links.set(member.name, link);
+    this.#linkList = [...this.#links.values()];
     void link.run();
   }
 
@@ -513,5 +516,6 @@
   #removeLink(name: string): void {
     this.#links.get(name)?.stop();
     this.#links.delete(name);
+    this.#linkList = [...this.#links.values()];
   }
 }
--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -282,10 +282,15 @@
    * the end of the claim before that.
    */
   #hasProof(claim: OpenClaim): boolean {
-    return [...claim.homes.values()].some(({ home, stream, state }) =>
-      state === "granted" && home.streamNumber === stream &&
-      home.proofAgeMs < BATCH_LIMITS.entryTimeoutMs
-    );
+    for (const { home, stream, state } of claim.homes.values()) {
+      if (
+        state === "granted" && home.streamNumber === stream &&
+        home.proofAgeMs < BATCH_LIMITS.entryTimeoutMs
+      ) {
+        return true;
+      }
+    }
+    return false;
   }
 
   /** Releases a job of which no run can be executing any more. */
@@ -358,8 +363,10 @@
 
   /** Replaces homes that are lost. Called once in each `linkCheckIntervalMs`. */
   runPeriodicChecks(): void {
-    const counts = this.#options.getHomes().map((home) => home.entryCount);
-    this.#entryCount = Math.max(0, ...counts);
+    this.#entryCount = 0;
+    for (const { entryCount } of this.#options.getHomes()) {
+      this.#entryCount = Math.max(this.#entryCount, entryCount);
+    }
     if (this.#claims.size === 0) {
       return;
     }
@@ -521,9 +528,12 @@
   #selectHomes(claim: OpenClaim): readonly ClaimHome[] {
     switch (claim.scope) {
       case "homes": {
-        const homes = this.#options.getHomes().filter((home) =>
-          claim.homes.get(home.agentId)?.state !== "silent"
-        );
+        const known = this.#options.getHomes();
+        const homes = claim.homes.size === 0
+          ? known
+          : known.filter(({ agentId }) =>
+            claim.homes.get(agentId)?.state !== "silent"
+          );
         const candidates = homes.filter((home) =>
           home.canKeepClaims || home.isConnecting
         );
@@ -532,10 +542,12 @@
           : MAX_RANKED_COUNT;
         const ranked = selectHomes(claim.jobId, candidates, maxCount);
         const count = this.#countNeededHomes(ranked, claim.homeCount);
-        return [
-          ...ranked.slice(0, count),
-          ...findMissingHomes(claim.jobId, homes),
-        ];
+        const selected = ranked.slice(0, count);
+        const lost = selected.some(hasClaimMemory)
+          ? []
+          : homes.filter(canHaveLostRuns);
+        const missing = findMissingHomes(claim.jobId, homes);
+        return [...new Set([...selected, ...missing, ...lost])];
       }
       case "all":
         return this.#options.getHomes().filter((home) => home.canKeepClaims);
@@ -556,7 +568,7 @@
         continue;
       }
       reachedByAllCount++;
-      rememberingCount += home.uptimeMs >= getClaimMemoryMs() ? 1 : 0;
+      rememberingCount += hasClaimMemory(home) ? 1 : 0;
       if (
         rememberingCount === homeCount || reachedByAllCount === MAX_HOME_COUNT
       ) {
@@ -567,6 +579,19 @@
   }
 }
 
+/** Returns whether an agent knows of each job that has it as a home. */
+function hasClaimMemory(home: ClaimHome): boolean {
+  return home.uptimeMs >= getClaimMemoryMs();
+}
+
+/**
+ * Returns whether runs may go on at the worker of an agent that this entry has lost.
+ * While no home has a memory of claims, nothing else tells of the job of such a run.
+ */
+function canHaveLostRuns(home: ClaimHome): boolean {
+  return home.isInDoubt && home.hasBeenReached;
+}
+
 /**
  * Finds the agents that another entry may have chosen as the homes of a job, and of
  * which this one doesn't reach enough to have a home in common with it.
@@ -598,11 +623,14 @@
  * replied in time may be left out if enough others have granted it.
  */
 function hasAllGrants({ homes, scope, isHomeConnecting }: OpenClaim): boolean {
-  const states = [...homes.values()].map(({ state }) => state);
-  const needed = states.filter((state) =>
-    scope === "all" || state !== "silent"
-  );
-  return !isHomeConnecting && needed.length > 0 &&
-    needed.every((state) => state === "granted") &&
-    (needed.length === states.length || needed.length >= HOME_COUNT);
+  let grantedCount = 0;
+  for (const { state } of homes.values()) {
+    if (state === "granted") {
+      grantedCount++;
+    } else if (scope === "all" || state !== "silent") {
+      return false;
+    }
+  }
+  return !isHomeConnecting && grantedCount > 0 &&
+    (grantedCount === homes.size || grantedCount >= HOME_COUNT);
 }
