--- a/src/coordination/batch/agent/local_run.ts
+++ b/src/coordination/batch/agent/local_run.ts
@@ -22,6 +22,11 @@
   readonly crashedAfterMs: number;
   /** Whether its entry can place it at another worker. */
   readonly canBeDeclined: boolean;
+  /**
+   * Expected time from a decline until its start at another worker, in milliseconds;
+   * 0 by default.
+   */
+  readonly detourMs?: number | undefined;
   readonly spec: string;
   readonly owner: RunOwner;
   /** The claim that must be granted before the run is started, if it isn't yet. */
@@ -58,6 +63,8 @@
    * out: the worker ignores the start if it arrives after such a report.
    */
   minReportFence: number;
+  /** Starts that the worker has not carried out; 0 by default. */
+  missedStarts?: number;
   /** When the start was sent, on the monotonic clock; 0 before that. */
   startedAt: number;
   /** When the last stop was sent, on the monotonic clock. */
