Let three tests pass alone as in the whole run

Cause: two_entries_test and one test of job_placement_model_test timed out when run alone, since the hash module wasn't compiled yet; only the configuration of mocha waits for it. Change: both files wait for the module; the job of the third test gets a clock of the test.

--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -62,6 +62,7 @@
     timeLeftMs = 10_000,
     loads?: WorkerLoad[],
     offers: WorkerOffer[] = [],
+    getTime = () => performance.now(),
   ) {
     this.offers = offers;
     this.loads = loads ?? this.loads;
@@ -102,6 +103,7 @@
       sendStop: (agentId, tasks) => this.stopped.push({ agentId, tasks }),
       farFactor: 1.5,
       placeRecord: new PlaceRecord({ metrics: this.metrics }),
+      getTime,
     });
     void this.run.answer.then((answer) => this.answer = answer);
     this.run.start();
@@ -342,10 +344,12 @@
   });
 
   it("lets no task start for an answer of no use, but delivers a late one", async () => {
-    const step = createBatchStep({ expectedMs: 10 });
-    const job = new JobHarness([step], 60_000);
+    let now = 0;
+    const steps = [createBatchStep({ expectedMs: 10 })];
+    const job = new JobHarness(steps, 60_000, undefined, [], () => now);
     expect(job.sentTimesLeftMs).to.deep.equal([4 * (1.6 * 10 + 60)]);
-    await wait(4 * (1.6 * 10 + 60) + 50);
+    now = 4 * (1.6 * 10 + 60) + 50;
+    await wait(now);
     expect(job.answer).to.equal(undefined);
     job.endRun(0, "done");
     await wait(0);
--- a/tests/coordination/batch/job_placement_model_test.ts
+++ b/tests/coordination/batch/job_placement_model_test.ts
@@ -6,6 +6,7 @@
  * `MODEL_CUT_AGENTS`, with any value, adds disruptions that hold back what one agent
  * sends to another one.
  */
+import "../../lib/compiled_hasher.ts";
 import fc from "fast-check";
 import {
   createScenarios,
--- a/tests/coordination/batch/two_entries_test.ts
+++ b/tests/coordination/batch/two_entries_test.ts
@@ -2,6 +2,7 @@
  * A job at two entries: its client has gone to the second one, and the first one
  * does not notice.
  */
+import "../../lib/compiled_hasher.ts";
 import { setTimeout as wait } from "node:timers/promises";
 import { expect } from "chai";
 import { err, ok } from "neverthrow";
