--- a/src/coordination/batch/entry/job_claims.ts
+++ b/src/coordination/batch/entry/job_claims.ts
@@ -5,32 +5,15 @@
 import type { ClaimHome } from "./claim_home.ts";
 import type { ClaimNeed } from "./claim_need.ts";
 import type { JobArrival } from "./job_arrival.ts";
-import { getClaimMemoryMs } from "../get_claim_memory_ms.ts";
+import { findClaimHomes } from "./find_claim_homes.ts";
+import { HOME_COUNT } from "./home_count.ts";
 import { NO_CLAIM } from "../no_claim.ts";
 import { selectHomes } from "./select_homes.ts";
 import { StreamRecovery } from "./stream_recovery.ts";
 
-/**
- * Number of homes of a job that know of all earlier claims. Two entries of which each
- * can't reach another agent still have a home in common.
- */
-const HOME_COUNT = 2;
-
-/** The same for a job that is as old as `publishAgeMs`. */
+/** `HOME_COUNT` for a job that is as old as `publishAgeMs`. */
 const OLD_JOB_HOME_COUNT = 3;
 
-/** Largest number of homes, with those of which the process has just started. */
-const MAX_HOME_COUNT = 3;
-
-/** The same with those that another entry doesn't reach. */
-const MAX_RANKED_COUNT = 6;
-
-/**
- * Number of the highest-ranking agents of which two must be homes: any two entries that
- * know the same agents then have one in common.
- */
-const QUORUM_RANKS = 3;
-
 /**
  * Checks without a reply after which another home is asked. Counted, so that a
  * pause of this process is not taken for the silence of a home.
@@ -534,20 +517,11 @@
           : known.filter(({ agentId }) =>
             claim.homes.get(agentId)?.state !== "silent"
           );
-        const candidates = homes.filter((home) =>
-          home.canKeepClaims || home.isConnecting
-        );
-        const maxCount = candidates.every((home) => this.#isReachedByAll(home))
-          ? MAX_HOME_COUNT
-          : MAX_RANKED_COUNT;
-        const ranked = selectHomes(claim.jobId, candidates, maxCount);
-        const count = this.#countNeededHomes(ranked, claim.homeCount);
-        const selected = ranked.slice(0, count);
-        const lost = selected.some(hasClaimMemory)
-          ? []
-          : homes.filter(canHaveLostRuns);
-        const missing = findMissingHomes(claim.jobId, homes);
-        return [...new Set([...selected, ...missing, ...lost])];
+        const { jobId, homeCount } = claim;
+        return findClaimHomes({
+          ...{ jobId, homes, homeCount },
+          isReachedByAll: (home) => this.#isReachedByAll(home),
+        });
       }
       case "all":
         return this.#options.getHomes().filter((home) => home.canKeepClaims);
@@ -555,62 +529,6 @@
         return claim.scope satisfies never;
     }
   }
-
-  /**
-   * Counts the homes in order of their rank until enough of them are reached by all
-   * entries and know of all earlier claims.
-   */
-  #countNeededHomes(ranked: readonly ClaimHome[], homeCount: number): number {
-    let rememberingCount = 0;
-    let reachedByAllCount = 0;
-    for (const [index, home] of ranked.entries()) {
-      if (home.canKeepClaims && !this.#isReachedByAll(home)) {
-        continue;
-      }
-      reachedByAllCount++;
-      rememberingCount += hasClaimMemory(home) ? 1 : 0;
-      if (
-        rememberingCount === homeCount || reachedByAllCount === MAX_HOME_COUNT
-      ) {
-        return index + 1;
-      }
-    }
-    return ranked.length;
-  }
-}
-
-/** Returns whether an agent knows of each job that has it as a home. */
-function hasClaimMemory(home: ClaimHome): boolean {
-  return home.uptimeMs >= getClaimMemoryMs();
-}
-
-/**
- * Returns whether runs may go on at the worker of an agent that this entry has lost.
- * While no home has a memory of claims, nothing else tells of the job of such a run.
- */
-function canHaveLostRuns(home: ClaimHome): boolean {
-  return home.isInDoubt && home.hasBeenReached;
-}
-
-/**
- * Finds the agents that another entry may have chosen as the homes of a job, and of
- * which this one doesn't reach enough to have a home in common with it.
- */
-function findMissingHomes(
-  jobId: string,
-  homes: readonly ClaimHome[],
-): ClaimHome[] {
-  if (!homes.some(({ isInDoubt }) => isInDoubt)) {
-    return [];
-  }
-  const candidates = homes.filter((home) =>
-    home.canKeepClaims || home.isConnecting || home.isInDoubt
-  );
-  const ranked = selectHomes(jobId, candidates, QUORUM_RANKS);
-  const missing = ranked.filter(({ canKeepClaims }) => !canKeepClaims);
-  return missing.length <= QUORUM_RANKS - HOME_COUNT
-    ? []
-    : missing.filter(({ isConnecting }) => !isConnecting);
 }
 
 function releaseHomes({ jobId, askedHomes, isContested }: OpenClaim): void {
