Check the lease of a lost run for as long as the run goes on

Change: both check on each turn of the wait that the lease and the starts stay as they are while the run goes on, until its end, and that it does go on when they begin. Result: both pass; with leases that are always extended both fail.

--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -283,17 +283,28 @@
       runner.stopWhere((run) => run.owner === lost, "entry_lost");
     });
 
+    /** Waits for a condition; checks `isKept` while the lost run goes on. */
+    async function waitAfterLostRun(
+      condition: () => boolean,
+      { isKept, text }: { isKept: () => boolean; text: string },
+    ): Promise<void> {
+      expect(worker.running.has("lost")).to.equal(true);
+      await waitUntil(() => {
+        if (worker.running.has("lost")) {
+          expect(isKept(), "while the lost run goes on").to.equal(true);
+        }
+        return condition();
+      }, text);
+      expect(worker.running.has("lost")).to.equal(false);
+    }
+
     it("does not renew the lease, which covers that run too", async () => {
       // Guards against runs that go on longer than their entry's expiry of lost runs.
       const { leaseUntilMs } = worker;
-      await wait(350);
-      expect(worker.running.has("lost")).to.equal(true);
-      expect(worker.leaseUntilMs).to.equal(leaseUntilMs);
-      await waitUntil(
-        () => worker.leaseUntilMs > leaseUntilMs,
-        "the lease is renewed after the end of the run",
-      );
-      expect(worker.running.has("lost")).to.equal(false);
+      await waitAfterLostRun(() => worker.leaseUntilMs > leaseUntilMs, {
+        isKept: () => worker.leaseUntilMs === leaseUntilMs,
+        text: "the lease is renewed after the end of the run",
+      });
     });
 
     it("starts no run, whose order would renew the lease", async () => {
@@ -301,10 +312,11 @@
       const { leaseUntilMs } = worker;
       runner.add(createRun(owner));
       runner.processQueue();
-      await wait(350);
-      expect(worker.starts).to.have.length(1);
-      expect(worker.leaseUntilMs).to.equal(leaseUntilMs);
-      await waitUntil(() => worker.starts.length === 2, "the run is started");
+      await waitAfterLostRun(() => worker.starts.length === 2, {
+        isKept: () =>
+          worker.starts.length === 1 && worker.leaseUntilMs === leaseUntilMs,
+        text: "the run is started",
+      });
       expect(owner.ends).to.deep.equal([]);
     });
   });
