--- a/src/coordination/batch/agent/job_claim_table.ts
+++ b/src/coordination/batch/agent/job_claim_table.ts
@@ -188,7 +188,7 @@
     }
     if (isDecided) {
       waiter?.owner.sendCancel(jobId, "superseded");
-      this.#supersedeHolder(jobId, held, owner.name);
+      this.#cancelHolder(jobId, held, owner.name);
     }
     const value = { jobId, number, holder: holder.name } as const;
     owner.sendClaimReply({ ...value, outcome: "held" });
@@ -234,13 +234,13 @@
     if (claim.isDeciding) {
       held.holder = claim.owner;
       held.isDeciding = true;
-      this.#supersedeHolder(jobId, held, waiter.owner.name);
+      this.#cancelHolder(jobId, held, waiter.owner.name);
     } else {
       this.#grant(jobId, claim, waiter);
     }
   }
 
-  #supersedeHolder(jobId: string, held: HeldJob, claimedBy: string): void {
+  #cancelHolder(jobId: string, held: HeldJob, claimedBy: string): void {
     this.#recordSuperseded(jobId, held.holder, claimedBy);
     held.isCancelled = true;
     held.holder.sendCancel(jobId, "superseded");
--- a/src/state/batch/place_group.ts
+++ b/src/state/batch/place_group.ts
@@ -83,7 +83,7 @@
   const getRandom = options.getRandom ?? Math.random;
   const { racks: placedRacks } = placedGroup ?? NO_GROUP;
   let best: { plan: Plan; tieBreaker: number } | undefined;
-  for (const [rack, ofRack] of groupByRack(loads)) {
+  for (const [rack, ofRack] of getLoadsByRack(loads)) {
     if (
       placedRacks.size > 1 || (placedRacks.size > 0 && !placedRacks.has(rack))
     ) {
@@ -154,7 +154,9 @@
   return new Map(loads.map((load) => [load.agentId, getRack(load)]));
 }
 
-function groupByRack(loads: readonly WorkerLoad[]): Map<string, WorkerLoad[]> {
+function getLoadsByRack(
+  loads: readonly WorkerLoad[],
+): Map<string, WorkerLoad[]> {
   const groups = new Map<string, WorkerLoad[]>();
   for (const load of loads) {
     const rack = getRack(load);
