Ask the homes for grants once for all tasks that are declined in a turn

Change: once when the first task is due, as before; findClaimHomes builds no set when it waits for no agent. Result: the test of declined tasks now counts these requests; it failed before (2 in place of 1).

--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -331,7 +331,6 @@
         task.declines++;
         task.avoidedAgents.add(agentId);
         task.declinedAgents.add(agentId);
-        this.#options.requestGrants();
         this.#placeWithOthers(task);
         return;
       case "lost":
@@ -512,6 +511,7 @@
     if (this.#dueTasks.push(task) > 1) {
       return;
     }
+    this.#options.requestGrants();
     this.#timers.start(0, () => {
       const due = this.#dueTasks;
       this.#dueTasks = [];
--- a/src/coordination/batch/entry/find_claim_homes.ts
+++ b/src/coordination/batch/entry/find_claim_homes.ts
@@ -50,7 +50,9 @@
     ? []
     : homes.filter(canHaveLostRuns);
   const missing = findMissingHomes(jobId, homes);
-  return [...new Set([...selected, ...missing, ...lost])];
+  return missing.length === 0 && lost.length === 0
+    ? selected
+    : [...new Set([...selected, ...missing, ...lost])];
 }
 
 /**
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -56,6 +56,7 @@
   );
   readonly run: BatchJobRun;
   answer: BatchAnswer | undefined;
+  grantRequests = 0;
 
   constructor(
     steps: BatchStep[],
@@ -88,7 +89,7 @@
       isConfined: () => this.isConfined,
       declinePolicy: new DeclinePolicy(),
       hasClaim: () => true,
-      requestGrants: () => {},
+      requestGrants: () => this.grantRequests++,
       getAgeMs: () => 0,
       claimFor: () => ({ claimNumber: 0, awaitedHomes: 0 }),
       sendStart: (agentId, { runs, timeLeftMs }) => {
@@ -404,6 +405,8 @@
     job.loads = [createWorkerLoad({ agentId: "c" }), ...job.loads];
     job.endRun(0, "declined");
     job.endRun(1, "declined");
+    // Guards against a frame to each home for each of the tasks.
+    expect(job.grantRequests).to.equal(1);
     await waitUntil(() => job.sent.length === 4, "both are sent again");
     const again = job.sent.slice(2);
     expect(again.map(({ task }) => task)).to.have.members(declined);
