--- a/review/kit-3/site.mjs
+++ b/review/kit-3/site.mjs
@@ -10,6 +10,7 @@
 import { fileURLToPath } from "node:url";
 import { setTimeout as wait } from "node:timers/promises";
 import { call } from "./client.mjs";
+import { Link } from "./link.mjs";
 import { Store } from "./store.mjs";
 import { Worker } from "./worker.mjs";
 
@@ -40,9 +41,11 @@
    * @param options.entries - Number of entries, one a zone.
    * @param options.agents - Number of agents, each with a worker.
    * @param options.capacity - Of each worker.
+   * @param options.hasLinks - Whether the streams of each entry go through links that can be
+   * cut.
    */
-  async start({ entries = 3, agents = 11, capacity = { cpu: 32_000, memMb: 131_072, gpu: 0 }, routes, service = "app" }) {
-    const storeAddress = await this.store.start();
+  async start({ entries = 3, agents = 11, capacity = { cpu: 32_000, memMb: 131_072, gpu: 0 }, routes, service = "app", hasLinks = false }) {
+    const storeAddress = await this.store.listen();
     this.publishConfig(1, routes, service);
     const zones = ["zone-a", "zone-b", "zone-c"];
     for (let n = 0; n < agents; n++) {
@@ -72,21 +75,22 @@
         listen: { control },
       });
       this.workers.push(worker);
-      this.agents.push({ name, zone, worker, program });
+      this.agents.push({ name, zone, worker, program, peerAddress: `${ip}:${peerPort}` });
     }
     for (let n = 0; n < entries; n++) {
       const name = `front-${n + 1}`;
       const zone = zones[n % 3];
       const front = await findFreeAddress();
       const ready = await findFreeAddress();
+      const links = hasLinks ? await this.#createLinks() : [];
       const program = await this.#createProgram("entry", {
         node: name,
         zone,
-        platform: { addr: storeAddress },
+        platform: { addr: hasLinks ? await this.#listenForEntry(links) : storeAddress },
         listen: { front, ready },
         bounds: BOUNDS,
       });
-      this.entries.push({ name, zone, front, ready, program });
+      this.entries.push({ name, zone, front, ready, program, links });
     }
     [...this.agents, ...this.entries].forEach(({ program }) => program.start());
     this.workers.forEach((worker) => worker.start());
@@ -103,6 +107,7 @@
     this.#isStopped = true;
     await Promise.all([...this.entries, ...this.agents].map(({ program }) => program.end()));
     this.workers.forEach((worker) => worker.stop());
+    this.entries.forEach(({ links }) => links.forEach(({ link }) => link.stop()));
     this.store.stop();
     if (process.env.KEEP_LOGS === undefined) {
       rmSync(this.#folder, { recursive: true, force: true });
@@ -111,6 +116,24 @@
     }
   }
 
+  /** Creates a link from one entry to each agent. */
+  async #createLinks() {
+    return await Promise.all(this.agents.map(async ({ name, peerAddress }) => {
+      const link = new Link(peerAddress);
+      return { agent: name, link, address: await link.start() };
+    }));
+  }
+
+  /** Has the store listen for an entry that finds the agents at the ends of its links. */
+  async #listenForEntry(links) {
+    return await this.store.listen((key, value) => {
+      const found = links.find(({ agent }) => agent === key);
+      return found === undefined
+        ? value
+        : Buffer.from(JSON.stringify({ ...JSON.parse(value), address: found.address }));
+    });
+  }
+
   async #waitUntilReady() {
     const until = performance.now() + 20_000;
     for (const { ready } of this.entries) {
--- a/review/kit-3/store.mjs
+++ b/review/kit-3/store.mjs
@@ -6,19 +6,30 @@
 
 export class Store {
   #topics = new Map();
-  #server = http.createServer((request, response) => this.#accept(request, response));
+  #servers = [];
   /** While true, each call is answered with 503. */
   isUnavailable = false;
 
-  async start() {
-    this.#server.keepAliveTimeout = 75_000;
-    await new Promise((resolve) => this.#server.listen(0, "127.0.0.1", resolve));
-    return `127.0.0.1:${this.#server.address().port}`;
+  /**
+   * Listens at one more address.
+   * @param mapValue - Maps the values that are read there, by their keys. Stands for the
+   * network of one machine: it replaces the addresses of others by those of its links.
+   */
+  async listen(mapValue = (_, value) => value) {
+    const server = http.createServer((request, response) =>
+      this.#accept(request, response, mapValue)
+    );
+    server.keepAliveTimeout = 75_000;
+    this.#servers.push(server);
+    await new Promise((resolve) => server.listen(0, "127.0.0.1", resolve));
+    return `127.0.0.1:${server.address().port}`;
   }
 
   stop() {
-    this.#server.close();
-    this.#server.closeAllConnections();
+    this.#servers.forEach((server) => {
+      server.close();
+      server.closeAllConnections();
+    });
   }
 
   /** Appends a record as the operator does; an empty value deletes the key. */
@@ -26,14 +37,14 @@
     this.#append("keyed.op", { key, value: Buffer.from(value) });
   }
 
-  #accept(request, response) {
+  #accept(request, response, mapValue) {
     const chunks = [];
     request.on("data", (chunk) => chunks.push(chunk));
-    request.on("end", () => this.#answer(request, Buffer.concat(chunks), response));
+    request.on("end", () => this.#answer(request, Buffer.concat(chunks), response, mapValue));
     request.on("error", () => {});
   }
 
-  #answer(request, body, response) {
+  #answer(request, body, response, mapValue) {
     if (this.isUnavailable) {
       sendJson(response, 503, {});
       return;
@@ -42,10 +53,10 @@
     const topic = this.#getTopic(searchParams.get("topic") ?? "");
     switch (`${request.method} ${pathname}`) {
       case "GET /cranberrybank/log-newest":
-        this.#answerNewest(topic, response);
+        this.#answerNewest(topic, response, mapValue);
         return;
       case "GET /cranberrybank/log-read":
-        this.#answerRead(topic, searchParams, response);
+        this.#answerRead(topic, searchParams, response, mapValue);
         return;
       case "POST /cranberrybank/log-append": {
         const offset = this.#append(searchParams.get("topic"), parseRecord(body));
@@ -57,18 +68,18 @@
     }
   }
 
-  #answerNewest({ records }, response) {
+  #answerNewest({ records }, response, mapValue) {
     const newest = new Map();
     records.forEach(({ key, value }, offset) => {
       newest.delete(key);
       if (value.length > 0) {
-        newest.set(key, { key, value: value.toString("base64"), offset });
+        newest.set(key, { key, value: mapValue(key, value).toString("base64"), offset });
       }
     });
     sendJson(response, 200, { items: [...newest.values()], hasMore: false, end: records.length });
   }
 
-  #answerRead(topic, searchParams, response) {
+  #answerRead(topic, searchParams, response, mapValue) {
     const from = Number(searchParams.get("from"));
     const waitMs = Math.min(30_000, Number(searchParams.get("waitMs") ?? 0));
     let isSent = false;
@@ -81,7 +92,8 @@
       topic.waiters.delete(send);
       const header = Buffer.alloc(16);
       header.writeBigUInt64BE(BigInt(topic.records.length), 0);
-      const parts = topic.records.slice(from).map(formatRecord);
+      const parts = topic.records.slice(from)
+        .map(({ key, value }) => formatRecord({ key, value: mapValue(key, value) }));
       response.writeHead(200, { "content-type": "application/octet-stream" });
       response.end(Buffer.concat([header, ...parts]));
     };
