--- a/review/kit-3/site.mjs
+++ b/review/kit-3/site.mjs
@@ -41,10 +41,11 @@
    * @param options.entries - Number of entries, one a zone.
    * @param options.agents - Number of agents, each with a worker.
    * @param options.capacity - Of each worker.
+   * @param options.kinds - Of the workers, in turn.
    * @param options.hasLinks - Whether the streams of each entry go through links that can be
    * cut.
    */
-  async start({ entries = 3, agents = 11, capacity = { cpu: 32_000, memMb: 131_072, gpu: 0 }, routes, service = "app", hasLinks = false }) {
+  async start({ entries = 3, agents = 11, capacity = { cpu: 32_000, memMb: 131_072, gpu: 0 }, routes, service = "app", hasLinks = false, kinds = ["a"] }) {
     const storeAddress = await this.store.listen();
     this.publishConfig(1, routes, service);
     const zones = ["zone-a", "zone-b", "zone-c"];
@@ -55,6 +56,7 @@
       const [ip, peerPort] = (await findFreeAddress()).split(":");
       const worker = new Worker({
         ...{ name: `w${n + 1}`, service, zone, capacity, reportAddress: control },
+        kind: kinds[n % kinds.length],
         rack: `r${1 + Math.floor(n / 3)}`,
         findTask: (task) => this.tasks.get(task),
         onEvent: (event) => {
--- a/review/kit-3/worker.mjs
+++ b/review/kit-3/worker.mjs
@@ -33,6 +33,7 @@
   #waiters = new Set();
   #bornAtMs = 0;
   #clockStartedAt = 0;
+  #kind;
 
   /**
    * @param options.name, service, zone, rack, capacity - What it reports of itself.
@@ -42,6 +43,7 @@
    */
   constructor(options) {
     this.#options = options;
+    this.#kind = options.kind ?? "a";
   }
 
   get name() {
@@ -64,13 +66,38 @@
     return this.#address;
   }
 
-  /** Starts a lifetime, and reports until it is stopped. */
+  /** Ends the lifetime at once. Nothing listens at the address until the next one. */
+  crash() {
+    this.#isUp = false;
+    clearTimeout(this.#leaseTimer);
+    [...this.#runs.values()].forEach((run) => this.#endRun(run, "crashed"));
+    this.#server.close();
+    this.#server.closeAllConnections();
+    this.#emit("crashed", {});
+  }
+
+  /** Starts the next lifetime at the same address, of another kind if one is given. */
+  async restart(kind = this.#kind) {
+    const [host, port] = this.#address.split(":");
+    await new Promise((resolve) => this.#server.listen(Number(port), host, resolve));
+    this.#kind = kind;
+    this.#sequence = 0;
+    this.#fence = 0;
+    this.#leaseUntilMs = 0;
+    this.#ended = [];
+    this.#endCount = 0;
+    this.#closedRuns = new Map();
+    this.#state = "ready";
+    this.start();
+  }
+
+  /** Starts a lifetime, and reports until it ends. */
   start() {
     this.#life++;
     this.#isUp = true;
     this.#bornAtMs = Date.now();
     this.#clockStartedAt = performance.now();
-    this.#emit("life_started", {});
+    this.#emit("life_started", { how: `kind ${this.#kind}` });
     void this.#sendReports();
   }
 
@@ -92,9 +119,14 @@
     return Math.floor(performance.now() - this.#clockStartedAt);
   }
 
+  get kind() {
+    return this.#kind;
+  }
+
   async #sendReports() {
-    while (!this.#isStopped) {
-      const { service, zone, capacity, kind = "a", rack, reportAddress } = this.#options;
+    const life = this.#life;
+    while (!this.#isStopped && this.#isUp && life === this.#life) {
+      const { service, zone, capacity, rack, reportAddress } = this.#options;
       this.#sequence++;
       const status = await sendReport(reportAddress, this.id, {
         service,
@@ -105,7 +137,7 @@
         state: this.#state,
         coldLeftMs: 0,
         capacity,
-        labels: [kind, rack],
+        labels: [this.#kind, rack],
         clockMs: this.#getClockMs(),
         seq: this.#sequence,
         born: this.#bornAtMs,
@@ -182,7 +214,7 @@
     const started = { task, run, cpu, memMb };
     started.timer = setTimeout(() => this.#endRun(started, "done"), runMs);
     this.#runs.set(task, started);
-    this.#emit("started", { task, run, spec });
+    this.#emit("started", { task, run, spec, kindOfWorker: this.#kind });
     this.#send(response, 200, {});
   }
 
