Plan one placement at most of a task that waits

Cause: a step was placed at each end of another task as long as none of its own tasks had a run, and each attempt without a claim or a worker started one more timer for each task. Tasks that share a rack were put into the list of due tasks by each of these timers, and the list was ordered as a whole.

Now the state of a task tells whether a placement is planned, and only tasks without a run and a plan can get one.

--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -27,6 +27,7 @@
 import { JobTasks } from "./job_tasks.ts";
 import { JobTimers } from "./job_timers.ts";
 import type { PlaceRecord } from "./place_record.ts";
+import { PlacementSchedule } from "./placement_schedule.ts";
 import { recordAdmission } from "./record_admission.ts";
 
 /**
@@ -131,8 +132,7 @@
   /** Time at which the latency target is missed, on the monotonic clock. */
   #latencyTargetAt = 0;
   readonly #timers = new JobTimers();
-  /** Tasks that are placed again in the next turn of the event loop. */
-  #dueTasks: BatchTask[] = [];
+  readonly #schedule: PlacementSchedule;
   #resolve: (answer: BatchAnswer) => void = () => {};
   #resolveRunsEnded: () => void = () => {};
   #isAnswered = false;
@@ -150,6 +150,11 @@
     this.answer = new Promise((resolve) => this.#resolve = resolve);
     this.runsEnded = new Promise((resolve) => this.#resolveRunsEnded = resolve);
     this.#tasks = new JobTasks(options.job);
+    this.#schedule = new PlacementSchedule({
+      timers: this.#timers,
+      place: (tasks) => this.#placeAndSend(tasks),
+      onDue: () => options.requestGrants(),
+    });
   }
 
   /** Gets whether a run of the job may be executing. */
@@ -287,7 +292,7 @@
       return;
     }
     task.run = end.run;
-    task.state = "waiting";
+    task.state = "idle";
     task.lastEnd = end.outcome;
     task.declinedAgents.delete(agentId);
     const now = this.#getTime();
@@ -322,7 +327,7 @@
           this.#settle({ kind: "failed" });
           return;
         }
-        this.#schedulePlacement(task, 0);
+        this.#schedule.addDelayed(task, 0);
         return;
       case "expired":
         this.#settleWithError("deadline_unreachable");
@@ -331,7 +336,7 @@
         task.declines++;
         task.avoidedAgents.add(agentId);
         task.declinedAgents.add(agentId);
-        this.#placeWithOthers(task);
+        this.#schedule.addDue(task);
         return;
       case "lost":
       case "crashed":
@@ -346,12 +351,12 @@
         });
         if (!this.#giveUpCrashing(task)) {
           task.avoidedAgents.add(agentId);
-          this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
+          this.#schedule.addDelayed(task, PLACE_AGAIN_DELAY_MS);
         }
         return;
       default:
         task.avoidedAgents.add(agentId);
-        this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
+        this.#schedule.addDelayed(task, PLACE_AGAIN_DELAY_MS);
     }
   }
 
@@ -427,7 +432,8 @@
     });
     for (const task of tasks) {
       task.lastEnd = cause;
-      this.#schedulePlacement(task, 0);
+      task.state = "idle";
+      this.#schedule.addDelayed(task, 0);
     }
     this.#checkRunsEnded();
   }
@@ -479,7 +485,7 @@
     }
     for (const tasks of unfinished) {
       if (
-        tasks.every((task) => task.run === 0) &&
+        tasks.every(({ state }) => state === "blocked") &&
         this.#tasks.hasDependenciesDone(tasks)
       ) {
         this.#placeAndSend(tasks);
@@ -487,50 +493,12 @@
     }
   }
 
-  #schedulePlacement(task: BatchTask, delayMs: number): void {
-    task.state = "waiting";
-    this.#timers.start(delayMs, () => {
-      if (task.state !== "waiting") {
-        return;
-      }
-      if (task.step.sharesRack) {
-        // A rack for one task may have no room for the others that are due.
-        this.#placeWithOthers(task);
-      } else {
-        this.#placeAndSend([task]);
-      }
-    });
-  }
-
-  /**
-   * Places a task again, together with others that are due in this turn of the event
-   * loop: declined ones whose ends are in the same frame, and tasks of a group. Comes
-   * after the status that follows the frame.
-   */
-  #placeWithOthers(task: BatchTask): void {
-    if (this.#dueTasks.push(task) > 1) {
-      return;
-    }
-    this.#options.requestGrants();
-    this.#timers.start(0, () => {
-      const due = this.#dueTasks;
-      this.#dueTasks = [];
-      for (const tasks of this.#tasks.steps) {
-        const ofStep = due.filter((other) =>
-          other.state === "waiting" && tasks.includes(other)
-        );
-        if (ofStep.length > 0) {
-          this.#placeAndSend(ofStep);
-        }
-      }
-    });
-  }
-
+  /** Places tasks of one step that have neither a run nor a planned placement. */
   #placeAndSend(tasks: readonly BatchTask[]): void {
     const { getLoads, isConfined, hasClaim } = this.#options;
     if (!hasClaim()) {
       tasks.forEach((task) =>
-        this.#schedulePlacement(task, CLAIM_CHECK_INTERVAL_MS)
+        this.#schedule.addDelayed(task, CLAIM_CHECK_INTERVAL_MS)
       );
       return;
     }
@@ -551,7 +519,7 @@
     const placedIndexes = new Set(placements.map(({ index }) => index));
     for (const task of tasks) {
       if (!placedIndexes.has(task.index)) {
-        this.#schedulePlacement(task, NO_WORKER_RETRY_MS);
+        this.#schedule.addDelayed(task, NO_WORKER_RETRY_MS);
       }
     }
   }
@@ -665,7 +633,8 @@
       for (const task of sent) {
         task.stream = stream;
         if (stream === undefined) {
-          this.#schedulePlacement(task, PLACE_AGAIN_DELAY_MS);
+          task.state = "idle";
+          this.#schedule.addDelayed(task, PLACE_AGAIN_DELAY_MS);
         }
       }
     }
--- a/src/coordination/batch/entry/batch_task.ts
+++ b/src/coordination/batch/entry/batch_task.ts
@@ -1,5 +1,6 @@
 import type { BatchStep, PlacedTask } from "../../../state/batch/mod.ts";
 import type { AgentStream } from "./agent_stream.ts";
+import type { TaskState } from "./task_state.ts";
 
 /** The state of one task of a job at the entry that coordinates the job. */
 export interface BatchTask {
@@ -10,8 +11,7 @@
   readonly index: number;
   /** Number of the latest run; 0 before the first one. */
   run: number;
-  /** `lost`: the stream was lost, and the run may still be executing. */
-  state: "waiting" | "sent" | "lost" | "done";
+  state: TaskState;
   /** Stream on which the latest run was ordered. */
   stream: AgentStream | undefined;
   /** Where the latest run was placed; undefined before the first one. */
--- a/src/coordination/batch/entry/job_tasks.ts
+++ b/src/coordination/batch/entry/job_tasks.ts
@@ -80,7 +80,7 @@
       stepNumber,
       index,
       run: 0,
-      state: "waiting",
+      state: "blocked",
       stream: undefined,
       placed: undefined,
       sentAt: 0,
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -50,6 +50,8 @@
   address = "10.0.0.1:1";
   offers: WorkerOffer[] = [];
   isConfined = false;
+  /** Whether the entry may start runs of the job. */
+  hasClaim = true;
   readonly crashHistory = new CrashHistory();
   loads: WorkerLoad[] = ["a", "b"].map((agentId) =>
     createWorkerLoad({ agentId })
@@ -88,7 +90,7 @@
       getOffers: () => this.offers,
       isConfined: () => this.isConfined,
       declinePolicy: new DeclinePolicy(),
-      hasClaim: () => true,
+      hasClaim: () => this.hasClaim,
       requestGrants: () => this.grantRequests++,
       getAgeMs: () => 0,
       claimFor: () => ({ claimNumber: 0, awaitedHomes: 0 }),
@@ -129,6 +131,15 @@
   }
 }
 
+/**
+ * Blocks the event loop for a time in milliseconds, so that all timers that fall due
+ * meanwhile are handled in one turn, as after a pause of the process.
+ */
+function blockEventLoop(durationMs: number): void {
+  const until = performance.now() + durationMs;
+  while (performance.now() < until);
+}
+
 describe("BatchJobRun", () => {
   it("is completed when all tasks are done", async () => {
     const job = new JobHarness([createBatchStep({ count: 3 })]);
@@ -141,6 +152,74 @@
     expect(job.answer).to.deep.equal({ kind: "completed" });
   });
 
+  describe("with a step that waits while tasks of other steps end", () => {
+    const createSteps = (changes: Partial<BatchStep>) => [
+      createBatchStep(),
+      createBatchStep({ count: 12 }),
+      createBatchStep({ count: 4, dependsOn: [0], ...changes }),
+    ];
+    const getLastStep = ({ sent }: JobHarness) =>
+      sent.filter(({ task }) => task.startsWith(`${JOB_ID}.0.2.`));
+
+    // Guards against two runs of a task at the same time: each end planned one more
+    // placement of each task that waited (review/11).
+    for (const sharesRack of [true, false]) {
+      const kind = sharesRack ? "tasks of a group" : "single tasks";
+      it(`sends ${kind} once when the entry may start runs again`, async () => {
+        const job = new JobHarness(createSteps({ sharesRack }));
+        job.hasClaim = false;
+        for (let sentIndex = 0; sentIndex < 13; sentIndex++) {
+          job.endRun(sentIndex, "done");
+        }
+        await wait(30);
+        expect(getLastStep(job)).to.have.length(0);
+        job.hasClaim = true;
+        blockEventLoop(50);
+        await waitUntil(() => getLastStep(job).length > 0, "they are sent");
+        await wait(30);
+        expect(getLastStep(job).map(({ run }) => run))
+          .to.deep.equal([1, 1, 1, 1]);
+        job.run.cancel();
+      });
+
+      it(`sends ${kind} once when a worker fits them again`, async () => {
+        const requiredLabel = "big";
+        const steps = createSteps({ sharesRack, requiredLabel });
+        const job = new JobHarness(steps);
+        for (let sentIndex = 0; sentIndex < 13; sentIndex++) {
+          job.endRun(sentIndex, "done");
+        }
+        await wait(5);
+        job.loads = ["c", "d"].map((agentId) =>
+          createWorkerLoad({ agentId, labels: [requiredLabel] })
+        );
+        blockEventLoop(150);
+        await waitUntil(() => getLastStep(job).length > 0, "they are sent");
+        await wait(150);
+        expect(getLastStep(job).map(({ run }) => run))
+          .to.deep.equal([1, 1, 1, 1]);
+        job.run.cancel();
+      });
+    }
+
+    // Guards against an earlier plan that cuts the delay of a later one short.
+    it("waits the whole delay after a run that was returned", async () => {
+      const job = new JobHarness(createSteps({}));
+      job.hasClaim = false;
+      for (let sentIndex = 0; sentIndex < 13; sentIndex++) {
+        job.endRun(sentIndex, "done");
+        await wait(1);
+      }
+      job.hasClaim = true;
+      await waitUntil(() => getLastStep(job).length === 4, "they are sent");
+      job.endRun(13, "returned");
+      await wait(15);
+      expect(getLastStep(job)).to.have.length(4);
+      await waitUntil(() => getLastStep(job).length === 5, "one is sent again");
+      job.run.cancel();
+    });
+  });
+
   describe("with tasks that share a rack", () => {
     const step = createBatchStep({ count: 4, sharesRack: true });
     const createLoads = (racks: string[]) =>
