Send no order of a job once it is answered

Callers could see: a job is refused as deadline_unreachable, which says that it never runs, and tasks of another of its steps start after that.

Cause: the loops that place the tasks of several steps went on after placing those of one step had answered the job.

Evidence: two new tests of batch_job_run_test failed before, with an order after deadline_unreachable and after timeout; they pass now.

--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -493,9 +493,15 @@
     }
   }
 
-  /** Places tasks of one step that have neither a run nor a planned placement. */
+  /**
+   * Places tasks of one step that have neither a run nor a planned placement. Does
+   * nothing once the job is answered, as the tasks of another step may have done.
+   */
   #placeAndSend(tasks: readonly BatchTask[]): void {
     const { getLoads, isConfined, hasClaim } = this.#options;
+    if (this.#isAnswered) {
+      return;
+    }
     if (!hasClaim()) {
       tasks.forEach((task) =>
         this.#schedule.addDelayed(task, CLAIM_CHECK_INTERVAL_MS)
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -478,6 +478,55 @@
     expect(job.answer).to.deep.equal({ kind: "error", error: "timeout" });
   });
 
+  // Guards against runs of a job that was answered "not run".
+  it("sends no task of another step once it is answered", async () => {
+    const resources = { cpuMillis: 1_000, memoryMb: 64, gpus: 1 };
+    const capacity = { cpuMillis: 32_000, memoryMb: 65_536, gpus: 1 };
+    const steps = [createBatchStep({ resources }), createBatchStep()];
+    const loads = [
+      createWorkerLoad({ agentId: "a", capacity, free: capacity }),
+    ];
+    const job = new JobHarness(steps, 1_000, loads);
+    expect(job.sent).to.have.length(2);
+    job.loads = [
+      createWorkerLoad({
+        ...{ agentId: "a", capacity, runningLeftMs: [5_000] },
+        free: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
+      }),
+      createWorkerLoad({ agentId: "b" }),
+    ];
+    job.endRun(0, "declined");
+    job.endRun(1, "declined");
+    await waitUntil(() => job.answer !== undefined, "the job is answered");
+    expect(job.answer).to.include({ error: "deadline_unreachable" });
+    expect(job.sent).to.have.length(2);
+  });
+
+  it("sends no later step once it is answered", async () => {
+    const resources = { cpuMillis: 1_000, memoryMb: 64, gpus: 1 };
+    const capacity = { cpuMillis: 32_000, memoryMb: 65_536, gpus: 1 };
+    const steps = [
+      createBatchStep(),
+      createBatchStep({ resources, dependsOn: [0] }),
+      createBatchStep({ dependsOn: [0] }),
+    ];
+    const loads = [
+      createWorkerLoad({ agentId: "a", capacity, free: capacity }),
+    ];
+    const job = new JobHarness(steps, 1_000, loads);
+    job.loads = [
+      createWorkerLoad({
+        ...{ agentId: "a", capacity, runningLeftMs: [5_000] },
+        free: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
+      }),
+      createWorkerLoad({ agentId: "b" }),
+    ];
+    job.endRun(0, "done");
+    await wait(0);
+    expect(job.answer).to.deep.equal({ kind: "error", error: "timeout" });
+    expect(job.sent).to.have.length(1);
+  });
+
   it("places the tasks that agents decline at other workers", async () => {
     const job = new JobHarness([createBatchStep({ count: 2 })]);
     const declined = job.sent.map(({ task }) => task);
