Return runs that were placed on a former worker of an agent

Cause: an order named neither the worker nor the profile by which its runs were placed, so the agent applied it to whatever worker it had by then.

Evidence: in the logs of a failing run the entry places two tasks at the agent 9 ms after the freeze, reads the profile of the new worker at 22 ms, and the agent starts the tasks on it at 32 ms; it had found that worker 0.8 s before.

Now profiles have a revision, orders name it, and an agent returns runs that were placed by another one than that of its worker.

--- a/src/coordination/batch/agent/batch_entry_session.ts
+++ b/src/coordination/batch/agent/batch_entry_session.ts
@@ -503,6 +503,7 @@
         run: order.run,
         jobId: message.jobId,
         jobArrivedAt,
+        workerRevision: message.workerRevision,
         route: message.route,
         crashes: order.crashes,
         crashedAfterMs: order.crashedAfterMs,
--- a/src/coordination/batch/agent/local_run.ts
+++ b/src/coordination/batch/agent/local_run.ts
@@ -14,6 +14,11 @@
   readonly jobId: string;
   /** When the entry got the job, on the monotonic clock. */
   readonly jobArrivedAt: number;
+  /**
+   * Revision of the worker's profile by which its entry has placed it; undefined from
+   * entries of earlier versions.
+   */
+  readonly workerRevision?: number | undefined;
   /** Name of the route of its job. */
   readonly route: string;
   /** Number of workers that have crashed under the task. */
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -76,6 +76,9 @@
 /** Factor by which the slowdown rises at once when a worker is distrusted. */
 const DISTRUST_FACTOR = 1.5;
 
+const OTHER_REVISION_REASON =
+  "the worker is no longer the one that the run was placed on";
+
 const NO_RESOURCES: TaskResources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
 export interface WorkerRunnerOptions {
@@ -116,6 +119,7 @@
   readonly #room: WorkerRoom;
   readonly #reportSequence = new ReportSequence();
   #worker: WorkerDescription | undefined;
+  #workerRevision = 0;
   /**
    * The latest report of another incarnation than the one in use. It may be
    * late or of another writer, so the worker's answers decide between the two.
@@ -174,6 +178,14 @@
     return this.#worker;
   }
 
+  /**
+   * Gets the revision of the worker's profile: runs that were placed by another one are
+   * returned, since the worker may lack what they require.
+   */
+  get workerRevision(): number {
+    return this.#workerRevision;
+  }
+
   /** Gets whether entries may send tasks to this agent. */
   get acceptsWork(): boolean {
     return this.#worker !== undefined && !this.#worker.isDraining &&
@@ -220,6 +232,9 @@
 
   #updateWorker(worker: WorkerDescription, known: WorkerDescription): void {
     this.#worker = worker;
+    if (!hasSameTraits(worker, known)) {
+      this.#workerRevision++;
+    }
     if (known.isDraining !== worker.isDraining) {
       this.#options.log.record("worker_state", {
         workerId: worker.workerId,
@@ -281,6 +296,11 @@
       this.#reportEnd(run, "returned", this.#getRefusalReason());
       return;
     }
+    if (!this.#isPlacedOnWorker(run)) {
+      this.#options.metrics.incrementCounter("outdated_orders", 1);
+      this.#reportEnd(run, "returned", OTHER_REVISION_REASON);
+      return;
+    }
     const decision = this.#room.decideQueueing(run);
     switch (decision.kind) {
       case "queued":
@@ -298,6 +318,12 @@
     }
   }
 
+  /** Returns whether a run was placed on the worker as it is now. */
+  #isPlacedOnWorker({ workerRevision }: LocalRun): boolean {
+    return workerRevision === undefined ||
+      workerRevision === this.#workerRevision;
+  }
+
   /** Processes the queue when it is time to check a run that waits. */
   #startRecheckTimer({ recheckAt = Infinity }: LocalRun): void {
     if (recheckAt < this.#nextRecheckAt) {
@@ -399,6 +425,10 @@
       "the worker's capacity has shrunk",
       (run) => !hasRoom(capacity, run.resources),
     );
+    this.#returnQueuedRuns(
+      OTHER_REVISION_REASON,
+      (run) => !this.#isPlacedOnWorker(run),
+    );
     const canExtendLease = this.#canExtendLease();
     const takeOptions = {
       now: this.#getTime(),
@@ -487,6 +517,7 @@
       zone: worker?.zone ?? "",
       service: worker?.service ?? "",
       rack: worker?.rack ?? "",
+      revision: this.#workerRevision,
     };
   }
 
@@ -538,6 +569,7 @@
   #startIncarnation(worker: WorkerDescription): void {
     const { control, log } = this.#options;
     this.#worker = worker;
+    this.#workerRevision++;
     this.#reportSequence.start(worker.sequence);
     this.#clock.reset();
     this.#isSettled = false;
@@ -923,7 +955,8 @@
       const leaseUntilMs = this.#lease?.getLeaseEnd(now);
       if (
         worker === undefined || leaseUntilMs === undefined ||
-        !this.acceptsWork || !this.#canExtendLease() ||
+        !this.acceptsWork || !this.#isPlacedOnWorker(run) ||
+        !this.#canExtendLease() ||
         !run.owner.isResponsive() || run.isStopRequested
       ) {
         const outcome = run.isStopRequested ? "stopped" : "returned";
@@ -1031,6 +1064,7 @@
       task: run.task,
       run: run.run,
       entry: run.owner.name,
+      workerId: this.#worker?.workerId,
       priority: run.priority,
       queuedMs: Math.round(waitMs),
       grantMs: Math.round(grantMs),
@@ -1217,6 +1251,16 @@
     worker.bornAtMs === known.bornAtMs;
 }
 
+/**
+ * Returns whether two descriptions of one worker agree in what decides which tasks it may
+ * run and where it is. The room for a task is checked at its start.
+ */
+function hasSameTraits(a: WorkerDescription, b: WorkerDescription): boolean {
+  return a.service === b.service && a.zone === b.zone && a.rack === b.rack &&
+    a.labels.length === b.labels.length &&
+    a.labels.every((label, index) => label === b.labels[index]);
+}
+
 /** Returns whether a reported incarnation may be the one after the known one. */
 function canFollow(
   worker: WorkerDescription,
--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -227,15 +227,21 @@
   }
 
   /**
-   * Orders the agent to start tasks of one job.
-   * @returns The stream of the order; undefined if there is none.
+   * Orders the agent to start tasks of one job on the worker by whose profile they were
+   * placed.
+   * @returns The stream of the order; undefined if there is none, or no profile on it.
    */
   startRuns(message: Omit<StartRuns, "batch">): AgentStream | undefined {
-    if (this.#stream === undefined) {
+    const { profile } = this.#load;
+    if (this.#stream === undefined || profile === undefined) {
       return undefined;
     }
     this.#lastBatch++;
-    const value = { ...message, batch: this.#lastBatch };
+    const value: StartRuns = {
+      ...message,
+      batch: this.#lastBatch,
+      workerRevision: profile.revision > 0 ? profile.revision : undefined,
+    };
     this.#load.addStart(value);
     this.#sendReleasedJobs();
     this.#stream.send({ case: "startRuns", value });
--- a/src/coordination/messages/start_runs.ts
+++ b/src/coordination/messages/start_runs.ts
@@ -7,6 +7,11 @@
    * of the worker returns it as `receivedBatch`.
    */
   batch: number;
+  /**
+   * Revision of the profile by which the runs were placed. The agent returns them if its
+   * worker has another one by now. Entries of earlier versions don't send it.
+   */
+  workerRevision?: number | undefined;
   jobId: string;
   /** Time since the entry has got the job, in milliseconds. */
   ageMs: number;
--- a/src/coordination/messages/worker_profile.ts
+++ b/src/coordination/messages/worker_profile.ts
@@ -13,4 +13,10 @@
   service: string;
   /** Rack of the worker; empty if it isn't known. */
   rack: string;
+  /**
+   * Rises when the agent has another incarnation of the worker, or when the worker
+   * describes itself otherwise but for its capacity. Starts again with each process of
+   * the agent; 0 from agents of earlier versions.
+   */
+  revision: number;
 }
--- a/src/protocol/batch/format_batch_frame.ts
+++ b/src/protocol/batch/format_batch_frame.ts
@@ -46,6 +46,7 @@
         value.claimNumber,
         value.awaitedHomes,
         value.detourMs,
+        value.workerRevision,
       ];
     }
     case "stopRuns":
@@ -116,8 +117,11 @@
 
 function createProfileRow(profile: WorkerProfile): unknown[] {
   const { workerId, cpuMillis, memoryMb, gpus } = profile;
-  const { labels, zone, service, rack } = profile;
-  return [workerId, cpuMillis, memoryMb, gpus, labels, zone, service, rack];
+  const { labels, zone, service, rack, revision } = profile;
+  return [
+    ...[workerId, cpuMillis, memoryMb, gpus, labels, zone, service, rack],
+    revision,
+  ];
 }
 
 function createStatusRow(status: WorkerStatus): unknown[] {
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -30,6 +30,7 @@
   claimNumber: number,
   awaitedHomes: number,
   detourMs?: number | null,
+  workerRevision?: number | null,
 ];
 
 type RunOrderRow = [
@@ -70,6 +71,7 @@
   zone: string,
   service: string,
   rack?: string,
+  revision?: number,
 ];
 
 type StatusRow = [
@@ -238,8 +240,9 @@
     ageMs: row[8],
     claimNumber: row[9],
     awaitedHomes: row[10],
-    // Entries of earlier versions don't send it.
+    // Entries of earlier versions don't send them.
     ...(typeof row[11] === "number" ? { detourMs: row[11] } : {}),
+    ...(typeof row[12] === "number" ? { workerRevision: row[12] } : {}),
   };
 }
 
@@ -275,9 +278,13 @@
 
 function parseProfile(row: ProfileRow): WorkerProfile {
   const [workerId, cpuMillis, memoryMb, gpus, labels, zone, service] = row;
-  // Agents of earlier versions don't send the rack.
+  // Agents of earlier versions don't send the rack, or the revision.
   const rack = row[7] ?? "";
-  return { workerId, cpuMillis, memoryMb, gpus, labels, zone, service, rack };
+  const revision = row[8] ?? 0;
+  return {
+    ...{ workerId, cpuMillis, memoryMb, gpus, labels, zone, service, rack },
+    revision,
+  };
 }
 
 function parseStatus(row: StatusRow): WorkerStatus {
--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -7,6 +7,7 @@
   JobGrant,
   RunEnd,
   StartRuns,
+  WorkerProfile,
 } from "../../../../src/coordination/messages/mod.ts";
 import type { KeyedStore } from "../../../../src/coordination/ports/mod.ts";
 import { createError } from "../../../../src/state/errors/mod.ts";
@@ -133,6 +134,12 @@
     .flatMap(({ value }) => value.ends);
 }
 
+function getProfiles(stream: MemoryStream): WorkerProfile[] {
+  return stream.sent.map(({ kind }) => kind)
+    .filter((kind) => kind.case === "workerProfile")
+    .map(({ value }) => value);
+}
+
 function getCases(stream: MemoryStream): BatchBody["case"][] {
   return stream.sent.map(({ kind }) => kind.case);
 }
@@ -250,6 +257,67 @@
     expect(worker.running.has(TASK)).to.equal(true);
   });
 
+  describe("with a worker that is replaced", () => {
+    // Guards against tasks at a worker without their label, service or rack, which the
+    // entry took for the former one (review/14).
+    let owner: MemoryStream;
+    let workerRevision: number | undefined;
+
+    beforeEach(async () => {
+      owner = openStream("entry-1");
+      await waitUntil(() => getProfiles(owner).length > 0, "its profile");
+      workerRevision = getProfiles(owner).at(-1)?.revision;
+      worker.crash();
+      await waitUntil(() => !agent.runner.acceptsWork, "the crash is noticed");
+      worker.isDown = false;
+      const { bornAtMs } = worker;
+      const labels = ["other-kind"];
+      agent.runner.handleWorkerReport({ ...WORKER_REPORT, bornAtMs, labels });
+      await waitUntil(() => agent.runner.acceptsWork, "it accepts work again");
+    });
+
+    it("returns orders that were placed on the former one", async () => {
+      const value = { ...START_RUNS.value, workerRevision };
+      sendBody(owner, { case: "startRuns", value });
+      await waitUntil(() => getEnds(owner).length > 0, "the run is returned");
+      expect(getEnds(owner)[0]).to.include({ task: TASK, outcome: "returned" });
+      await wait(START_DELAY_MS);
+      expect(worker.starts).to.have.length(0);
+    });
+
+    it("starts orders that were placed on the new one", async () => {
+      await waitUntil(
+        () => getProfiles(owner).at(-1)?.labels[0] === "other-kind",
+        "the new profile",
+      );
+      const { revision } = getProfiles(owner).at(-1) as WorkerProfile;
+      const value = { ...START_RUNS.value, workerRevision: revision };
+      sendBody(owner, { case: "startRuns", value });
+      await waitUntil(() => worker.running.has(TASK), "the run has started");
+    });
+
+    it("starts orders of entries of earlier versions, which name no revision", async () => {
+      sendBody(owner, START_RUNS);
+      await waitUntil(() => worker.running.has(TASK), "the run has started");
+    });
+  });
+
+  it("tells an entry of a worker that is another one though it describes itself alike", async () => {
+    const owner = openStream("entry-1");
+    await waitUntil(() => getProfiles(owner).length === 1, "the first profile");
+    worker.crash();
+    await waitUntil(() => !agent.runner.acceptsWork, "the crash is noticed");
+    worker.isDown = false;
+    const { bornAtMs } = worker;
+    agent.runner.handleWorkerReport({ ...WORKER_REPORT, bornAtMs });
+    await waitUntil(
+      () => getProfiles(owner).at(-1)?.workerId === WORKER_REPORT.workerId,
+      "the new profile",
+    );
+    const revisions = getProfiles(owner).map(({ revision }) => revision);
+    expect(revisions.at(-1)).to.be.greaterThan(revisions[0] as number);
+  });
+
   it("tells the entry of a job that another one has cancelled it", async () => {
     // Guards against an entry that starts the tasks of a cancelled job again.
     const owner = openStream("entry-1");
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -173,6 +173,50 @@
       .to.deep.equal(["c declined"]);
   });
 
+  it("returns queued runs when the worker no longer is what it was placed by", async () => {
+    // Guards against starts on a worker that has lost the label of the step.
+    await startWorker();
+    const { workerRevision } = runner;
+    for (const task of ["a", "b", "c"]) {
+      runner.add(createRun(owner, { task, workerRevision }));
+    }
+    runner.processQueue();
+    await waitUntil(() => worker.starts.length === 2, "two runs have started");
+    const labels = ["other-kind"];
+    runner.handleWorkerReport(createDescription({ sequence: 2, labels }));
+    expect(owner.ends.map(({ task, outcome }) => `${task} ${outcome}`))
+      .to.deep.equal(["c returned"]);
+    expect(runner.workerRevision).to.be.greaterThan(workerRevision);
+  });
+
+  it("keeps queued runs when only the capacity of the worker changes", async () => {
+    await startWorker();
+    const { workerRevision } = runner;
+    for (const task of ["a", "b", "c"]) {
+      runner.add(createRun(owner, { task, workerRevision }));
+    }
+    runner.processQueue();
+    const capacity = { cpuMillis: 3_000, memoryMb: 1_000, gpus: 0 };
+    runner.handleWorkerReport(createDescription({ sequence: 2, capacity }));
+    expect(owner.ends).to.have.length(0);
+    expect(runner.workerRevision).to.equal(workerRevision);
+  });
+
+  it("does not repeat a start that the worker missed once it is no longer what it was placed by", async () => {
+    // Guards against starts on a worker that has lost the label of the step.
+    await startWorker();
+    const { workerRevision } = runner;
+    worker.startFaults.push("carried_out_late");
+    worker.lateStartDelayMs = 5_000;
+    runner.add(createRun(owner, { workerRevision }));
+    runner.processQueue();
+    const labels = ["other-kind"];
+    runner.handleWorkerReport(createDescription({ sequence: 2, labels }));
+    await waitUntil(() => owner.ends.length > 0, "the run has ended");
+    expect(owner.getOutcomes()).to.deep.equal(["returned"]);
+    expect(worker.starts).to.have.length(0);
+  });
+
   it("logs that it distrusts a worker whose latest jobs took far longer", async () => {
     await startWorker();
     for (const jobId of ["a", "b", "c"]) {
--- a/tests/coordination/batch/entry/batch_entry_test.ts
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -112,6 +112,18 @@
     });
   });
 
+  it("tells the agent on which worker it has placed the tasks", async () => {
+    // Guards against starts on a worker that has replaced that one (review/14).
+    await connectFirstAgent();
+    submitJob(new AbortController().signal);
+    await waitUntil(
+      () => peers.getStarts(FIRST.address).length === 1,
+      "the task is sent",
+    );
+    const [order] = peers.getStarts(FIRST.address);
+    expect(order?.workerRevision).to.equal(peers.workerRevision);
+  });
+
   it("runs a job on for its second caller when the first one disconnects", async () => {
     // Guards against a caller that is refused because an earlier connection ended.
     await connectFirstAgent();
--- a/tests/coordination/batch/entry/reported_load_test.ts
+++ b/tests/coordination/batch/entry/reported_load_test.ts
@@ -8,6 +8,7 @@
 
 const PROFILE: WorkerProfile = {
   ...{ workerId: "w", service: "s", zone: "a", labels: [], rack: "" },
+  revision: 1,
   ...{ cpuMillis: 4_000, memoryMb: 512, gpus: 0 },
 };
 
--- a/tests/lib/fake_agent_peers.ts
+++ b/tests/lib/fake_agent_peers.ts
@@ -10,7 +10,7 @@
 
 const PROFILE: WorkerProfile = {
   ...{ workerId: "w-1", cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
-  ...{ labels: [], rack: "", zone: "a", service: "s" },
+  ...{ labels: [], rack: "", zone: "a", service: "s", revision: 7 },
 };
 
 const STATUS: WorkerStatus = {
@@ -50,6 +50,8 @@
 
 /** In-memory agents that record what an entry sends to them. */
 export class FakeAgentPeers implements PeerConnector<BatchFrame> {
+  /** Revision of the profile that each agent sends of its worker. */
+  readonly workerRevision = PROFILE.revision;
   /** All streams that were opened, in order. */
   readonly opened: { address: string; stream: MemoryStream }[] = [];
 
--- a/tests/protocol/batch/batch_frame_test.ts
+++ b/tests/protocol/batch/batch_frame_test.ts
@@ -28,6 +28,7 @@
       timeLeftMs: 1_500,
       targetLeftMs: -20,
       detourMs: 35,
+      workerRevision: 4,
       runs: [{
         task: TASK,
         run: 1,
@@ -66,6 +67,7 @@
       zone: "z",
       service: "s",
       rack: "r1",
+      revision: 4,
     },
   },
   {
@@ -160,6 +162,16 @@
     expect(frame?.kind.value).to.include({ service: "s", rack: "" });
   });
 
+  it("of earlier versions name no revision of a worker", () => {
+    const fields = '"w",16000,1024,0,["a"],"z","s","r1"';
+    const profile = parseBatchFrame(`[1,0,"workerProfile",${fields}]`);
+    expect(profile?.kind.value).to.include({ rack: "r1", revision: 0 });
+    const order = '1,"aa","x",0,100,50,[],"r",0,0,0,35';
+    const startRuns = parseBatchFrame(`[1,0,"startRuns",${order}]`);
+    expect(startRuns?.kind.value).to.include({ detourMs: 35 });
+    expect(startRuns?.kind.value).not.to.have.property("workerRevision");
+  });
+
   it("of a kind that this version does not know are passed over", () => {
     expect(parseBatchFrame('[1,0,"newKind",5]')).to.equal(undefined);
   });
