Count lost runs for the limit of tasks per worker

Callers could see: two tasks of a step ran at one worker although the job allows one (maxPerWorker), after the stream to its agent was lost and opened again.

Cause: the entry counted runs that are sent and left out those that are lost, which may be executing until their end is reported or their lease expires.

Evidence: the new test of batch_job_run_test failed before, with the second task at the worker of the lost run, and passes now.

--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -541,9 +541,10 @@
     const now = this.#getTime();
     const stepTasks = this.#tasks.steps[first.stepNumber] ?? [];
     const placedCounts = new Map<string, number>();
-    for (const task of stepTasks) {
-      if (task.state === "sent" && task.stream !== undefined) {
-        const { agentId } = task.stream;
+    for (const { state, stream } of stepTasks) {
+      // A run that was lost may be executing still.
+      if ((state === "sent" || state === "lost") && stream !== undefined) {
+        const { agentId } = stream;
         placedCounts.set(agentId, (placedCounts.get(agentId) ?? 0) + 1);
       }
     }
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -357,6 +357,27 @@
     job.run.cancel();
   });
 
+  it("counts the runs of a lost agent for the limit of tasks per worker", async () => {
+    // Guards against more tasks of a step at one worker than the job allows.
+    const step = createBatchStep({ count: 2, maxPerWorker: 1 });
+    const job = new JobHarness([step]);
+    const [first, second] = job.sent as [SentRun, SentRun];
+    // Orders the first task again, on another stream than the second one.
+    job.streamNumber++;
+    job.endRun(0, "returned");
+    await waitUntil(
+      () => job.sent.length === 3,
+      "the first task is sent again",
+    );
+    expect(job.sent[2]?.agentId).to.equal(first.agentId);
+    job.loseStream(2);
+    job.endRun(1, "returned");
+    await waitUntil(() => job.sent.length === 4, "the other is sent again");
+    const { task, agentId } = second;
+    expect(job.sent[3]).to.include({ task, agentId });
+    job.run.cancel();
+  });
+
   it("does not repeat the runs of a lost agent when another process reports under its name", async () => {
     // Guards against a second run of a task whose agent was replaced elsewhere.
     const job = new JobHarness([createBatchStep()]);
