Refuse jobs that fit on no known worker until all workers are known

Callers saw: right after a restart of all processes, jobs were answered failed, which is final, although there were workers for them.

Cause: an entry fails a job that fits on none of the workers it has ever known, also while it hasn't heard of some of them yet.

Now the job is refused as no_capacity until each agent has told of its worker or has had none for 3 s. Without the condition two of four new tests of batch_entry_test fail; they pass now.

--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -51,6 +51,13 @@
   neverReached: BATCH_LIMITS.entryTimeoutMs + BATCH_LIMITS.agentTimeoutMs,
 } as const;
 
+/**
+ * Time after the start of an agent, or after this entry has learnt of it, for which the
+ * agent may have a worker that it hasn't told of, in milliseconds: several reports of a
+ * worker.
+ */
+const UNKNOWN_WORKER_MS = 3_000;
+
 /** Delays between attempts to open the stream, in milliseconds. */
 const REOPEN_DELAY_MS = {
   first: 50,
@@ -129,6 +136,7 @@
   #hasBeenReached = false;
   /** When the agent's process started to keep claims. */
   #agentStartedAt = Infinity;
+  readonly #createdAt: number;
   #releasedJobs: string[] = [];
   #isStopped = false;
   readonly #operatorState: OperatorStateExchange;
@@ -141,6 +149,7 @@
       getName: () => this.agentId,
     });
     this.#getTime = options.getTime ?? (() => performance.now());
+    this.#createdAt = this.#getTime();
     const { name, address } = options.member;
     this.#streamId = { agentId: name, address, number: 0 };
     this.#load = new ReportedLoad(name);
@@ -203,6 +212,18 @@
     return this.#offer;
   }
 
+  /** Gets whether the agent may have a worker that it hasn't told of yet. */
+  get canHaveUnknownWorker(): boolean {
+    if (this.#offer !== undefined) {
+      return false;
+    }
+    const startedAt = Number.isFinite(this.#agentStartedAt)
+      ? this.#agentStartedAt
+      : this.#createdAt;
+    const sinceMs = Math.max(this.#createdAt, startedAt);
+    return this.#getTime() - sinceMs < UNKNOWN_WORKER_MS;
+  }
+
   /** Gets whether the agent has reported its status on the current stream. */
   get hasStatus(): boolean {
     return this.#status !== undefined;
--- a/src/coordination/batch/entry/batch_entry.ts
+++ b/src/coordination/batch/entry/batch_entry.ts
@@ -333,6 +333,8 @@
       placeRecord: this.#placeRecord,
       getLoads: () => this.#getLoads(route),
       getOffers: () => this.#getOffers(route),
+      hasUnknownWorkers: () =>
+        this.#linkList.some((link) => link.canHaveUnknownWorker),
       isConfined: () => this.#crashes.isConfined(route.name),
       declinePolicy: this.#getDeclinePolicy(route.service),
       hasClaim: () => this.#claims.canPlace(job.id),
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -68,6 +68,8 @@
   getLoads: () => readonly WorkerLoad[];
   /** Gets what the known workers offer, those that are away included. */
   getOffers: () => WorkerOffer[];
+  /** Returns whether there may be workers whose offers aren't known yet. */
+  hasUnknownWorkers: () => boolean;
   /**
    * Returns whether the job may use only some of the workers, since tasks of its
    * route crash them.
@@ -260,11 +262,15 @@
   }
 
   /**
-   * Returns whether the job would fit on the known workers if all of them were
-   * there with their full capacity.
+   * Returns whether the job would fit on the workers if all of them were there with
+   * their full capacity, as far as they are known.
    */
   #canRunLater(): boolean {
-    const offers = this.#options.getOffers();
+    const { getOffers, hasUnknownWorkers } = this.#options;
+    if (hasUnknownWorkers()) {
+      return true;
+    }
+    const offers = getOffers();
     return this.#options.job.steps.every((step) => canRunStep(step, offers));
   }
 
--- a/tests/coordination/batch/entry/batch_entry_test.ts
+++ b/tests/coordination/batch/entry/batch_entry_test.ts
@@ -28,7 +28,11 @@
   { name: "agent-1", address: "10.0.0.1:1", zone: "a" },
   { name: "agent-2", address: "10.0.0.2:1", zone: "a" },
 ];
-const [FIRST] = AGENTS as [(typeof AGENTS)[number]];
+type Agent = (typeof AGENTS)[number];
+const [FIRST, SECOND] = AGENTS as [Agent, Agent];
+
+/** Time for which an agent may have a worker that it hasn't heard of, in milliseconds. */
+const UNKNOWN_WORKER_MS = 3_000;
 
 describe("BatchEntry", () => {
   let store: MemoryKeyedStore;
@@ -112,6 +116,55 @@
     });
   });
 
+  describe("a job that fits on no known worker", () => {
+    const TOO_LARGE = { cpuMillis: 99_000, memoryMb: 1, gpus: 0 };
+
+    async function runTooLargeJob(): Promise<BatchAnswer> {
+      const steps = [createBatchStep({ resources: TOO_LARGE })];
+      return await entry.runJob({
+        job: { id: JOB_ID, spec: "x", steps },
+        ...{ route: ROUTE, timeLeftMs: 5_000 },
+        signal: new AbortController().signal,
+      });
+    }
+
+    it("is not failed while the worker of another agent isn't known", async () => {
+      // Guards against jobs that are failed for good after a restart of all processes,
+      // since the agents with the workers that fit have not been heard yet.
+      await connectFirstAgent();
+      expect(await runTooLargeJob()).to.include({ error: "no_capacity" });
+    });
+
+    it("is not failed while an agent has just started and knows no worker", async () => {
+      await connectFirstAgent();
+      await wait(UNKNOWN_WORKER_MS);
+      await sendAgentWithoutWorker(500);
+      expect(await runTooLargeJob()).to.include({ error: "no_capacity" });
+    });
+
+    it("is failed when all other agents have had no worker for long", async () => {
+      await connectFirstAgent();
+      await sendAgentWithoutWorker(60_000);
+      await wait(UNKNOWN_WORKER_MS);
+      expect(await runTooLargeJob()).to.deep.equal({ kind: "failed" });
+    });
+
+    it("is failed when the workers of all agents are known", async () => {
+      await connectFirstAgent();
+      peers.sendStatus(SECOND.address, { name: SECOND.name });
+      await waitUntil(() => log.count("worker_status") === 2, "the status");
+      expect(await runTooLargeJob()).to.deep.equal({ kind: "failed" });
+    });
+
+    async function sendAgentWithoutWorker(uptimeMs: number): Promise<void> {
+      const { address, name } = SECOND;
+      await waitUntil(() => peers.hasStream(address), "a stream");
+      const value = { name, incarnation: "i", stream: 0, uptimeMs };
+      peers.sendBody(address, { case: "hello", value });
+      await waitUntil(() => log.count("agent_found") === 2, "the agent");
+    }
+  });
+
   it("tells the agent on which worker it has placed the tasks", async () => {
     // Guards against starts on a worker that has replaced that one (review/14).
     await connectFirstAgent();
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -50,6 +50,7 @@
   address = "10.0.0.1:1";
   offers: WorkerOffer[] = [];
   isConfined = false;
+  hasUnknownWorkers = false;
   /** Whether the entry may start runs of the job. */
   hasClaim = true;
   readonly crashHistory = new CrashHistory();
@@ -88,6 +89,7 @@
       crashHistory: this.crashHistory,
       getLoads: () => this.loads,
       getOffers: () => this.offers,
+      hasUnknownWorkers: () => this.hasUnknownWorkers,
       isConfined: () => this.isConfined,
       declinePolicy: new DeclinePolicy(),
       hasClaim: () => this.hasClaim,
--- a/tests/lib/batch_cluster.ts
+++ b/tests/lib/batch_cluster.ts
@@ -122,6 +122,7 @@
       crashHistory: this.#crashHistory,
       getLoads: () => this.#getLoads(),
       getOffers: () => [],
+      hasUnknownWorkers: () => false,
       isConfined: () => false,
       declinePolicy: new DeclinePolicy(),
       hasClaim: () => true,
