Replace workers by others of another kind in the soak, and send groups

The soak had workers of one kind and chains of steps only, so it could see neither a start without the label of the step nor tasks of a group that are placed several times. It has workers of two kinds now, jobs that require one of them or end in tasks that share a rack, and a fault that replaces a worker while the streams to its agent are held.

--- a/scripts/soak/apply_soak_fault.ts
+++ b/scripts/soak/apply_soak_fault.ts
@@ -115,6 +115,22 @@
       worker.startIncarnation();
       return;
     }
+    case "worker_replaced": {
+      const { target, keepsId, workerKind } = fault;
+      const agent = getAgent(cluster, target);
+      const { worker, workerRelay, peerRelay, process } = agent;
+      await disturb([process.name], async () => {
+        peerRelay.setMode({ type: "hold" });
+        worker.crash();
+        workerRelay.setMode({ type: "refuse" });
+        await wait(forMs / 3);
+        workerRelay.setMode({ type: "pass" });
+        worker.startIncarnation({ keepsId, workerKind });
+        await wait(forMs * 2 / 3);
+        peerRelay.setMode({ type: "pass" });
+      });
+      return;
+    }
     case "zone_out":
       operator.setZoneState(fault.zone, "out");
       await wait(forMs);
--- a/scripts/soak/create_soak_plan.ts
+++ b/scripts/soak/create_soak_plan.ts
@@ -2,6 +2,7 @@
 import type { LinkAction } from "./link_action.ts";
 import type { ResendDisruption } from "./resend_disruption.ts";
 import type { SoakFault } from "./soak_fault.ts";
+import { WORKER_KINDS } from "./worker_kinds.ts";
 
 /** Time between the starts of two faults; several are active at a time. */
 const FAULT_GAP_MS = { min: 50, max: 1_500 } as const;
@@ -64,6 +65,15 @@
   ...["hold_forward", "hold_backward"] as const,
 ];
 
+/**
+ * Time between replacements of workers by others of another kind, and for how long the
+ * streams to the agent are held: less than the time after which they are given up.
+ */
+const REPLACEMENT_MS = { gap: [500, 3_000], duration: [150, 600] } as const;
+
+/** Keeps the generator of the replacements apart from the others of a seed. */
+const REPLACEMENT_SEED_OFFSET = 1_000_003;
+
 export interface SoakPlanOptions {
   seed: number;
   lengthMs: number;
@@ -89,7 +99,11 @@
       ? FAULT_GAP_MS.min
       : getInt(FAULT_GAP_MS.min, FAULT_GAP_MS.max);
   }
-  return [...faults, ...createResends(options)]
+  return [
+    ...faults,
+    ...createResends(options),
+    ...createReplacements(options),
+  ]
     .sort((a, b) => a.atMs - b.atMs);
 
   function createFault(startMs: number): SoakFault {
@@ -171,3 +185,25 @@
   }
   return resends;
 }
+
+/** Uses a generator of its own, so that the other faults don't depend on it. */
+function createReplacements({ seed, lengthMs, agents }: SoakPlanOptions) {
+  const generator = xoroshiro128plus(seed + REPLACEMENT_SEED_OFFSET);
+  const getInt = (range: readonly [number, number]) =>
+    unsafeUniformIntDistribution(...range, generator);
+  const replacements: SoakFault[] = [];
+  for (
+    let atMs = getInt(REPLACEMENT_MS.gap);
+    atMs < lengthMs;
+    atMs += getInt(REPLACEMENT_MS.gap)
+  ) {
+    replacements.push({
+      ...{ kind: "worker_replaced", atMs },
+      forMs: getInt(REPLACEMENT_MS.duration),
+      target: getInt([0, agents - 1]),
+      keepsId: getInt([0, 1]) === 1,
+      workerKind: WORKER_KINDS[getInt([0, WORKER_KINDS.length - 1])] as string,
+    });
+  }
+  return replacements;
+}
--- a/scripts/soak/soak_clients.ts
+++ b/scripts/soak/soak_clients.ts
@@ -9,6 +9,7 @@
 import type { SoakOracle } from "./soak_oracle.ts";
 import type { SoakRoute } from "./soak_route.ts";
 import type { SubmissionOutcome } from "./submission_outcome.ts";
+import { WORKER_KINDS } from "./worker_kinds.ts";
 
 /** Interval of jobs; uses about half of the workers' capacity. */
 const JOB_INTERVAL_MS = 25;
@@ -34,6 +35,19 @@
 /** Percentages of jobs whose client disconnects early or that fit no worker. */
 const JOB_PERCENT = { disconnecting: 4, unplaceable: 2 } as const;
 
+/**
+ * Percentages of jobs that require a kind of worker, and whose last step is a group, and
+ * the number of steps of the latter.
+ */
+const JOB_SHAPE = {
+  labelPercent: 15,
+  groupPercent: 15,
+  groupSteps: 3,
+} as const;
+
+/** Keeps the generator of the jobs' shapes apart from the others of a seed. */
+const SHAPE_SEED_OFFSET = 2_000_003;
+
 /** Jobs that are sent to a second entry while the first one may still have them. */
 const RESENT_JOBS = {
   count: 4,
@@ -73,6 +87,8 @@
   readonly #generator;
   /** Generator for jobs that are sent again. */
   readonly #resendGenerator;
+  /** Generator for what jobs require of workers, and how their steps depend. */
+  readonly #shapeGenerator;
   readonly #httpClient = new HttpClient({ maxConnections: 64 });
   /** Client of the jobs that are sent again, which wait longer for answers. */
   readonly #resendClient = new HttpClient({ maxConnections: 64 });
@@ -86,6 +102,7 @@
     this.#options = options;
     this.#generator = xoroshiro128plus(options.seed);
     this.#resendGenerator = xoroshiro128plus(~options.seed);
+    this.#shapeGenerator = xoroshiro128plus(options.seed + SHAPE_SEED_OFFSET);
   }
 
   /** Gets the number of submissions by outcome. */
@@ -118,6 +135,7 @@
         ...this.#createJob(),
         cpuMillis: 2_000,
         crashesWorkers: false,
+        requiredLabel: undefined,
       };
       ids.push(job.id);
       await this.#submit(job, { isProbe: true });
@@ -168,6 +186,10 @@
     return unsafeUniformIntDistribution(from, to, this.#generator);
   }
 
+  #getShapeInt(from: number, to: number): number {
+    return unsafeUniformIntDistribution(from, to, this.#shapeGenerator);
+  }
+
   #getResendInt(range: readonly [number, number]): number {
     return unsafeUniformIntDistribution(...range, this.#resendGenerator);
   }
@@ -188,17 +210,29 @@
     this.#jobCount++;
     const runMs = this.#getInt(20, 300);
     const isUnplaceable = this.#getInt(1, 100) <= JOB_PERCENT.unplaceable;
+    const tasksPerStep = this.#getInt(1, 6);
+    const steps = this.#getInt(1, 4) === 1 ? 2 : 1;
+    const endsInGroup = this.#getShapeInt(1, 100) <= JOB_SHAPE.groupPercent;
     return {
       id: this.#jobCount.toString(16).padStart(16, "0"),
       spec: JSON.stringify({ job: this.#jobCount, runMs }),
-      tasksPerStep: this.#getInt(1, 6),
-      steps: this.#getInt(1, 4) === 1 ? 2 : 1,
+      tasksPerStep,
+      steps: endsInGroup ? JOB_SHAPE.groupSteps : steps,
       cpuMillis: isUnplaceable ? 64_000 : 2_000,
       expectedMs: runMs,
       crashesWorkers: this.#jobCount % CRASHING_JOB_INTERVAL === 0,
+      endsInGroup,
+      requiredLabel: this.#selectLabel(),
     };
   }
 
+  #selectLabel(): string | undefined {
+    const index = this.#getShapeInt(0, WORKER_KINDS.length - 1);
+    return this.#getShapeInt(1, 100) <= JOB_SHAPE.labelPercent
+      ? WORKER_KINDS[index]
+      : undefined;
+  }
+
   #submit(
     job: SubmittedJob,
     options: { isProbe?: boolean } = {},
--- a/scripts/soak/soak_cluster.ts
+++ b/scripts/soak/soak_cluster.ts
@@ -12,11 +12,15 @@
 import type { SoakEntry } from "./soak_entry.ts";
 import { SOAK_LIMITS } from "./soak_limits.ts";
 import { SoakProcess } from "./soak_process.ts";
+import { WORKER_KINDS } from "./worker_kinds.ts";
 import type { WorkerLocation } from "./worker_location.ts";
 
-/** Slowdown of tasks outside their data's rack; soak jobs name no rack. */
+/** Slowdown of tasks outside their data's rack, or away from their group. */
 const FAR_FACTOR = 1.5;
 
+/** Number of agents whose workers are in one rack. */
+const AGENTS_PER_RACK = 4;
+
 /** Time after which a worker that a task has crashed is back. */
 const WORKER_RESTART_MS = 2_000;
 
@@ -184,6 +188,8 @@
       name: `worker-${n + 1}`,
       service,
       zone,
+      workerKind: getWorkerKind(n, services.length),
+      rack: `r${1 + Math.floor(n / AGENTS_PER_RACK)}`,
       cpuMillis: workerCpuMillis,
       slowdown: hasEqualWorkers ? 1 : 0.7 + 0.3 * (n % 3),
       // Clocks of workers may run up to 2% slow.
@@ -241,3 +247,9 @@
     return zones[n % zones.length] as string;
   }
 }
+
+/** Gets the first kind of a worker; each service has workers of each kind. */
+function getWorkerKind(n: number, serviceCount: number): string {
+  const ofService = Math.floor(n / serviceCount);
+  return WORKER_KINDS[ofService % WORKER_KINDS.length] as string;
+}
--- a/scripts/soak/soak_fault.ts
+++ b/scripts/soak/soak_fault.ts
@@ -31,6 +31,13 @@
       readonly keepsId: boolean;
     }
     | { readonly kind: "worker_drain"; readonly target: number }
+    /** Another worker follows while the streams to its agent are held. */
+    | {
+      readonly kind: "worker_replaced";
+      readonly target: number;
+      readonly keepsId: boolean;
+      readonly workerKind: string;
+    }
     | { readonly kind: "zone_out"; readonly zone: string }
     | { readonly kind: "config" }
     | { readonly kind: "burst"; readonly factor: number }
--- a/scripts/soak/soak_oracle.ts
+++ b/scripts/soak/soak_oracle.ts
@@ -1,4 +1,8 @@
-import type { SubmittedJob, WorkerEvent } from "../../platform/stand_in/mod.ts";
+import {
+  getStepDependencies,
+  type SubmittedJob,
+  type WorkerEvent,
+} from "../../platform/stand_in/mod.ts";
 import type { DisturbanceHistory } from "./disturbance_history.ts";
 import { SOAK_LIMITS } from "./soak_limits.ts";
 import type { SubmissionOutcome } from "./submission_outcome.ts";
@@ -19,6 +23,9 @@
  */
 const CAPACITY_BOUND_MS = 3_500;
 
+/** Time for which entries may take a label for missing, once a worker has it again. */
+const LABEL_SETTLING_MS = 3_000;
+
 /** Allowance for events of stand-ins that are delayed on a busy machine. */
 const SLACK_MS = 500;
 
@@ -51,6 +58,13 @@
   readonly #tasks = new Map<string, TaskRecord>();
   readonly #drainedAt = new Map<string, number>();
   readonly #zonesOutAt = new Map<string, number>();
+  /** Service and labels of the latest incarnation of each agent's worker. */
+  readonly #labels = new Map<
+    string,
+    { service: string; labels: readonly string[] }
+  >();
+  /** When each service last had no worker with a label. */
+  readonly #labelsMissingAt = new Map<string, number>();
 
   constructor(disturbanceHistory: DisturbanceHistory) {
     this.#disturbanceHistory = disturbanceHistory;
@@ -110,7 +124,8 @@
         `${jobId} was answered as completed, but a task has not completed`,
       );
     }
-    const canFail = record.job.cpuMillis > SOAK_LIMITS.workerCpuMillis ||
+    const canFail = this.#canLackWorkers(record) ||
+      record.job.cpuMillis > SOAK_LIMITS.workerCpuMillis ||
       tasks.some((task) =>
         (task?.failed ?? 0) >= SOAK_LIMITS.maxAttempts ||
         (task?.crashed ?? 0) >= SOAK_LIMITS.crashesToGiveUp
@@ -152,12 +167,46 @@
         return;
       case "life_started":
         this.#drainedAt.delete(event.workerId);
+        this.#recordLabels(location, event.labels);
         return;
       default:
         event satisfies never;
     }
   }
 
+  #recordLabels(
+    { agent, service }: WorkerLocation,
+    labels: readonly string[],
+  ): void {
+    const former = this.#labels.get(agent)?.labels ?? [];
+    this.#labels.set(agent, { service, labels });
+    for (const label of former) {
+      if (!this.#hasWorker(service, label)) {
+        this.#labelsMissingAt.set(`${service} ${label}`, Infinity);
+      }
+    }
+    for (const label of labels) {
+      if (this.#labelsMissingAt.has(`${service} ${label}`)) {
+        this.#labelsMissingAt.set(`${service} ${label}`, performance.now());
+      }
+    }
+  }
+
+  #hasWorker(service: string, label: string): boolean {
+    return [...this.#labels.values()].some((worker) =>
+      worker.service === service && worker.labels.includes(label)
+    );
+  }
+
+  /** Returns whether an entry may know no worker with the label of a job. */
+  #canLackWorkers({ job, service }: JobRecord): boolean {
+    const missingAt = this.#labelsMissingAt.get(
+      `${service} ${job.requiredLabel}`,
+    );
+    return missingAt !== undefined &&
+      performance.now() - missingAt < LABEL_SETTLING_MS;
+  }
+
   /** Checks what can be decided only after all runs have ended. */
   checkFinalState(): void {
     for (const { job, outcomes } of this.#jobs.values()) {
@@ -232,8 +281,15 @@
         `${event.task} starts at a worker of ${location.service}`,
       );
     }
-    const previousStep = this.#getStep(record.job, Number(step) - 1);
-    if (previousStep.some((other) => (other?.done ?? 0) === 0)) {
+    const { requiredLabel } = record.job;
+    if (requiredLabel !== undefined && !event.labels.includes(requiredLabel)) {
+      this.addViolation(
+        `${event.task} starts at ${workerId}, which is no worker of kind ${requiredLabel}`,
+      );
+    }
+    const earlierTasks = getStepDependencies(record.job, Number(step))
+      .flatMap((number) => this.#getStep(record.job, number));
+    if (earlierTasks.some((other) => (other?.done ?? 0) === 0)) {
       this.addViolation(
         `${event.task} starts before the step that it depends on`,
       );
@@ -291,7 +347,7 @@
   }
 
   #getStep(job: SubmittedJob, step: number): (TaskRecord | undefined)[] {
-    return step < 0 ? [] : Array.from(
+    return Array.from(
       { length: job.tasksPerStep },
       (_, index) => this.#tasks.get(`${job.id}.0.${step}.${index}`),
     );
--- /dev/null
+++ b/scripts/soak/worker_kinds.ts
@@ -0,0 +1,2 @@
+/** Kinds of the workers, which are their labels. */
+export const WORKER_KINDS = ["a", "b"] as const;
--- a/tests/soak/create_soak_plan_test.ts
+++ b/tests/soak/create_soak_plan_test.ts
@@ -20,7 +20,7 @@
       ...["burst", "config", "hup", "kill", "kill_all", "link", "pause"],
       ...["resend", "stop", "store", "store_history", "worker"],
       "worker_crash",
-      ...["worker_drain", "zone_out"],
+      ...["worker_drain", "worker_replaced", "zone_out"],
     ]);
     let overlaps = 0;
     plan.slice(1).forEach(({ atMs }, n) => {
--- a/tests/soak/soak_oracle_test.ts
+++ b/tests/soak/soak_oracle_test.ts
@@ -28,11 +28,20 @@
 
   function start(
     task: string,
-    options: { workerId?: string; spec?: string; at?: number } = {},
+    options: {
+      workerId?: string;
+      spec?: string;
+      at?: number;
+      labels?: string[];
+    } = {},
   ): void {
     const { workerId = "w-1", spec = "s", at = performance.now() } = options;
+    const { labels = ["a"] } = options;
     oracle.handleEvent(
-      { kind: "started", workerId, at, task, run: 1, spec, isLate: false },
+      {
+        ...{ kind: "started", workerId, at, task, run: 1, spec, labels },
+        isLate: false,
+      },
       LOCATION,
     );
   }
@@ -111,6 +120,40 @@
     expect([...oracle.getActiveWorkerIds([JOB.id])]).to.deep.equal([]);
   });
 
+  it("finds a start at a worker without the label of the job", () => {
+    oracle.addJob({ ...JOB, requiredLabel: "b" }, "render");
+    start(FIRST_STEP_TASK, { labels: ["b", "r1"] });
+    end(FIRST_STEP_TASK, "done");
+    expect(oracle.violations).to.deep.equal([]);
+    start(SECOND_STEP_TASK, { labels: ["a", "r1"] });
+    expectOneViolation("which is no worker of kind b");
+  });
+
+  it("lets a job fail only while no worker has its label", () => {
+    const answer = { kind: "answer", status: 200, state: "failed" } as const;
+    const at = performance.now();
+    const startLife = (labels: string[]) =>
+      oracle.handleEvent(
+        { kind: "life_started", workerId: "w-1", at, labels },
+        LOCATION,
+      );
+    oracle.addJob({ ...JOB, requiredLabel: "b" }, "render");
+    startLife(["b"]);
+    oracle.recordOutcome(JOB.id, answer);
+    expectOneViolation("failed without a cause");
+    startLife(["a"]);
+    oracle.recordOutcome(JOB.id, answer);
+    expect(oracle.violations).to.have.length(1);
+  });
+
+  it("finds a group that starts before the step that it depends on", () => {
+    oracle.addJob({ ...JOB, steps: 3, endsInGroup: true }, "render");
+    start(SECOND_STEP_TASK);
+    expect(oracle.violations).to.deep.equal([]);
+    start(`${JOB.id}.0.2.0`);
+    expectOneViolation("before the step that it depends on");
+  });
+
   it("finds a task that was not submitted, or with another spec", () => {
     start("0000000000000002.0.0.0");
     start(FIRST_STEP_TASK, { spec: "other" });
@@ -121,6 +164,7 @@
     oracle.handleEvent({
       ...{
         kind: "started",
+        labels: [],
         workerId: "w-1",
         at: 0,
         task: FIRST_STEP_TASK,
