Check the revision of queued runs when it changes

The queue was searched for runs of an earlier revision at each of its turns. Only a description with other traits can leave such runs there: all queued runs are returned when an incarnation ends. The tests of the agent pass.

--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -119,6 +119,7 @@
   readonly #room: WorkerRoom;
   readonly #reportSequence = new ReportSequence();
   #worker: WorkerDescription | undefined;
+  /** Rises with each incarnation, and when the worker's traits change. */
   #workerRevision = 0;
   /**
    * The latest report of another incarnation than the one in use. It may be
@@ -234,6 +235,10 @@
     this.#worker = worker;
     if (!hasSameTraits(worker, known)) {
       this.#workerRevision++;
+      this.#returnQueuedRuns(
+        OTHER_REVISION_REASON,
+        (run) => !this.#isPlacedOnWorker(run),
+      );
     }
     if (known.isDraining !== worker.isDraining) {
       this.#options.log.record("worker_state", {
@@ -425,10 +430,6 @@
       "the worker's capacity has shrunk",
       (run) => !hasRoom(capacity, run.resources),
     );
-    this.#returnQueuedRuns(
-      OTHER_REVISION_REASON,
-      (run) => !this.#isPlacedOnWorker(run),
-    );
     const canExtendLease = this.#canExtendLease();
     const takeOptions = {
       now: this.#getTime(),
