--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -137,7 +137,7 @@
  * Blocks the event loop for a time in milliseconds, so that all timers that fall due
  * meanwhile are handled in one turn, as after a pause of the process.
  */
-function blockEventLoop(durationMs: number): void {
+function runBusyLoop(durationMs: number): void {
   const until = performance.now() + durationMs;
   while (performance.now() < until);
 }
@@ -176,7 +176,7 @@
         await wait(30);
         expect(getLastStep(job)).to.have.length(0);
         job.hasClaim = true;
-        blockEventLoop(50);
+        runBusyLoop(50);
         await waitUntil(() => getLastStep(job).length > 0, "they are sent");
         await wait(30);
         expect(getLastStep(job).map(({ run }) => run))
@@ -195,7 +195,7 @@
         job.loads = ["c", "d"].map((agentId) =>
           createWorkerLoad({ agentId, labels: [requiredLabel] })
         );
-        blockEventLoop(150);
+        runBusyLoop(150);
         await waitUntil(() => getLastStep(job).length > 0, "they are sent");
         await wait(150);
         expect(getLastStep(job).map(({ run }) => run))
