Simplify the placement schedule, the revision and the soak's new faults

Read again as a newcomer: - addToGroup of batch_job_run.ts is shared in place of a second grouping, which copied an array for each due task. - A job creates its schedule when a task is first put off.

--- a/scripts/soak/apply_soak_fault.ts
+++ b/scripts/soak/apply_soak_fault.ts
@@ -95,14 +95,11 @@
       return;
     }
     case "worker_crash": {
-      const { worker, workerRelay, process } = getAgent(cluster, fault.target);
-      await disturb([process.name], async () => {
-        worker.crash();
-        workerRelay.setMode({ type: "refuse" });
-        await wait(forMs);
-        workerRelay.setMode({ type: "pass" });
-        worker.startIncarnation({ keepsId: fault.keepsId });
-      });
+      const agent = getAgent(cluster, fault.target);
+      await disturb(
+        [agent.process.name],
+        () => restartWorker(agent, fault, forMs),
+      );
       return;
     }
     case "worker_drain": {
@@ -116,16 +113,11 @@
       return;
     }
     case "worker_replaced": {
-      const { target, keepsId, workerKind } = fault;
-      const agent = getAgent(cluster, target);
-      const { worker, workerRelay, peerRelay, process } = agent;
+      const agent = getAgent(cluster, fault.target);
+      const { peerRelay, process } = agent;
       await disturb([process.name], async () => {
         peerRelay.setMode({ type: "hold" });
-        worker.crash();
-        workerRelay.setMode({ type: "refuse" });
-        await wait(forMs / 3);
-        workerRelay.setMode({ type: "pass" });
-        worker.startIncarnation({ keepsId, workerKind });
+        await restartWorker(agent, fault, forMs / 3);
         await wait(forMs * 2 / 3);
         peerRelay.setMode({ type: "pass" });
       });
@@ -161,6 +153,20 @@
   }
 }
 
+/** Ends the worker of an agent, and starts another incarnation after some time. */
+async function restartWorker(
+  { worker, workerRelay }: SoakAgent,
+  options: { keepsId: boolean; workerKind?: string | undefined },
+  awayMs: number,
+): Promise<void> {
+  worker.crash();
+  workerRelay.setMode({ type: "refuse" });
+  await wait(awayMs);
+  workerRelay.setMode({ type: "pass" });
+  const { keepsId, workerKind } = options;
+  worker.startIncarnation({ keepsId, workerKind });
+}
+
 /** Disrupts the first entry of jobs, or the agents that run them. */
 async function disruptResentJobs(
   { disruption, forMs }: SoakFault & { kind: "resend" },
--- a/scripts/soak/create_soak_plan.ts
+++ b/scripts/soak/create_soak_plan.ts
@@ -161,49 +161,64 @@
   }
 }
 
-/** Uses a generator of its own, so that the other faults don't depend on it. */
-function createResends({ seed, lengthMs, entries }: SoakPlanOptions) {
-  const generator = xoroshiro128plus(~seed);
-  const getInt = (range: readonly [number, number]) =>
-    unsafeUniformIntDistribution(...range, generator);
-  const resends: SoakFault[] = [];
-  for (
-    let atMs = getInt(RESEND_MS.gap);
-    atMs < lengthMs;
-    atMs += getInt(RESEND_MS.gap)
-  ) {
-    resends.push({
-      ...{ kind: "resend", atMs },
-      forMs: getInt(RESEND_MS.duration),
-      disruption: RESEND_DISRUPTIONS[
-        getInt([0, RESEND_DISRUPTIONS.length - 1])
-      ] as ResendDisruption,
-      target: getInt([0, entries - 1]),
-      afterMs: getInt(RESEND_MS.disruption),
-      isReset: getInt([0, 1]) === 1,
-    });
-  }
-  return resends;
+/** Creates groups of jobs that are sent again. */
+function createResends(
+  { seed, lengthMs, entries }: SoakPlanOptions,
+): SoakFault[] {
+  const series = { seed: ~seed, lengthMs, gapMs: RESEND_MS.gap };
+  return createSeries(series, (atMs, getInt) => ({
+    ...{ kind: "resend", atMs },
+    forMs: getInt(RESEND_MS.duration),
+    disruption: RESEND_DISRUPTIONS[
+      getInt([0, RESEND_DISRUPTIONS.length - 1])
+    ] as ResendDisruption,
+    target: getInt([0, entries - 1]),
+    afterMs: getInt(RESEND_MS.disruption),
+    isReset: getInt([0, 1]) === 1,
+  }));
+}
+
+/** Creates replacements of workers by others, which may be of another kind. */
+function createReplacements(
+  { seed, lengthMs, agents }: SoakPlanOptions,
+): SoakFault[] {
+  const series = {
+    seed: seed + REPLACEMENT_SEED_OFFSET,
+    ...{ lengthMs, gapMs: REPLACEMENT_MS.gap },
+  };
+  return createSeries(series, (atMs, getInt) => ({
+    ...{ kind: "worker_replaced", atMs },
+    forMs: getInt(REPLACEMENT_MS.duration),
+    target: getInt([0, agents - 1]),
+    keepsId: getInt([0, 1]) === 1,
+    workerKind: WORKER_KINDS[getInt([0, WORKER_KINDS.length - 1])] as string,
+  }));
 }
 
-/** Uses a generator of its own, so that the other faults don't depend on it. */
-function createReplacements({ seed, lengthMs, agents }: SoakPlanOptions) {
-  const generator = xoroshiro128plus(seed + REPLACEMENT_SEED_OFFSET);
-  const getInt = (range: readonly [number, number]) =>
+type IntRange = readonly [from: number, to: number];
+
+/**
+ * Creates faults with random times between them. Uses a generator of its own, so that
+ * the other faults of the plan don't depend on them.
+ */
+function createSeries(
+  options: { seed: number; lengthMs: number; gapMs: IntRange },
+  createFault: (
+    atMs: number,
+    getInt: (range: IntRange) => number,
+  ) => SoakFault,
+): SoakFault[] {
+  const { seed, lengthMs, gapMs } = options;
+  const generator = xoroshiro128plus(seed);
+  const getInt = (range: IntRange) =>
     unsafeUniformIntDistribution(...range, generator);
-  const replacements: SoakFault[] = [];
+  const faults: SoakFault[] = [];
   for (
-    let atMs = getInt(REPLACEMENT_MS.gap);
+    let atMs = getInt(gapMs);
     atMs < lengthMs;
-    atMs += getInt(REPLACEMENT_MS.gap)
+    atMs += getInt(gapMs)
   ) {
-    replacements.push({
-      ...{ kind: "worker_replaced", atMs },
-      forMs: getInt(REPLACEMENT_MS.duration),
-      target: getInt([0, agents - 1]),
-      keepsId: getInt([0, 1]) === 1,
-      workerKind: WORKER_KINDS[getInt([0, WORKER_KINDS.length - 1])] as string,
-    });
+    faults.push(createFault(atMs, getInt));
   }
-  return replacements;
+  return faults;
 }
--- a/src/coordination/batch/agent/worker_runner.ts
+++ b/src/coordination/batch/agent/worker_runner.ts
@@ -1065,7 +1065,6 @@
       task: run.task,
       run: run.run,
       entry: run.owner.name,
-      workerId: this.#worker?.workerId,
       priority: run.priority,
       queuedMs: Math.round(waitMs),
       grantMs: Math.round(grantMs),
--- a/src/coordination/batch/entry/batch_job_run.ts
+++ b/src/coordination/batch/entry/batch_job_run.ts
@@ -17,6 +17,7 @@
 import type { EventLog } from "../../ports/mod.ts";
 import type { RunEnd, StartRuns } from "../../messages/mod.ts";
 import { getRunExpiryMs } from "../get_run_expiry_ms.ts";
+import { addToGroup } from "./add_to_group.ts";
 import type { AgentStream } from "./agent_stream.ts";
 import type { BatchAnswer } from "./batch_answer.ts";
 import type { BatchTask } from "./batch_task.ts";
@@ -134,7 +135,8 @@
   /** Time at which the latency target is missed, on the monotonic clock. */
   #latencyTargetAt = 0;
   readonly #timers = new JobTimers();
-  readonly #schedule: PlacementSchedule;
+  /** Undefined before a task is put off: most jobs are placed once. */
+  #usedSchedule: PlacementSchedule | undefined;
   #resolve: (answer: BatchAnswer) => void = () => {};
   #resolveRunsEnded: () => void = () => {};
   #isAnswered = false;
@@ -152,11 +154,15 @@
     this.answer = new Promise((resolve) => this.#resolve = resolve);
     this.runsEnded = new Promise((resolve) => this.#resolveRunsEnded = resolve);
     this.#tasks = new JobTasks(options.job);
-    this.#schedule = new PlacementSchedule({
+  }
+
+  get #schedule(): PlacementSchedule {
+    this.#usedSchedule ??= new PlacementSchedule({
       timers: this.#timers,
       place: (tasks) => this.#placeAndSend(tasks),
-      onDue: () => options.requestGrants(),
+      onDue: () => this.#options.requestGrants(),
     });
+    return this.#usedSchedule;
   }
 
   /** Gets whether a run of the job may be executing. */
@@ -708,12 +714,3 @@
     this.#checkRunsEnded();
   }
 }
-
-function addToGroup<T>(groups: Map<string, T[]>, key: string, item: T): void {
-  const group = groups.get(key);
-  if (group === undefined) {
-    groups.set(key, [item]);
-  } else {
-    group.push(item);
-  }
-}
--- a/src/coordination/batch/entry/placement_schedule.ts
+++ b/src/coordination/batch/entry/placement_schedule.ts
@@ -1,3 +1,4 @@
+import { addToGroup } from "./add_to_group.ts";
 import type { BatchTask } from "./batch_task.ts";
 import type { JobTimers } from "./job_timers.ts";
 import type { TaskState } from "./task_state.ts";
@@ -65,13 +66,10 @@
     const byStep = new Map<number, BatchTask[]>();
     for (const task of tasks) {
       task.state = "idle";
-      const ofStep = byStep.get(task.stepNumber) ?? [];
-      byStep.set(task.stepNumber, [...ofStep, task]);
-    }
-    const stepNumbers = [...byStep.keys()].sort((a, b) => a - b);
-    for (const stepNumber of stepNumbers) {
-      this.#options.place(byStep.get(stepNumber) ?? []);
+      addToGroup(byStep, task.stepNumber, task);
     }
+    const inOrder = [...byStep].sort(([a], [b]) => a - b);
+    inOrder.forEach(([, ofStep]) => this.#options.place(ofStep));
   }
 }
 
--- a/src/protocol/batch/parse_batch_frame.ts
+++ b/src/protocol/batch/parse_batch_frame.ts
@@ -228,7 +228,7 @@
 }
 
 function parseStartRuns(row: StartRunsRow): StartRuns {
-  return {
+  const startRuns: StartRuns = {
     batch: row[0],
     jobId: row[1],
     spec: row[2],
@@ -240,10 +240,15 @@
     ageMs: row[8],
     claimNumber: row[9],
     awaitedHomes: row[10],
-    // Entries of earlier versions don't send them.
-    ...(typeof row[11] === "number" ? { detourMs: row[11] } : {}),
-    ...(typeof row[12] === "number" ? { workerRevision: row[12] } : {}),
   };
+  // Entries of earlier versions don't send them.
+  if (typeof row[11] === "number") {
+    startRuns.detourMs = row[11];
+  }
+  if (typeof row[12] === "number") {
+    startRuns.workerRevision = row[12];
+  }
+  return startRuns;
 }
 
 function parseRunOrder(row: RunOrderRow): RunOrder {
--- a/tests/coordination/batch/agent/worker_runner_test.ts
+++ b/tests/coordination/batch/agent/worker_runner_test.ts
@@ -173,33 +173,35 @@
       .to.deep.equal(["c declined"]);
   });
 
-  it("returns queued runs when the worker no longer is what it was placed by", async () => {
-    // Guards against starts on a worker that has lost the label of the step.
-    await startWorker();
-    const { workerRevision } = runner;
-    for (const task of ["a", "b", "c"]) {
-      runner.add(createRun(owner, { task, workerRevision }));
-    }
-    runner.processQueue();
-    await waitUntil(() => worker.starts.length === 2, "two runs have started");
-    const labels = ["other-kind"];
-    runner.handleWorkerReport(createDescription({ sequence: 2, labels }));
-    expect(owner.ends.map(({ task, outcome }) => `${task} ${outcome}`))
-      .to.deep.equal(["c returned"]);
-    expect(runner.workerRevision).to.be.greaterThan(workerRevision);
-  });
+  describe("with runs that name the revision of the worker", () => {
+    let workerRevision: number;
 
-  it("keeps queued runs when only the capacity of the worker changes", async () => {
-    await startWorker();
-    const { workerRevision } = runner;
-    for (const task of ["a", "b", "c"]) {
-      runner.add(createRun(owner, { task, workerRevision }));
-    }
-    runner.processQueue();
-    const capacity = { cpuMillis: 3_000, memoryMb: 1_000, gpus: 0 };
-    runner.handleWorkerReport(createDescription({ sequence: 2, capacity }));
-    expect(owner.ends).to.have.length(0);
-    expect(runner.workerRevision).to.equal(workerRevision);
+    /** Adds three runs, of which the worker has room for two. */
+    beforeEach(async () => {
+      await startWorker();
+      ({ workerRevision } = runner);
+      for (const task of ["a", "b", "c"]) {
+        runner.add(createRun(owner, { task, workerRevision }));
+      }
+      runner.processQueue();
+      await waitUntil(() => worker.starts.length === 2, "two have started");
+    });
+
+    it("returns queued ones when the worker no longer is what they were placed by", () => {
+      // Guards against starts on a worker that has lost the label of the step.
+      const labels = ["other-kind"];
+      runner.handleWorkerReport(createDescription({ sequence: 2, labels }));
+      expect(owner.ends.map(({ task, outcome }) => `${task} ${outcome}`))
+        .to.deep.equal(["c returned"]);
+      expect(runner.workerRevision).to.be.greaterThan(workerRevision);
+    });
+
+    it("keeps queued ones when only the capacity of the worker changes", () => {
+      const capacity = { cpuMillis: 3_000, memoryMb: 1_000, gpus: 0 };
+      runner.handleWorkerReport(createDescription({ sequence: 2, capacity }));
+      expect(owner.ends).to.have.length(0);
+      expect(runner.workerRevision).to.equal(workerRevision);
+    });
   });
 
   it("does not repeat a start that the worker missed once it is no longer what it was placed by", async () => {
