--- a/tests/coordination/batch/agent/batch_agent_test.ts
+++ b/tests/coordination/batch/agent/batch_agent_test.ts
@@ -267,6 +267,10 @@
       owner = openStream("entry-1");
       await waitUntil(() => getProfiles(owner).length > 0, "its profile");
       workerRevision = getProfiles(owner).at(-1)?.revision;
+    });
+
+    /** Ends the worker, and starts another one of another kind under its id. */
+    async function replaceWorker(): Promise<void> {
       worker.crash();
       await waitUntil(() => !agent.runner.acceptsWork, "the crash is noticed");
       worker.isDown = false;
@@ -274,18 +278,64 @@
       const labels = ["other-kind"];
       agent.runner.handleWorkerReport({ ...WORKER_REPORT, bornAtMs, labels });
       await waitUntil(() => agent.runner.acceptsWork, "it accepts work again");
+    }
+
+    async function expectReturned(task = TASK): Promise<void> {
+      await waitUntil(
+        () => getEnds(owner).some((end) => end.task === task),
+        "the run is returned",
+      );
+      const end = getEnds(owner).find((other) => other.task === task);
+      expect(end).to.include({ outcome: "returned" });
+      await wait(START_DELAY_MS);
+      expect(worker.starts.map((start) => start.task)).not.to.include(task);
+    }
+
+    it("returns orders that wait for room when it is replaced", async () => {
+      const [run] = START_RUNS.value.runs;
+      const tasks = ["0", "1", "2"].map((n) => `${JOB_ID}.0.0.${n}`);
+      const runs = tasks.map((task) => ({ ...run, task, crashes: 0 }));
+      const value = { ...START_RUNS.value, runs, workerRevision };
+      sendBody(owner, { case: "startRuns", value } as BatchBody);
+      await waitUntil(() => worker.starts.length === 2, "two have started");
+      await replaceWorker();
+      await expectReturned(tasks[2]);
+    });
+
+    it("returns orders that wait for grants when it is replaced", async () => {
+      const peer = new MemoryStream();
+      void agent.serve(peer);
+      const value = { ...START_ON_GRANTS.value, workerRevision };
+      sendBody(owner, { case: "startRuns", value });
+      await wait(START_DELAY_MS);
+      await replaceWorker();
+      for (const grant of [GRANT, OTHER_GRANT]) {
+        sendBody(peer, { case: "jobGranted", value: grant });
+      }
+      await expectReturned();
+    });
+
+    it("returns orders whose grants came before it was replaced", async () => {
+      await replaceWorker();
+      const peer = new MemoryStream();
+      void agent.serve(peer);
+      for (const grant of [GRANT, OTHER_GRANT]) {
+        sendBody(peer, { case: "jobGranted", value: grant });
+      }
+      const value = { ...START_ON_GRANTS.value, workerRevision };
+      sendBody(owner, { case: "startRuns", value });
+      await expectReturned();
     });
 
     it("returns orders that were placed on the former one", async () => {
+      await replaceWorker();
       const value = { ...START_RUNS.value, workerRevision };
       sendBody(owner, { case: "startRuns", value });
-      await waitUntil(() => getEnds(owner).length > 0, "the run is returned");
-      expect(getEnds(owner)[0]).to.include({ task: TASK, outcome: "returned" });
-      await wait(START_DELAY_MS);
-      expect(worker.starts).to.have.length(0);
+      await expectReturned();
     });
 
     it("starts orders that were placed on the new one", async () => {
+      await replaceWorker();
       await waitUntil(
         () => getProfiles(owner).at(-1)?.labels[0] === "other-kind",
         "the new profile",
@@ -297,6 +347,7 @@
     });
 
     it("starts orders of entries of earlier versions, which name no revision", async () => {
+      await replaceWorker();
       sendBody(owner, START_RUNS);
       await waitUntil(() => worker.running.has(TASK), "the run has started");
     });
--- a/tests/coordination/batch/entry/batch_job_run_test.ts
+++ b/tests/coordination/batch/entry/batch_job_run_test.ts
@@ -51,6 +51,8 @@
   offers: WorkerOffer[] = [];
   isConfined = false;
   hasUnknownWorkers = false;
+  /** Whether there are streams to the agents. */
+  hasStreams = true;
   /** Whether the entry may start runs of the job. */
   hasClaim = true;
   readonly crashHistory = new CrashHistory();
@@ -97,6 +99,9 @@
       getAgeMs: () => 0,
       claimFor: () => ({ claimNumber: 0, awaitedHomes: 0 }),
       sendStart: (agentId, { runs, timeLeftMs }) => {
+        if (!this.hasStreams) {
+          return undefined;
+        }
         this.sentTimesLeftMs.push(timeLeftMs);
         const stream = this.getStream(agentId);
         for (const { task, run, expectedMs, recheckAfterMs } of runs) {
@@ -204,6 +209,83 @@
       });
     }
 
+    for (const sharesRack of [true, false]) {
+      const kind = sharesRack ? "a group" : "single tasks";
+      for (
+        const outcome of ["declined", "failed", "lost", "returned"] as const
+      ) {
+        // Guards against further runs beside that one, whatever puts it off how often.
+        it(`sends one run after one that is ${outcome}, of ${kind}, while other tasks end`, async () => {
+          const job = new JobHarness(createSteps({ sharesRack }));
+          job.endRun(0, "done");
+          expect(getLastStep(job)).to.have.length(4);
+          job.hasClaim = false;
+          for (let index = 0; index < 4; index++) {
+            job.endRun(13 + index, outcome);
+          }
+          for (let sentIndex = 1; sentIndex < 13; sentIndex++) {
+            job.endRun(sentIndex, "done");
+            await wait(5);
+          }
+          expect(getLastStep(job)).to.have.length(4);
+          job.hasClaim = true;
+          runBusyLoop(50);
+          await waitUntil(() => getLastStep(job).length > 4, "sent again");
+          await wait(60);
+          expect(getLastStep(job).map(({ run }) => run))
+            .to.deep.equal([1, 1, 1, 1, 2, 2, 2, 2]);
+          job.run.cancel();
+        });
+      }
+
+      // Guards against runs of lost streams that end by a report and by their expiry.
+      it(`sends one run after one of a lost stream, of ${kind}`, async () => {
+        const steps = createSteps({ sharesRack, expectedMs: 1_000 });
+        const job = new JobHarness(steps, 60_000);
+        for (let sentIndex = 0; sentIndex < 13; sentIndex++) {
+          job.endRun(sentIndex, "done");
+        }
+        expect(getLastStep(job)).to.have.length(4);
+        job.hasClaim = false;
+        for (const sentIndex of [13, 14, 15, 16]) {
+          const { stream } = job.sent[sentIndex] as SentRun;
+          job.run.handleStreamLost(stream);
+        }
+        job.streamNumber++;
+        for (const agentId of ["a", "b"]) {
+          job.run.handleEarlierRunsEnded(job.getStream(agentId));
+          job.run.handleEarlierRunsEnded(job.getStream(agentId));
+        }
+        await wait(EXPIRY_MS + 20);
+        job.hasClaim = true;
+        runBusyLoop(50);
+        await waitUntil(() => getLastStep(job).length > 4, "sent again");
+        await wait(60);
+        expect(getLastStep(job).map(({ run }) => run))
+          .to.deep.equal([1, 1, 1, 1, 2, 2, 2, 2]);
+        job.run.cancel();
+      });
+
+      // Guards against further runs after the stream broke as they were ordered.
+      it(`sends one run of ${kind} when there is a stream again`, async () => {
+        const job = new JobHarness(createSteps({ sharesRack }));
+        job.hasStreams = false;
+        for (let sentIndex = 0; sentIndex < 13; sentIndex++) {
+          job.endRun(sentIndex, "done");
+        }
+        await wait(60);
+        expect(getLastStep(job)).to.have.length(0);
+        job.hasStreams = true;
+        runBusyLoop(50);
+        await waitUntil(() => getLastStep(job).length > 0, "they are sent");
+        await wait(60);
+        expect(getLastStep(job)).to.have.length(4);
+        expect(new Set(getLastStep(job).map(({ task }) => task)))
+          .to.have.property("size", 4);
+        job.run.cancel();
+      });
+    }
+
     // Guards against an earlier plan that cuts the delay of a later one short.
     it("waits the whole delay after a run that was returned", async () => {
       const job = new JobHarness(createSteps({}));
@@ -501,53 +583,49 @@
     expect(job.answer).to.deep.equal({ kind: "error", error: "timeout" });
   });
 
-  // Guards against runs of a job that was answered "not run".
-  it("sends no task of another step once it is answered", async () => {
+  describe("with a step that can't end in time any more, before others", () => {
+    // Guards against runs of a job that was answered "not run".
     const resources = { cpuMillis: 1_000, memoryMb: 64, gpus: 1 };
     const capacity = { cpuMillis: 32_000, memoryMb: 65_536, gpus: 1 };
-    const steps = [createBatchStep({ resources }), createBatchStep()];
-    const loads = [
-      createWorkerLoad({ agentId: "a", capacity, free: capacity }),
-    ];
-    const job = new JobHarness(steps, 1_000, loads);
-    expect(job.sent).to.have.length(2);
-    job.loads = [
-      createWorkerLoad({
-        ...{ agentId: "a", capacity, runningLeftMs: [5_000] },
-        free: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
-      }),
-      createWorkerLoad({ agentId: "b" }),
-    ];
-    job.endRun(0, "declined");
-    job.endRun(1, "declined");
-    await waitUntil(() => job.answer !== undefined, "the job is answered");
-    expect(job.answer).to.include({ error: "deadline_unreachable" });
-    expect(job.sent).to.have.length(2);
-  });
 
-  it("sends no later step once it is answered", async () => {
-    const resources = { cpuMillis: 1_000, memoryMb: 64, gpus: 1 };
-    const capacity = { cpuMillis: 32_000, memoryMb: 65_536, gpus: 1 };
-    const steps = [
-      createBatchStep(),
-      createBatchStep({ resources, dependsOn: [0] }),
-      createBatchStep({ dependsOn: [0] }),
-    ];
-    const loads = [
-      createWorkerLoad({ agentId: "a", capacity, free: capacity }),
-    ];
-    const job = new JobHarness(steps, 1_000, loads);
-    job.loads = [
-      createWorkerLoad({
-        ...{ agentId: "a", capacity, runningLeftMs: [5_000] },
-        free: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
-      }),
-      createWorkerLoad({ agentId: "b" }),
-    ];
-    job.endRun(0, "done");
-    await wait(0);
-    expect(job.answer).to.deep.equal({ kind: "error", error: "timeout" });
-    expect(job.sent).to.have.length(1);
+    /** Creates a job whose worker with a GPU is busy once its first tasks are sent. */
+    function createJob(steps: BatchStep[]): JobHarness {
+      const idle = { agentId: "a", capacity, free: capacity };
+      const job = new JobHarness(steps, 1_000, [createWorkerLoad(idle)]);
+      job.loads = [
+        createWorkerLoad({
+          ...{ ...idle, runningLeftMs: [5_000] },
+          free: { cpuMillis: 0, memoryMb: 0, gpus: 0 },
+        }),
+        createWorkerLoad({ agentId: "b" }),
+      ];
+      return job;
+    }
+
+    it("sends no task of another step once it is answered", async () => {
+      const job = createJob([
+        createBatchStep({ resources }),
+        createBatchStep(),
+      ]);
+      expect(job.sent).to.have.length(2);
+      job.endRun(0, "declined");
+      job.endRun(1, "declined");
+      await waitUntil(() => job.answer !== undefined, "the job is answered");
+      expect(job.answer).to.include({ error: "deadline_unreachable" });
+      expect(job.sent).to.have.length(2);
+    });
+
+    it("sends no later step once it is answered", async () => {
+      const job = createJob([
+        createBatchStep(),
+        createBatchStep({ resources, dependsOn: [0] }),
+        createBatchStep({ dependsOn: [0] }),
+      ]);
+      job.endRun(0, "done");
+      await wait(0);
+      expect(job.answer).to.deep.equal({ kind: "error", error: "timeout" });
+      expect(job.sent).to.have.length(1);
+    });
   });
 
   it("places the tasks that agents decline at other workers", async () => {
