Wait as long for unknown workers as the users' faults last

Callers saw: after a loss of all processes, a job was answered failed, which is final, although the only worker that fits it returned or was there.

Cause: the bound of 3 s of is shorter than the users' faults: workers that crash are away for up to 4.5 s, and links are cut for up to 5.5 s. It also counted from when the entry learnt of an agent, not from when the agent could last be heard.

Now an agent may have an unknown worker until it has been up for 8 s without one, or hasn't been heard for 8 s.

--- a/src/coordination/batch/entry/batch_agent_link.ts
+++ b/src/coordination/batch/entry/batch_agent_link.ts
@@ -52,11 +52,11 @@
 } as const;
 
 /**
- * Time after the start of an agent, or after this entry has learnt of it, for which the
- * agent may have a worker that it hasn't told of, in milliseconds: several reports of a
- * worker.
+ * Time after the start of an agent, or without a status from it, for which it may have a
+ * worker that isn't known yet, in milliseconds. Workers that crash are away, and links
+ * are cut, for up to 5.5 s; then the stream opens again, and the worker reports.
  */
-const UNKNOWN_WORKER_MS = 3_000;
+const UNKNOWN_WORKER_MS = 8_000;
 
 /** Delays between attempts to open the stream, in milliseconds. */
 const REOPEN_DELAY_MS = {
@@ -136,7 +136,6 @@
   #hasBeenReached = false;
   /** When the agent's process started to keep claims. */
   #agentStartedAt = Infinity;
-  readonly #createdAt: number;
   #releasedJobs: string[] = [];
   #isStopped = false;
   readonly #operatorState: OperatorStateExchange;
@@ -149,7 +148,6 @@
       getName: () => this.agentId,
     });
     this.#getTime = options.getTime ?? (() => performance.now());
-    this.#createdAt = this.#getTime();
     const { name, address } = options.member;
     this.#streamId = { agentId: name, address, number: 0 };
     this.#load = new ReportedLoad(name);
@@ -217,11 +215,10 @@
     if (this.#offer !== undefined) {
       return false;
     }
-    const startedAt = Number.isFinite(this.#agentStartedAt)
-      ? this.#agentStartedAt
-      : this.#createdAt;
-    const sinceMs = Math.max(this.#createdAt, startedAt);
-    return this.#getTime() - sinceMs < UNKNOWN_WORKER_MS;
+    const withoutWorkerMs = this.#hasBeenReached
+      ? this.uptimeMs
+      : this.#unreachedMs;
+    return withoutWorkerMs < UNKNOWN_WORKER_MS;
   }
 
   /** Gets whether the agent has reported its status on the current stream. */
--- a/tests/lib/fake_agent_peers.ts
+++ b/tests/lib/fake_agent_peers.ts
@@ -90,6 +90,19 @@
     this.sendBody(address, { case: "workerStatus", value });
   }
 
+  /** Sends the hello of an agent, and that it has no worker. */
+  sendAgentWithoutWorker(
+    address: string,
+    { name, uptimeMs }: { name: string; uptimeMs: number },
+  ): void {
+    const hello = { name, incarnation: "i", stream: 0, uptimeMs };
+    this.sendBody(address, { case: "hello", value: hello });
+    const profile = { ...PROFILE, workerId: "", service: "", revision: 0 };
+    this.sendBody(address, { case: "workerProfile", value: profile });
+    const value = { ...STATUS, acceptsWork: false };
+    this.sendBody(address, { case: "workerStatus", value });
+  }
+
   /** Ends the newest stream to an address. */
   closeStream(address: string): void {
     this.#find(address)?.close();
